--- a/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
@@ -45,6 +45,12 @@
 	/** The body is larger than the service allows. */
 	BODY_TOO_LARGE(413, CallExecution.NOT_RUN, Repetition.USELESS, "The body is larger than the service allows"),
 
+	/** The caller did not send its request in time. */
+	REQUEST_TOO_SLOW(408, CallExecution.NOT_RUN, Repetition.AFTER_DELAY, "The caller did not send its request in time"),
+
+	/** The headers are larger than the limits allow. */
+	HEADERS_TOO_LARGE(431, CallExecution.NOT_RUN, Repetition.USELESS, "The headers are larger than the limits allow"),
+
 	/** The key was used before with another body. */
 	KEY_BODY_MISMATCH(422, CallExecution.NOT_RUN, Repetition.USELESS, "The key was used before with another body"),
 
--- a/banyancove-core/src/main/java/org/banyancove/core/retry/RetryBudget.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/retry/RetryBudget.java
@@ -20,11 +20,13 @@
 
 	private double ratio;
 
-	private double tokens = RESERVE;
+	private double mostSaved;
+
+	private double tokens;
 
 	private long firstAttempts;
 
-	private double earned = RESERVE;
+	private double earned;
 
 	private long retries;
 
@@ -34,7 +36,30 @@
 	 * @throws IllegalArgumentException if {@code ratio} is out of its range
 	 */
 	public RetryBudget(double ratio) {
+		this(ratio, RESERVE, MOST_SAVED);
+	}
+
+	/**
+	 * Creates the budget with a reserve of its own.
+	 * @param ratio the retries for each first attempt, from 0 to 1
+	 * @param reserve the retries that can be made before any first attempt
+	 * @param mostSaved the most retries that can be saved up
+	 * @throws IllegalArgumentException if {@code ratio} is out of its range
+	 */
+	public RetryBudget(double ratio, double reserve, double mostSaved) {
 		this.ratio = checked(ratio);
+		this.mostSaved = mostSaved;
+		this.tokens = reserve;
+		this.earned = reserve;
+	}
+
+	/**
+	 * Changes the most retries that can be saved up; what was saved beyond it is lost.
+	 * @param newMost the most retries
+	 */
+	public void changeMostSaved(double newMost) {
+		this.mostSaved = newMost;
+		this.tokens = Math.min(this.tokens, newMost);
 	}
 
 	/**
@@ -51,7 +76,7 @@
 	public void firstAttempt() {
 		this.firstAttempts++;
 		this.earned += this.ratio;
-		this.tokens = Math.min(MOST_SAVED, this.tokens + this.ratio);
+		this.tokens = Math.min(this.mostSaved, this.tokens + this.ratio);
 	}
 
 	/**
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -0,0 +1,76 @@
+package org.banyancove.gateway.admission;
+
+import java.time.Duration;
+
+import org.banyancove.gateway.configuration.Route;
+
+/**
+ * Decides whether a request is sent on or turned away at once.
+ * <p>
+ * The load that it answers: more prompts than the engines can read. Without a limit each
+ * engine's queue grows until every first event is late, and all that was read is read for
+ * callers who have left. A request whose answer is predicted past its target is worth a
+ * tenth; turning it away before it is sent keeps those in time that are already there.
+ */
+public final class AdmissionRule {
+
+	/**
+	 * Of a request's target, the part that its prediction may take: predictions are off
+	 * by a fifth either way, so that most that are sent are in time.
+	 */
+	private static final double SHARE_OF_TARGET = 1.25;
+
+	/** Of the time that a caller still waits, the part that its prediction may take. */
+	private static final double SHARE_OF_REMAINING = 0.7;
+
+	/**
+	 * Shortest and longest time to come back: below, nothing has changed; above, callers
+	 * give up.
+	 */
+	private static final Duration SHORTEST_RETURN = Duration.ofMillis(200);
+
+	private static final Duration LONGEST_RETURN = Duration.ofSeconds(4);
+
+	/**
+	 * Decides on a request.
+	 * @param route its route
+	 * @param predicted the time to its answer or first event, if it is sent now
+	 * @param elapsed since it arrived
+	 * @param remaining until its caller gives up
+	 * @return how long the caller is to stay away, or zero if the request is sent
+	 */
+	public Duration timeToComeBack(Route route, Duration predicted, Duration elapsed, Duration remaining) {
+		Duration total = predicted.plus(elapsed);
+		Duration allowed = scaled(route.latencyTarget(), SHARE_OF_TARGET);
+		boolean late = total.compareTo(allowed) > 0;
+		boolean tooLate = predicted.compareTo(scaled(remaining, SHARE_OF_REMAINING)) > 0;
+		if (!late && !tooLate) {
+			return Duration.ZERO;
+		}
+		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)));
+	}
+
+	/**
+	 * Returns how long a request may wait for an endpoint while there is none.
+	 * @param route its route
+	 * @param remaining until its caller gives up
+	 * @return the time
+	 */
+	public Duration patience(Route route, Duration remaining) {
+		Duration half = route.latencyTarget().dividedBy(2);
+		Duration quarter = remaining.dividedBy(4);
+		return (half.compareTo(quarter) < 0) ? half : quarter;
+	}
+
+	private static Duration clamp(Duration duration) {
+		if (duration.compareTo(SHORTEST_RETURN) < 0) {
+			return SHORTEST_RETURN;
+		}
+		return (duration.compareTo(LONGEST_RETURN) > 0) ? LONGEST_RETURN : duration;
+	}
+
+	private static Duration scaled(Duration duration, double factor) {
+		return Duration.ofNanos((long) (duration.toNanos() * factor));
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -0,0 +1,368 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.duty.GatewayBoard;
+import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.LeaseKeeper;
+import org.banyancove.gateway.duty.UsageCounter;
+import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.exchange.CallerServer;
+import org.banyancove.gateway.exchange.ClientConnections;
+import org.banyancove.gateway.exchange.RequestFlow;
+import org.banyancove.gateway.shared.Duties;
+import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.SharedTopics;
+import org.banyancove.gateway.shared.StateReader;
+import org.banyancove.gateway.shared.SteadyClock;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.banyancove.program.MetricsText;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A gateway's process: follows shared state, takes requests, and stops in order.
+ */
+public final class Gateway {
+
+	private static final Logger log = LoggerFactory.getLogger(Gateway.class);
+
+	/** A quarter of the two seconds in which a change must be in force. */
+	private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(400);
+
+	/**
+	 * A fifth of the two seconds after which a leaving endpoint must get nothing more.
+	 */
+	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(400);
+
+	/** How often gateways tell of themselves and read the others. */
+	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration LEASES_INTERVAL = Duration.ofMillis(700);
+
+	private static final Duration TICK = Duration.ofMillis(200);
+
+	/** A lapse may be the store's fault if it failed this shortly before. */
+	private static final Duration STORE_DOUBT = Duration.ofSeconds(4);
+
+	/**
+	 * Within a stop: callers are sent elsewhere after two missed checks, a second apart.
+	 */
+	private static final Duration STOP_IDLE_AFTER = Duration.ofMillis(2500);
+
+	/** Left over at the end of a stop, so that the last answers leave the VM. */
+	private static final Duration STOP_MARGIN = Duration.ofMillis(400);
+
+	private final GatewaySettings settings;
+
+	private final EventLoop eventLoop;
+
+	private final SteadyClock clock;
+
+	private final SharedTopics topics;
+
+	private final StateReader reader;
+
+	private final long incarnation;
+
+	private final EndpointTable endpoints = new EndpointTable();
+
+	private final GatewayBoard board = new GatewayBoard();
+
+	private final ReportCodec codec = new ReportCodec();
+
+	private final UsageCounter usage;
+
+	private final GatewayMetrics metrics;
+
+	private final RequestFlow flow;
+
+	private final CallerServer callers;
+
+	private final StatusServer status;
+
+	private final DutyWork duties;
+
+	private final TopicFollower endpointFollower;
+
+	private @Nullable Configuration configuration;
+
+	private boolean reporting;
+
+	private boolean stopping;
+
+	private boolean wasReady;
+
+	/**
+	 * Creates a gateway.
+	 * @param settings its settings
+	 * @param eventLoops a group of one loop, on which everything runs
+	 * @param clocks the clocks
+	 * @param random the random numbers
+	 * @param words the words of headers
+	 * @param reader reads the records that others write
+	 * @param ports the platform's store and duties
+	 * @param connections the connections to endpoints
+	 */
+	public Gateway(GatewaySettings settings, EventLoopGroup eventLoops, Clocks clocks, RandomGenerator random,
+			HeaderWords words, StateReader reader, Ports ports, ClientConnections connections) {
+		this.settings = settings;
+		this.eventLoop = eventLoops.next();
+		this.clock = clocks.steady();
+		this.topics = ports.topics();
+		this.reader = reader;
+		this.incarnation = random.nextLong() >>> 1;
+		PrometheusRegistry registry = new PrometheusRegistry();
+		this.metrics = new GatewayMetrics(registry);
+		this.usage = new UsageCounter(settings.usageWindow());
+		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, words, connections,
+				this.endpoints, new PlacementRule(settings.zone()), this.usage, this.metrics, settings.retryLimits());
+		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
+		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
+		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
+				this.clock.nanos());
+		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
+				this.board);
+		this.endpointFollower = follower(Topic.ENDPOINTS, ENDPOINTS_INTERVAL, new EndpointListener());
+	}
+
+	private TopicFollower follower(Topic topic, Duration interval, TopicFollower.Listener listener) {
+		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, interval, listener);
+	}
+
+	/**
+	 * Starts to listen and to follow shared state.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void start() throws InterruptedException {
+		this.callers.listen(this.settings.callers());
+		this.status.listen(this.settings.readiness());
+		if (this.settings.metrics() != null) {
+			this.status.listen(this.settings.metrics());
+		}
+		this.eventLoop.execute(this::follow);
+		log.atInfo()
+			.addKeyValue("name", this.settings.name())
+			.addKeyValue("incarnation", this.incarnation)
+			.addKeyValue("callers", this.settings.callers())
+			.log("started");
+	}
+
+	private void follow() {
+		follower(Topic.CONFIGURATION, CONFIGURATION_INTERVAL, this::configurationChanged).start();
+		this.endpointFollower.start();
+		follower(Topic.GATEWAYS, REPORT_INTERVAL, this::gatewayReported).start();
+		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
+			follower(Topic.LEASES, LEASES_INTERVAL, this.duties).start();
+		}
+		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+		this.eventLoop.scheduleWithFixedDelay(this::report, 0, REPORT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private CallerLimits limits() {
+		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
+	}
+
+	private boolean ready() {
+		return !this.stopping && this.configuration != null && this.endpointFollower.complete();
+	}
+
+	// ---- what is followed
+
+	private void configurationChanged(TopicRecord entry) {
+		if (!this.reader.isConfiguration(entry.key()) || entry.value() == null) {
+			return;
+		}
+		Configuration newest;
+		try {
+			newest = this.reader.readConfiguration(entry.value());
+		}
+		catch (RuntimeException ex) {
+			log.atError()
+				.addKeyValue("offset", entry.offset())
+				.addKeyValue("cause", ex.toString())
+				.log("configuration unreadable");
+			return;
+		}
+		if (this.configuration != null && newest.version() <= this.configuration.version()) {
+			return;
+		}
+		this.configuration = newest;
+		this.endpoints.configure(newest);
+		this.flow.configure(newest);
+		log.atInfo()
+			.addKeyValue("version", newest.version())
+			.addKeyValue("routes", newest.routes().size())
+			.log("configuration taken");
+	}
+
+	private void gatewayReported(TopicRecord entry) {
+		if (entry.value() == null) {
+			return;
+		}
+		try {
+			this.board.read(this.codec.readReport(entry.value()), this.clock.nanos());
+		}
+		catch (RuntimeException ex) {
+			log.atError().addKeyValue("key", entry.key()).addKeyValue("cause", ex.toString()).log("report unreadable");
+		}
+	}
+
+	// ---- what is told
+
+	private void report() {
+		if (this.reporting) {
+			return;
+		}
+		this.reporting = true;
+		Map<ServiceName, Integer> inFlight = new HashMap<>();
+		for (Endpoint endpoint : this.endpoints.all()) {
+			inFlight.merge(endpoint.entry().service(), endpoint.inFlight(), Integer::sum);
+		}
+		GatewayReport told = new GatewayReport(this.incarnation, this.usage.counts(), this.flow.demand(), inFlight);
+		this.topics.append(Topic.GATEWAYS, this.settings.name(), this.codec.write(told))
+			.whenComplete((outcome, failure) -> this.reporting = false);
+		this.board.read(told, this.clock.nanos());
+	}
+
+	private void tick() {
+		try {
+			long now = this.clock.nanos();
+			this.endpoints.expire(now).forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
+			this.board.expire(now);
+			this.flow.others(this.board.others(this.incarnation) + 1, this.board.othersDemand(this.incarnation));
+			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
+				this.duties.tick();
+			}
+			this.metrics.nextTick();
+			if (ready() != this.wasReady) {
+				this.wasReady = ready();
+				log.atInfo().addKeyValue("ready", this.wasReady).log("readiness changed");
+			}
+		}
+		catch (RuntimeException ex) {
+			// The timer would end for good; the next tick may well succeed.
+			log.error("tick failed", ex);
+		}
+	}
+
+	// ---- the stop
+
+	/**
+	 * Stops in order: takes no new connections, lets requests end, closes what is idle.
+	 * Returns when that is done or the time is up.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void stop() throws InterruptedException {
+		long began = this.clock.nanos();
+		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopping");
+		this.eventLoop.execute(() -> {
+			this.stopping = true;
+			this.callers.stop();
+		});
+		TimeUnit.MILLISECONDS.sleep(STOP_IDLE_AFTER.toMillis());
+		this.eventLoop.execute(this.flow::stop);
+		long end = began + this.settings.stopTime().minus(STOP_MARGIN).toNanos();
+		while (this.clock.nanos() < end && connectionsLeft() > 0) {
+			TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
+		}
+		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopped");
+	}
+
+	private int connectionsLeft() throws InterruptedException {
+		try {
+			return this.eventLoop.submit(this.callers::closeIdle).get();
+		}
+		catch (ExecutionException ex) {
+			log.error("closing idle connections failed", ex);
+			return 0;
+		}
+	}
+
+	/**
+	 * The clocks of a gateway.
+	 *
+	 * @param steady the clock that never jumps
+	 * @param wall the time of day
+	 */
+	public record Clocks(SteadyClock steady, InstantSource wall) {
+	}
+
+	/**
+	 * The ports to the platform.
+	 *
+	 * @param topics its store
+	 * @param duties the calls that one gateway makes for all
+	 */
+	public record Ports(SharedTopics topics, Duties duties) {
+	}
+
+	/**
+	 * Hears of endpoints.
+	 */
+	private final class EndpointListener implements TopicFollower.Listener {
+
+		@Override
+		public void changed(TopicRecord entry) {
+			EndpointId id = new EndpointId(entry.key());
+			if (entry.value() == null) {
+				gone(id);
+				return;
+			}
+			try {
+				EndpointEntry read = Gateway.this.reader.readEndpoint(id, entry.value());
+				Endpoint known = Gateway.this.endpoints.get(id);
+				if (known == null || !known.entry().equals(read)) {
+					log.atInfo()
+						.addKeyValue("endpoint", id)
+						.addKeyValue("service", read.service())
+						.addKeyValue("address", read.address())
+						.addKeyValue("draining", read.draining())
+						.log("endpoint listed");
+				}
+				Gateway.this.endpoints.put(read);
+			}
+			catch (RuntimeException ex) {
+				log.atWarn().addKeyValue("endpoint", id).addKeyValue("cause", ex.toString()).log("endpoint unreadable");
+				Gateway.this.endpoints.remove(id);
+			}
+		}
+
+		private void gone(EndpointId id) {
+			Duration sinceFailure = Gateway.this.endpointFollower.sinceFailure();
+			boolean doubtful = sinceFailure != null && sinceFailure.compareTo(STORE_DOUBT) < 0;
+			log.atInfo().addKeyValue("endpoint", id).addKeyValue("doubtful", doubtful).log("endpoint no longer listed");
+			if (doubtful) {
+				Gateway.this.endpoints.lapse(id, Gateway.this.clock.nanos());
+			}
+			else {
+				Gateway.this.endpoints.remove(id);
+			}
+		}
+
+		@Override
+		public void missing(String key) {
+			Gateway.this.endpoints.lapse(new EndpointId(key), Gateway.this.clock.nanos());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -0,0 +1,39 @@
+package org.banyancove.gateway.daemon;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.exchange.RetryLimits;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The settings of a gateway.
+ *
+ * @param name the VM's name, unique among gateways
+ * @param zone its data centre
+ * @param callers where it listens for callers
+ * @param readiness where it tells whether it takes requests
+ * @param metrics where it serves metrics, or {@code null}
+ * @param retryLimits what all gateways may send again
+ * @param lease the length of the lease of the shared duties
+ * @param usageWindow the length of a window of the usage report
+ * @param reportsUsage whether usage is to be reported
+ * @param ordersEndpoints whether endpoints are to be ordered
+ * @param stopTime from being told to stop to being killed
+ */
+public record GatewaySettings(String name, ZoneName zone, InetSocketAddress callers, InetSocketAddress readiness,
+		@Nullable InetSocketAddress metrics, RetryLimits retryLimits, Duration lease, Duration usageWindow,
+		boolean reportsUsage, boolean ordersEndpoints, Duration stopTime) {
+
+	/**
+	 * Creates the settings.
+	 * @throws IllegalArgumentException if {@code name} is blank
+	 */
+	public GatewaySettings {
+		if (name.isBlank()) {
+			throw new IllegalArgumentException("name must not be blank: '" + name + "'");
+		}
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -0,0 +1,106 @@
+package org.banyancove.gateway.daemon;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.banyancove.core.AccountName;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.error.BanyancoveException;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.LeaseRecord;
+import org.banyancove.gateway.duty.UsageReport;
+
+/**
+ * Writes and reads the records that gateways keep in shared state, as JSON.
+ */
+final class ReportCodec {
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	byte[] write(GatewayReport report) {
+		ObjectNode root = this.mapper.createObjectNode();
+		root.put("incarnation", report.incarnation());
+		ObjectNode counts = root.putObject("counts");
+		report.counts().forEach((window, accounts) -> putCounts(counts.putObject(String.valueOf(window)), accounts));
+		ObjectNode demand = root.putObject("demand");
+		report.demand().forEach((account, value) -> demand.put(account.value(), Math.round(value)));
+		ObjectNode inFlight = root.putObject("inFlight");
+		report.inFlight().forEach((service, value) -> inFlight.put(service.value(), value));
+		return bytes(root);
+	}
+
+	GatewayReport readReport(byte[] value) {
+		JsonNode root = tree(value);
+		Map<Long, Map<AccountName, Long>> counts = new HashMap<>();
+		root.path("counts")
+			.properties()
+			.forEach((entry) -> counts.put(Long.valueOf(entry.getKey()), counts(entry.getValue())));
+		Map<AccountName, Double> demand = new HashMap<>();
+		root.path("demand")
+			.properties()
+			.forEach((entry) -> demand.put(new AccountName(entry.getKey()), entry.getValue().asDouble()));
+		Map<ServiceName, Integer> inFlight = new HashMap<>();
+		root.path("inFlight")
+			.properties()
+			.forEach((entry) -> inFlight.put(new ServiceName(entry.getKey()), entry.getValue().asInt()));
+		return new GatewayReport(root.path("incarnation").asLong(), counts, demand, inFlight);
+	}
+
+	byte[] write(LeaseRecord record) {
+		ObjectNode root = this.mapper.createObjectNode();
+		root.put("incarnation", record.incarnation());
+		root.put("fence", record.fence());
+		var reports = root.putArray("reports");
+		for (UsageReport report : record.reports()) {
+			ObjectNode entry = reports.addObject();
+			entry.put("window", report.window());
+			putCounts(entry.putObject("counts"), report.counts());
+		}
+		return bytes(root);
+	}
+
+	LeaseRecord readLease(byte[] value) {
+		JsonNode root = tree(value);
+		List<UsageReport> reports = new ArrayList<>();
+		root.path("reports")
+			.forEach((entry) -> reports
+				.add(new UsageReport(entry.path("window").asLong(), counts(entry.path("counts")))));
+		return new LeaseRecord(root.path("incarnation").asLong(), root.path("fence").asLong(), reports);
+	}
+
+	private static void putCounts(ObjectNode node, Map<AccountName, Long> counts) {
+		counts.forEach((account, count) -> node.put(account.value(), count));
+	}
+
+	private static Map<AccountName, Long> counts(JsonNode node) {
+		Map<AccountName, Long> counts = new HashMap<>();
+		node.properties().forEach((entry) -> counts.put(new AccountName(entry.getKey()), entry.getValue().asLong()));
+		return counts;
+	}
+
+	private JsonNode tree(byte[] value) {
+		try {
+			return this.mapper.readTree(value);
+		}
+		catch (IOException ex) {
+			throw new BanyancoveException(ErrorKind.MALFORMED_REQUEST, "record is no JSON: " + ex.getMessage(), ex);
+		}
+	}
+
+	private byte[] bytes(JsonNode node) {
+		try {
+			return this.mapper.writeValueAsBytes(node);
+		}
+		catch (IOException ex) {
+			throw new BanyancoveException(ErrorKind.INTERNAL, "record cannot be written: " + ex.getMessage(), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -0,0 +1,211 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.banyancove.gateway.shared.SharedTopics;
+import org.banyancove.gateway.shared.SteadyClock;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicPage;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows a topic: reads the newest of each key once, then what changed.
+ * <p>
+ * Each key's records are taken in the order of their offsets. A read that shows an older
+ * state than is known changes nothing.
+ */
+final class TopicFollower {
+
+	private static final Logger log = LoggerFactory.getLogger(TopicFollower.class);
+
+	/**
+	 * After a failed read: soon, since what is unknown may be a key that was taken away.
+	 */
+	private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
+
+	private final Topic topic;
+
+	private final SharedTopics topics;
+
+	private final EventLoop eventLoop;
+
+	private final SteadyClock clock;
+
+	private final Duration interval;
+
+	private final Listener listener;
+
+	private final Map<String, Long> offsets = new HashMap<>();
+
+	private long next = -1;
+
+	private long failedAt = Long.MIN_VALUE;
+
+	private boolean failing;
+
+	private boolean complete;
+
+	private Set<String> listed = new HashSet<>();
+
+	private long listedEnd;
+
+	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Duration interval,
+			Listener listener) {
+		this.topic = topic;
+		this.topics = topics;
+		this.eventLoop = eventLoop;
+		this.clock = clock;
+		this.interval = interval;
+		this.listener = listener;
+	}
+
+	void start() {
+		if (this.next < 0) {
+			this.listed = new HashSet<>();
+			this.listedEnd = -1;
+			readListed(null);
+		}
+		else {
+			this.topics.changes(this.topic, this.next).whenComplete(this::readChanges);
+		}
+	}
+
+	/**
+	 * Returns whether the whole topic was read once.
+	 * @return whether it was
+	 */
+	boolean complete() {
+		return this.complete;
+	}
+
+	/**
+	 * Returns how long ago a read failed last.
+	 * @return the time, or {@code null} if none did
+	 */
+	@Nullable Duration sinceFailure() {
+		return (this.failedAt == Long.MIN_VALUE) ? null : Duration.ofNanos(this.clock.nanos() - this.failedAt);
+	}
+
+	private void readListed(@Nullable String after) {
+		this.topics.newest(this.topic, after).whenComplete((page, failure) -> {
+			if (page == null) {
+				failed(failure);
+				return;
+			}
+			succeeded();
+			if (this.listedEnd < 0) {
+				this.listedEnd = page.next();
+			}
+			for (TopicRecord entry : page.records()) {
+				this.listed.add(entry.key());
+				take(entry);
+			}
+			if (page.more() != null) {
+				readListed(page.more());
+			}
+			else {
+				endListing();
+			}
+		});
+	}
+
+	private void endListing() {
+		for (String key : Set.copyOf(this.offsets.keySet())) {
+			if (!this.listed.contains(key) && this.offsets.getOrDefault(key, 0L) < this.listedEnd) {
+				this.listener.missing(key);
+			}
+		}
+		this.next = this.listedEnd;
+		this.complete = true;
+		this.listener.readThrough(this.next);
+		again(this.interval);
+	}
+
+	private void readChanges(@Nullable TopicPage page, @Nullable Throwable failure) {
+		if (page == null) {
+			failed(failure);
+			return;
+		}
+		succeeded();
+		if (page.historyLost()) {
+			log.atWarn().addKeyValue("topic", this.topic).addKeyValue("offset", this.next).log("history was dropped");
+			this.next = -1;
+			start();
+			return;
+		}
+		page.records().forEach(this::take);
+		boolean more = page.next() > this.next;
+		this.next = page.next();
+		this.listener.readThrough(this.next);
+		again((more && page.more() != null) ? Duration.ZERO : this.interval);
+	}
+
+	private void take(TopicRecord entry) {
+		Long known = this.offsets.get(entry.key());
+		if (known != null && known >= entry.offset()) {
+			return;
+		}
+		this.offsets.put(entry.key(), entry.offset());
+		this.listener.changed(entry);
+	}
+
+	private void succeeded() {
+		if (this.failing) {
+			this.failing = false;
+			log.atInfo().addKeyValue("topic", this.topic).log("store answers again");
+		}
+	}
+
+	private void failed(@Nullable Throwable failure) {
+		this.failedAt = this.clock.nanos();
+		if (!this.failing) {
+			this.failing = true;
+			log.atWarn()
+				.addKeyValue("topic", this.topic)
+				.addKeyValue("cause", String.valueOf(failure))
+				.log("store lost");
+		}
+		again(AFTER_FAILURE);
+	}
+
+	private void again(Duration delay) {
+		this.eventLoop.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Hears what a topic holds.
+	 */
+	interface Listener {
+
+		/**
+		 * Hears of a key's newest record.
+		 * @param entry the record
+		 */
+		void changed(TopicRecord entry);
+
+		/**
+		 * Hears that a key is no longer listed, though its end was not read.
+		 * @param key the key
+		 */
+		default void missing(String key) {
+		}
+
+		/**
+		 * Hears how far the topic was read.
+		 * @param next the offset of the next record
+		 */
+		default void readThrough(long next) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -0,0 +1,286 @@
+package org.banyancove.gateway.endpoint;
+
+import java.time.Duration;
+
+import org.banyancove.core.EndpointId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One endpoint and what this gateway has seen of it.
+ * <p>
+ * Times are nanoseconds of the steady clock. Belongs to the event loop's thread.
+ */
+public final class Endpoint {
+
+	/** Weight of the newest sample in running means: about the last ten samples count. */
+	private static final double NEWEST = 0.1;
+
+	/**
+	 * Weight of a newest outcome: three failures in a row raise the rate above a half.
+	 */
+	private static final double NEWEST_OUTCOME = 0.25;
+
+	/** First guess of the time to read a prompt token, in ms; corrected by answers. */
+	private static final double FIRST_MILLIS_PER_TOKEN = 0.02;
+
+	/** Least and most time to read a token that a sample may claim, in ms. */
+	private static final double LEAST_MILLIS_PER_TOKEN = 0.005;
+
+	private static final double MOST_MILLIS_PER_TOKEN = 0.5;
+
+	/** First guess of the time of a plain request, in ms; corrected by answers. */
+	private static final double FIRST_PLAIN_MILLIS = 30;
+
+	/** Time to a first token that is due to no prompt, in ms: the hop and one step. */
+	private static final double BASE_MILLIS = 15;
+
+	/**
+	 * How much each running request delays a first token, in ms: a step of a full batch
+	 * takes some 10 ms longer than of an empty one, and a prompt shares a few steps.
+	 */
+	private static final double MILLIS_PER_RUNNING = 0.4;
+
+	/**
+	 * How fast a report of others' requests loses weight, in ns: requests last about so
+	 * long.
+	 */
+	private static final double REPORT_LIFE_NANOS = 2e9;
+
+	/**
+	 * First pause after failures without an answer; doubles, so that a dead one costs
+	 * little.
+	 */
+	private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
+
+	private static final Duration LONGEST_PAUSE = Duration.ofSeconds(4);
+
+	private EndpointEntry entry;
+
+	private PromptCache cache;
+
+	private final long memoryTokens;
+
+	private final boolean generatesTokens;
+
+	private int inFlight;
+
+	private long unreadTokens;
+
+	private double othersAtReport;
+
+	private double waitingAtReport;
+
+	private long reportedAt = Long.MIN_VALUE;
+
+	private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
+
+	private double plainMillis = FIRST_PLAIN_MILLIS;
+
+	private double failureRate;
+
+	private int failuresInRow;
+
+	private long pausedUntil = Long.MIN_VALUE;
+
+	private @Nullable Long goneAt;
+
+	Endpoint(EndpointEntry entry, boolean generatesTokens, long memoryTokens) {
+		this.entry = entry;
+		this.generatesTokens = generatesTokens;
+		this.memoryTokens = memoryTokens;
+		this.cache = new PromptCache(memoryTokens);
+	}
+
+	/**
+	 * Returns the identifier.
+	 * @return the identifier
+	 */
+	public EndpointId id() {
+		return this.entry.id();
+	}
+
+	/**
+	 * Returns what the endpoint last said of itself.
+	 * @return the entry
+	 */
+	public EndpointEntry entry() {
+		return this.entry;
+	}
+
+	/**
+	 * Returns the requests of this gateway that it has now.
+	 * @return the number
+	 */
+	public int inFlight() {
+		return this.inFlight;
+	}
+
+	void update(EndpointEntry newer) {
+		if (!newer.sameStart(this.entry)) {
+			this.cache = new PromptCache(this.memoryTokens);
+			this.failuresInRow = 0;
+			this.failureRate = 0;
+			this.pausedUntil = Long.MIN_VALUE;
+		}
+		this.entry = newer;
+		this.goneAt = null;
+	}
+
+	void lapsed(long now) {
+		if (this.goneAt == null) {
+			this.goneAt = now;
+		}
+	}
+
+	@Nullable Long lapsedAt() {
+		return this.goneAt;
+	}
+
+	/**
+	 * Notes that a request was sent.
+	 * @param prompt its prompt
+	 * @return the tokens of it that have to be read
+	 */
+	public int sent(Prompt prompt) {
+		int unread = unreadTokens(prompt);
+		this.inFlight++;
+		this.unreadTokens += unread;
+		this.cache.add(prompt);
+		return unread;
+	}
+
+	/**
+	 * Notes that a request's prompt has been read, or will not be.
+	 * @param unread what {@link #sent} returned
+	 */
+	public void promptRead(int unread) {
+		this.unreadTokens = Math.max(0, this.unreadTokens - unread);
+	}
+
+	/**
+	 * Notes that a request has left the endpoint, however it ended.
+	 */
+	public void left() {
+		this.inFlight--;
+	}
+
+	/**
+	 * Notes an answer, which shows that the endpoint lives.
+	 * @param sound whether it was a success
+	 */
+	public void answered(boolean sound) {
+		this.failuresInRow = 0;
+		this.pausedUntil = Long.MIN_VALUE;
+		this.failureRate += NEWEST_OUTCOME * ((sound ? 0 : 1) - this.failureRate);
+	}
+
+	/**
+	 * Notes that no answer came: refused, reset, silent or unreadable.
+	 * @param now the present time
+	 */
+	public void failed(long now) {
+		this.failureRate += NEWEST_OUTCOME * (1 - this.failureRate);
+		this.failuresInRow++;
+		if (this.failuresInRow > 1) {
+			int doublings = Math.min(this.failuresInRow - 2, 10);
+			long pause = Math.min(FIRST_PAUSE.toNanos() << doublings, LONGEST_PAUSE.toNanos());
+			this.pausedUntil = now + pause;
+		}
+	}
+
+	/**
+	 * Notes that nothing listens at the address, or that another endpoint does.
+	 * @param now the present time
+	 */
+	public void unreachable(long now) {
+		this.failuresInRow = Math.max(this.failuresInRow, 1);
+		failed(now);
+	}
+
+	/**
+	 * Notes a report of the endpoint's load.
+	 * @param report the report
+	 * @param now the present time
+	 */
+	public void reported(LoadReport report, long now) {
+		this.othersAtReport = Math.max(0, report.running() + report.waiting() - this.inFlight);
+		this.waitingAtReport = report.waiting();
+		this.reportedAt = now;
+	}
+
+	/**
+	 * Learns from the time to a first token.
+	 * @param elapsed from sending to the token
+	 * @param tokens the tokens that were to be read before it
+	 */
+	public void firstToken(Duration elapsed, long tokens) {
+		if (tokens < 200) {
+			return;
+		}
+		double sample = Math.clamp((millis(elapsed) - BASE_MILLIS) / tokens, LEAST_MILLIS_PER_TOKEN,
+				MOST_MILLIS_PER_TOKEN);
+		this.millisPerToken += NEWEST * (sample - this.millisPerToken);
+	}
+
+	/**
+	 * Learns from the time of a plain answer.
+	 * @param elapsed from sending to the answer
+	 */
+	public void plainAnswer(Duration elapsed) {
+		this.plainMillis += NEWEST * (millis(elapsed) - this.plainMillis);
+	}
+
+	/**
+	 * Returns the tokens that wait to be read, of this gateway's requests.
+	 * @return the tokens
+	 */
+	public long waitingTokens() {
+		return this.unreadTokens;
+	}
+
+	boolean paused(long now) {
+		return now < this.pausedUntil;
+	}
+
+	double failureRate() {
+		return this.failureRate;
+	}
+
+	int unreadTokens(Prompt prompt) {
+		return Math.max(0, prompt.tokensIn() - this.cache.heldTokens(prompt));
+	}
+
+	int heldTokens(Prompt prompt) {
+		return this.cache.heldTokens(prompt);
+	}
+
+	/**
+	 * Predicts the time to an answer, or to a stream's first event, in ms.
+	 * @param prompt the prompt
+	 * @param now the present time
+	 * @return the time in ms
+	 */
+	double predictedMillis(Prompt prompt, long now) {
+		double reportWeight = (this.reportedAt == Long.MIN_VALUE) ? 0
+				: Math.exp((this.reportedAt - now) / REPORT_LIFE_NANOS);
+		double running = this.inFlight + this.othersAtReport * reportWeight;
+		if (!this.generatesTokens) {
+			double full = Math.max(1, (running + 1) / this.entry.slots());
+			return this.plainMillis * full;
+		}
+		double ahead = this.unreadTokens + this.waitingAtReport * reportWeight * meanPrompt(prompt);
+		double slotsFull = Math.max(0, running + 1 - this.entry.slots());
+		return BASE_MILLIS + this.millisPerToken * (ahead + unreadTokens(prompt)) + MILLIS_PER_RUNNING * running
+				+ slotsFull * this.millisPerToken * meanPrompt(prompt);
+	}
+
+	// What waits at the endpoint is taken to be like what is to be placed.
+	private static double meanPrompt(Prompt prompt) {
+		return prompt.tokensIn();
+	}
+
+	private static double millis(Duration duration) {
+		return duration.toNanos() / 1e6;
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -0,0 +1,134 @@
+package org.banyancove.gateway.endpoint;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The endpoints that are known.
+ */
+public final class EndpointTable {
+
+	/**
+	 * How long an endpoint is kept whose entry lapsed while the platform's store was
+	 * away: live ones are listed again within two seconds of its return.
+	 */
+	private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
+
+	private final Map<EndpointId, Endpoint> endpoints = new LinkedHashMap<>();
+
+	private final Map<ServiceName, List<Endpoint>> taking = new HashMap<>();
+
+	private @Nullable Configuration configuration;
+
+	/**
+	 * Takes in a new configuration, which says what the services are.
+	 * @param newest the configuration
+	 */
+	public void configure(Configuration newest) {
+		this.configuration = newest;
+		this.taking.clear();
+	}
+
+	/**
+	 * Takes in what an endpoint says of itself.
+	 * @param entry the entry
+	 */
+	public void put(EndpointEntry entry) {
+		Endpoint known = this.endpoints.get(entry.id());
+		if (known != null && known.entry().service().equals(entry.service())) {
+			known.update(entry);
+		}
+		else {
+			Service service = (this.configuration != null) ? this.configuration.service(entry.service()) : null;
+			boolean generates = service != null && service.generatesTokens();
+			this.endpoints.put(entry.id(),
+					new Endpoint(entry, generates, (service != null) ? service.cacheTokens() : 0));
+		}
+		this.taking.clear();
+	}
+
+	/**
+	 * Takes out an endpoint that is no longer listed.
+	 * @param id its identifier
+	 */
+	public void remove(EndpointId id) {
+		if (this.endpoints.remove(id) != null) {
+			this.taking.clear();
+		}
+	}
+
+	/**
+	 * Marks an endpoint whose entry is missing after an outage of the store; it is taken
+	 * out if it does not come back.
+	 * @param id its identifier
+	 * @param now the present time
+	 */
+	public void lapse(EndpointId id, long now) {
+		Endpoint endpoint = this.endpoints.get(id);
+		if (endpoint != null) {
+			endpoint.lapsed(now);
+		}
+	}
+
+	/**
+	 * Takes out the endpoints that lapsed and did not come back.
+	 * @param now the present time
+	 * @return those taken out
+	 */
+	public List<EndpointId> expire(long now) {
+		List<EndpointId> expired = new ArrayList<>();
+		for (Endpoint endpoint : this.endpoints.values()) {
+			Long lapsedAt = endpoint.lapsedAt();
+			if (lapsedAt != null && now - lapsedAt > LAPSE_GRACE.toNanos()) {
+				expired.add(endpoint.id());
+			}
+		}
+		expired.forEach(this::remove);
+		return expired;
+	}
+
+	/**
+	 * Returns the endpoints of a service that take requests.
+	 * @param service the service
+	 * @return the endpoints that are not leaving
+	 */
+	public List<Endpoint> taking(ServiceName service) {
+		return this.taking.computeIfAbsent(service, this::findTaking);
+	}
+
+	private List<Endpoint> findTaking(ServiceName service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.entry().service().equals(service) && !endpoint.entry().draining())
+			.toList();
+	}
+
+	/**
+	 * Returns all endpoints.
+	 * @return the endpoints
+	 */
+	public Collection<Endpoint> all() {
+		return List.copyOf(this.endpoints.values());
+	}
+
+	/**
+	 * Returns an endpoint.
+	 * @param id its identifier
+	 * @return the endpoint, or {@code null} if it is not known
+	 */
+	public @Nullable Endpoint get(EndpointId id) {
+		return this.endpoints.get(id);
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -0,0 +1,161 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+import java.util.Objects;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.Placement;
+import org.banyancove.gateway.shared.EndpointHeaders;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request at one endpoint.
+ */
+final class Attempt implements AnswerListener {
+
+	/** An answer that is no stream is kept whole until it is known to be sound. */
+	private static final int MOST_KEPT_BYTES = 16 << 20;
+
+	private final Exchange exchange;
+
+	private final Endpoint endpoint;
+
+	private final double predictedMillis;
+
+	private final int number;
+
+	private final long sentAt;
+
+	private final int unread;
+
+	private final long tokensAhead;
+
+	private boolean promptRead;
+
+	private boolean left;
+
+	private @Nullable PendingCall call;
+
+	private @Nullable HttpResponse head;
+
+	private @Nullable EndpointHeaders said;
+
+	private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+	Attempt(Exchange exchange, Placement placement, int number, long sentAt) {
+		this.exchange = exchange;
+		this.endpoint = placement.endpoint();
+		this.predictedMillis = placement.predictedMillis();
+		this.number = number;
+		this.sentAt = sentAt;
+		this.tokensAhead = this.endpoint.waitingTokens();
+		this.unread = this.endpoint.sent(exchange.prompt());
+	}
+
+	void started(PendingCall started) {
+		this.call = started;
+	}
+
+	Endpoint endpoint() {
+		return this.endpoint;
+	}
+
+	HttpResponse answerHead() {
+		return Objects.requireNonNull(this.head, "no answer has begun");
+	}
+
+	EndpointHeaders said() {
+		return Objects.requireNonNull(this.said, "no answer has begun");
+	}
+
+	ByteBuf body() {
+		return this.body;
+	}
+
+	Duration elapsed() {
+		return Duration.ofNanos(this.exchange.now() - this.sentAt);
+	}
+
+	RequestLog.AttemptFacts facts() {
+		return new RequestLog.AttemptFacts(this.exchange.requestId(), this.endpoint.id().value(), this.number,
+				this.predictedMillis, elapsed());
+	}
+
+	/** Gives the attempt up, by which the endpoint learns to stop. */
+	void cancel() {
+		leave();
+		if (this.call != null) {
+			this.call.cancel();
+		}
+	}
+
+	// The first event shows that the prompt was read.
+	void firstEvent() {
+		if (!this.promptRead) {
+			readPrompt();
+			this.endpoint.firstToken(elapsed(), this.tokensAhead + this.unread);
+		}
+	}
+
+	private void readPrompt() {
+		if (!this.promptRead) {
+			this.promptRead = true;
+			this.endpoint.promptRead(this.unread);
+		}
+	}
+
+	private void leave() {
+		if (!this.left) {
+			this.left = true;
+			readPrompt();
+			this.endpoint.left();
+		}
+	}
+
+	@Override
+	public boolean head(HttpResponse answer) {
+		EndpointHeaders headers = this.exchange.words().readEndpoint(answer.headers());
+		if (headers.requestId() != null && !headers.requestId().equals(this.exchange.requestId())) {
+			return false;
+		}
+		this.head = answer;
+		this.said = headers;
+		if (headers.load() != null) {
+			this.endpoint.reported(headers.load(), this.exchange.now());
+		}
+		return true;
+	}
+
+	@Override
+	public void content(ByteBuf content) {
+		if (this.exchange.streams(this)) {
+			this.exchange.streamed(this, content);
+			return;
+		}
+		if (this.body.readableBytes() + content.readableBytes() > MOST_KEPT_BYTES) {
+			cancel();
+			this.exchange.failed(this, CallFailure.UNREADABLE);
+			return;
+		}
+		if (this.body.capacity() == 0) {
+			this.body = Unpooled.buffer(Math.max(content.readableBytes(), 256));
+		}
+		this.body.writeBytes(content);
+	}
+
+	@Override
+	public void whole() {
+		leave();
+		this.exchange.whole(this);
+	}
+
+	@Override
+	public void failed(CallFailure failure) {
+		leave();
+		this.exchange.failed(this, failure);
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -0,0 +1,498 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.configuration.ClientAccount;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.RouteKind;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.endpoint.Placement;
+import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.shared.CallerHeaders;
+import org.banyancove.gateway.shared.EndpointCall;
+import org.banyancove.gateway.shared.HeaderWords;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One caller's request, from its arrival to the end of its answer.
+ * <p>
+ * A request that may have run is sent again only where its route allows repeating it. It
+ * is answered "not run" only if no endpoint ever had a byte of it, or each that had it
+ * stated so.
+ */
+final class Exchange implements CallerAnswering {
+
+	/** How often a request looks again while there is no endpoint. */
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(40);
+
+	/**
+	 * From an answer's deadline to giving it up: an endpoint's last word is on its way.
+	 */
+	private static final Duration LAST_WORD = Duration.ofMillis(120);
+
+	/**
+	 * A connection in an engine's own data centre takes some ms; a lost packet is sent
+	 * again after a second, when another endpoint has long answered.
+	 */
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+	/** A kept connection that has been idle for longer may have gone silent. */
+	private static final Duration LONGEST_IDLE = Duration.ofSeconds(10);
+
+	/** The same for a request that cannot be sent again if the connection was dead. */
+	private static final Duration LONGEST_IDLE_ONCE = Duration.ofSeconds(2);
+
+	/**
+	 * Silence after which a repeatable request tries another endpoint, in targets: some
+	 * one in a hundred answers of a sound endpoint takes longer.
+	 */
+	private static final double SILENCE_TARGETS = 2.0;
+
+	/** Silence within a stream after which it goes on elsewhere, in longest pauses. */
+	private static final double SILENCE_PAUSES = 2.0;
+
+	/** When to come back after an endpoint turned a request away unrun. */
+	private static final Duration COME_BACK = Duration.ofMillis(400);
+
+	private final RequestFlow flow;
+
+	private final CallerConnection caller;
+
+	private final CallerRequest request;
+
+	private final CallerHeaders said;
+
+	private final Route route;
+
+	private final Service service;
+
+	private final @Nullable ClientAccount account;
+
+	private final String requestId;
+
+	private final long version;
+
+	private final long deadlineAt;
+
+	private final Set<EndpointId> tried = new HashSet<>();
+
+	private final EventSplitter events;
+
+	private int attempts;
+
+	private boolean mayHaveRun;
+
+	private boolean began;
+
+	private boolean ended;
+
+	private @Nullable Attempt attempt;
+
+	private @Nullable Long firstByteAt;
+
+	private @Nullable ScheduledFuture<?> deadlineTimer;
+
+	private @Nullable ScheduledFuture<?> silenceTimer;
+
+	private @Nullable ScheduledFuture<?> waitTimer;
+
+	Exchange(RequestFlow flow, CallerConnection caller, CallerRequest request, CallerHeaders said,
+			IntakeDecision.Taken taken) {
+		this.flow = flow;
+		this.caller = caller;
+		this.request = request;
+		this.said = said;
+		this.route = taken.route();
+		this.service = taken.service();
+		this.account = taken.account();
+		this.requestId = String.valueOf(said.requestId());
+		this.version = flow.version();
+		Duration wait = this.route.timeout();
+		if (said.deadline() != null && said.deadline().compareTo(wait) < 0) {
+			wait = said.deadline();
+		}
+		this.deadlineAt = request.arrivedAt() + wait.toNanos();
+		this.events = new EventSplitter(said.lastEvent());
+	}
+
+	void begin() {
+		long left = this.deadlineAt - now() + LAST_WORD.toNanos();
+		this.deadlineTimer = schedule(this::deadlinePassed, left);
+		place();
+	}
+
+	// ---- placing
+
+	private void place() {
+		if (this.ended) {
+			return;
+		}
+		Placement placement = this.flow.placement()
+			.choose(this.flow.endpoints().taking(this.service.name()), prompt(), this.tried, now());
+		if (placement == null) {
+			waitForEndpoint();
+			return;
+		}
+		if (this.attempts == 0) {
+			Duration comeBack = this.flow.admission()
+				.timeToComeBack(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
+						remaining());
+			if (!comeBack.isZero()) {
+				refuse(ErrorKind.OVERLOADED, comeBack);
+				return;
+			}
+		}
+		send(placement);
+	}
+
+	private void waitForEndpoint() {
+		boolean patient = elapsed().compareTo(this.flow.admission().patience(this.route, remaining())) < 0;
+		if (patient && this.attempts == 0) {
+			this.tried.clear();
+			this.waitTimer = schedule(this::place, LOOK_AGAIN.toNanos());
+		}
+		else {
+			endWithout(ErrorKind.NO_ENDPOINT);
+		}
+	}
+
+	private void send(Placement placement) {
+		this.attempts++;
+		this.tried.add(placement.endpoint().id());
+		Attempt next = new Attempt(this, placement, this.attempts, now());
+		this.attempt = next;
+		boolean once = !this.route.repeatable();
+		CallOptions options = new CallOptions(CONNECT_TIMEOUT, once ? LONGEST_IDLE_ONCE : LONGEST_IDLE,
+				this.flow.connectionShare(this.service));
+		next.started(this.flow.connections()
+			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, next));
+		watchSilence(silenceBeforeAnswer());
+	}
+
+	private FullHttpRequest endpointRequest(Placement placement) {
+		ByteBuf body = this.request.body().retainedDuplicate();
+		FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.head().method(),
+				this.request.head().uri(), body);
+		HttpHeaders headers = copy.headers();
+		AnswerHeaders.copy(this.request.head().headers(), headers);
+		headers.names().stream().filter((name) -> !words().passesOn(name)).toList().forEach(headers::remove);
+		if (body.isReadable() || this.request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+		}
+		words().writeCall(headers, new EndpointCall(placement.endpoint().id(), remaining(),
+				(this.account != null) ? this.account.name() : null, urgency(), this.events.lastEvent()));
+		return copy;
+	}
+
+	private @Nullable Integer urgency() {
+		if (!this.service.generatesTokens()) {
+			return null;
+		}
+		Integer ofAccount = (this.account != null) ? this.account.priority() : null;
+		return Math.clamp((ofAccount != null) ? ofAccount : this.route.priority(), 0, 9);
+	}
+
+	// ---- what attempts bring
+
+	boolean streams(Attempt from) {
+		return this.route.kind() == RouteKind.STREAMING && from.said().sealed()
+				&& from.answerHead().status().equals(HttpResponseStatus.OK);
+	}
+
+	void streamed(Attempt from, ByteBuf content) {
+		byte[] whole;
+		try {
+			whole = this.events.read(content);
+		}
+		catch (IllegalStateException ex) {
+			from.cancel();
+			failed(from, CallFailure.UNREADABLE);
+			return;
+		}
+		if (whole.length == 0) {
+			return;
+		}
+		from.firstEvent();
+		countBegun();
+		openStream(from);
+		this.caller.stream(whole);
+		watchSilence(scaled(this.route.longestPause(), SILENCE_PAUSES));
+	}
+
+	private void openStream(Attempt from) {
+		if (this.caller.streaming()) {
+			return;
+		}
+		this.firstByteAt = now();
+		HttpResponse start = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.answerHead().status());
+		AnswerHeaders.copy(from.answerHead().headers(), start.headers());
+		this.caller.beginStream(start);
+	}
+
+	void whole(Attempt from) {
+		if (this.ended) {
+			return;
+		}
+		if (streams(from)) {
+			if (!this.events.clean()) {
+				failed(from, CallFailure.BROKEN_ANSWER);
+				return;
+			}
+			from.endpoint().answered(true);
+			openStream(from);
+			this.caller.endStream();
+			end("answered", from.answerHead().status().code());
+			return;
+		}
+		judge(from);
+	}
+
+	private void judge(Attempt from) {
+		HttpResponseStatus status = from.answerHead().status();
+		if (from.said().notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+			turnedAway(from, status);
+			return;
+		}
+		this.mayHaveRun = true;
+		countBegun();
+		boolean success = status.code() >= 200 && status.code() < 300;
+		boolean sound = success ? from.said().sealed() : status.code() < 500;
+		from.endpoint().answered(sound);
+		if (sound && success) {
+			from.endpoint().plainAnswer(from.elapsed());
+		}
+		if (sound) {
+			deliver(from);
+			return;
+		}
+		this.flow.requestLog()
+			.attemptFailed(from.facts(), "status " + status.code() + " sealed " + from.said().sealed());
+		if (trySendAgain()) {
+			return;
+		}
+		if (success || promisesNotRun(status)) {
+			endWithout(ErrorKind.ENDPOINT_FAILED);
+		}
+		else {
+			deliver(from);
+		}
+	}
+
+	// These statuses would tell the caller that the request did not run.
+	private static boolean promisesNotRun(HttpResponseStatus status) {
+		return switch (status.code()) {
+			case 408, 421, 429, 503 -> true;
+			default -> false;
+		};
+	}
+
+	private void turnedAway(Attempt from, HttpResponseStatus status) {
+		this.flow.requestLog().attemptFailed(from.facts(), "not run, status " + status.code());
+		if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+			// Another endpoint has the address; the one that was meant is gone.
+			from.endpoint().unreachable(now());
+			this.flow.connections().closeIdle(from.endpoint().entry().address());
+		}
+		if (status.equals(HttpResponseStatus.BAD_REQUEST)) {
+			deliver(from);
+			return;
+		}
+		if (!trySendAgain()) {
+			endWithout(ErrorKind.OVERLOADED);
+		}
+	}
+
+	private void deliver(Attempt from) {
+		if (this.caller.streaming()) {
+			this.caller.abort();
+			end("stream not resumed", 0);
+			return;
+		}
+		this.firstByteAt = now();
+		FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, from.answerHead().status(),
+				from.body());
+		AnswerHeaders.copy(from.answerHead().headers(), answer.headers());
+		end("answered", answer.status().code());
+		this.caller.answer(answer);
+	}
+
+	void failed(Attempt from, CallFailure failure) {
+		if (this.ended) {
+			return;
+		}
+		this.flow.requestLog().attemptFailed(from.facts(), failure.name());
+		if (!failure.mayHaveRun()) {
+			this.attempts--;
+			from.endpoint().unreachable(now());
+			place();
+			return;
+		}
+		this.mayHaveRun = true;
+		if (this.route.kind() != RouteKind.STREAMING) {
+			countBegun();
+		}
+		from.endpoint().failed(now());
+		this.events.restart();
+		if (trySendAgain()) {
+			return;
+		}
+		endWithout(ErrorKind.ENDPOINT_FAILED);
+	}
+
+	private boolean trySendAgain() {
+		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
+		if (!allowed || !remaining().isPositive() || !this.flow.budget(this.service.name()).tryRetry()) {
+			return false;
+		}
+		place();
+		return true;
+	}
+
+	private void countBegun() {
+		if (!this.began && this.account != null) {
+			this.began = true;
+			this.flow.usage().began(this.account.name(), this.flow.wallClock().instant());
+		}
+	}
+
+	// ---- time
+
+	private Duration silenceBeforeAnswer() {
+		return scaled(this.route.latencyTarget(), SILENCE_TARGETS);
+	}
+
+	private void watchSilence(Duration longest) {
+		cancel(this.silenceTimer);
+		this.silenceTimer = null;
+		if (this.route.repeatable() && this.attempts < this.route.maxAttempts()) {
+			this.silenceTimer = schedule(this::silent, longest.toNanos());
+		}
+	}
+
+	private void silent() {
+		Attempt current = this.attempt;
+		if (this.ended || current == null || this.flow.budget(this.service.name()).left() < 1) {
+			return;
+		}
+		current.cancel();
+		failed(current, CallFailure.NO_ANSWER);
+	}
+
+	private void deadlinePassed() {
+		if (this.attempt != null) {
+			this.attempt.cancel();
+		}
+		endWithout(ErrorKind.OUTCOME_UNKNOWN);
+	}
+
+	@Override
+	public void callerLeft() {
+		if (this.ended) {
+			return;
+		}
+		if (this.attempt != null) {
+			this.attempt.cancel();
+		}
+		end("caller left", 0);
+	}
+
+	// ---- the end
+
+	// Ends a request that gets no endpoint's answer.
+	private void endWithout(ErrorKind kind) {
+		if (this.ended) {
+			return;
+		}
+		if (this.caller.streaming()) {
+			this.caller.abort();
+			end(kind.code(), 0);
+			return;
+		}
+		boolean sent = this.mayHaveRun || (kind == ErrorKind.OUTCOME_UNKNOWN && this.attempts > 0);
+		if (sent) {
+			ErrorKind told = (kind == ErrorKind.OUTCOME_UNKNOWN) ? kind : ErrorKind.ENDPOINT_FAILED;
+			end(told.code(), told.status());
+			this.caller.answer(FailureAnswer.of(told, null));
+		}
+		else {
+			refuse((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, COME_BACK);
+		}
+	}
+
+	private void refuse(ErrorKind kind, Duration comeBack) {
+		end(kind.code(), kind.status());
+		this.caller.answer(FailureAnswer.of(kind, comeBack));
+	}
+
+	private void end(String outcome, int status) {
+		this.ended = true;
+		cancel(this.deadlineTimer);
+		cancel(this.silenceTimer);
+		cancel(this.waitTimer);
+		this.flow.ended();
+		Duration untilFirst = (this.firstByteAt != null) ? Duration.ofNanos(this.firstByteAt - this.request.arrivedAt())
+				: null;
+		String endpoint = (this.attempt != null) ? this.attempt.endpoint().id().value() : null;
+		this.flow.requestLog()
+			.ended(new RequestLog.RequestFacts(this.requestId, this.route.name(), outcome, status, endpoint,
+					this.attempts, untilFirst, elapsed(), this.version));
+	}
+
+	// ---- small things
+
+	String requestId() {
+		return this.requestId;
+	}
+
+	HeaderWords words() {
+		return this.flow.words();
+	}
+
+	Prompt prompt() {
+		return this.said.prompt();
+	}
+
+	long now() {
+		return this.flow.clock().nanos();
+	}
+
+	private Duration elapsed() {
+		return Duration.ofNanos(now() - this.request.arrivedAt());
+	}
+
+	private Duration remaining() {
+		return Duration.ofNanos(Math.max(0, this.deadlineAt - now()));
+	}
+
+	private static Duration scaled(Duration duration, double factor) {
+		return Duration.ofNanos((long) (duration.toNanos() * factor));
+	}
+
+	private ScheduledFuture<?> schedule(Runnable action, long nanos) {
+		return this.flow.eventLoop().schedule(action, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+	}
+
+	private static void cancel(@Nullable ScheduledFuture<?> timer) {
+		if (timer != null) {
+			timer.cancel(false);
+		}
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/PendingCall.java
@@ -0,0 +1,78 @@
+package org.banyancove.gateway.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A call that has been made and may be given up.
+ */
+public final class PendingCall {
+
+	private final FullHttpRequest request;
+
+	private final AnswerListener listener;
+
+	private @Nullable ClientConnection connection;
+
+	private boolean ended;
+
+	PendingCall(FullHttpRequest request, AnswerListener listener) {
+		this.request = request;
+		this.listener = listener;
+	}
+
+	/**
+	 * Gives the call up. Closes its connection, by which the endpoint learns to stop; the
+	 * listener hears nothing more.
+	 */
+	public void cancel() {
+		if (this.ended) {
+			return;
+		}
+		end();
+		if (this.connection != null) {
+			this.connection.close();
+		}
+	}
+
+	boolean ended() {
+		return this.ended;
+	}
+
+	FullHttpRequest began(ClientConnection on) {
+		this.connection = on;
+		return this.request.retain();
+	}
+
+	boolean head(HttpResponse head) {
+		return this.ended || this.listener.head(head);
+	}
+
+	void content(ByteBuf content) {
+		if (!this.ended) {
+			this.listener.content(content);
+		}
+	}
+
+	void whole() {
+		if (!this.ended) {
+			end();
+			this.listener.whole();
+		}
+	}
+
+	void failed(CallFailure failure) {
+		if (!this.ended) {
+			end();
+			this.listener.failed(failure);
+		}
+	}
+
+	private void end() {
+		this.ended = true;
+		this.request.release();
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -0,0 +1,278 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import org.banyancove.core.AccountName;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.core.retry.RetryBudget;
+import org.banyancove.gateway.admission.AdmissionRule;
+import org.banyancove.gateway.admission.AllowanceMeter;
+import org.banyancove.gateway.configuration.ClientAccount;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.configuration.TokenAllowance;
+import org.banyancove.gateway.duty.UsageCounter;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.shared.CallerHeaders;
+import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.SteadyClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes callers' requests in and keeps what all of them share.
+ */
+public final class RequestFlow {
+
+	/**
+	 * The part of the fleet's retry budget that is used, so that gateways that count
+	 * differently, or start anew, stay within it together.
+	 */
+	private static final double SHARE_OF_BUDGET = 0.7;
+
+	private final EventLoop eventLoop;
+
+	private final SteadyClock clock;
+
+	private final InstantSource wallClock;
+
+	private final RandomGenerator random;
+
+	private final HeaderWords words;
+
+	private final ClientConnections connections;
+
+	private final EndpointTable endpoints;
+
+	private final PlacementRule placement;
+
+	private final UsageCounter usage;
+
+	private final RequestLog requestLog;
+
+	private final RetryLimits retryLimits;
+
+	private final AdmissionRule admission = new AdmissionRule();
+
+	private final Map<AccountName, AllowanceMeter> meters = new HashMap<>();
+
+	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+
+	private @Nullable Configuration configuration;
+
+	private int gateways = 1;
+
+	private boolean stopping;
+
+	private int inProgress;
+
+	/**
+	 * Creates the flow.
+	 * @param eventLoop the loop that everything runs on
+	 * @param clock the steady clock
+	 * @param wallClock the time of day
+	 * @param random chooses among a route's services
+	 * @param words the headers' words
+	 * @param connections the connections to endpoints
+	 * @param endpoints the endpoints
+	 * @param placement chooses among them
+	 * @param usage counts what ran
+	 * @param requestLog tells what became of requests
+	 * @param retryLimits the fleet's retry budget
+	 */
+	public RequestFlow(EventLoop eventLoop, SteadyClock clock, InstantSource wallClock, RandomGenerator random,
+			HeaderWords words, ClientConnections connections, EndpointTable endpoints, PlacementRule placement,
+			UsageCounter usage, RequestLog requestLog, RetryLimits retryLimits) {
+		this.eventLoop = eventLoop;
+		this.clock = clock;
+		this.wallClock = wallClock;
+		this.random = random;
+		this.words = words;
+		this.connections = connections;
+		this.endpoints = endpoints;
+		this.placement = placement;
+		this.usage = usage;
+		this.requestLog = requestLog;
+		this.retryLimits = retryLimits;
+	}
+
+	/**
+	 * Takes in a configuration.
+	 * @param newest the configuration
+	 */
+	public void configure(Configuration newest) {
+		Configuration before = this.configuration;
+		this.configuration = newest;
+		this.meters.keySet().removeIf((name) -> !sameAllowance(name, before, newest));
+	}
+
+	private static boolean sameAllowance(AccountName name, @Nullable Configuration before, Configuration newest) {
+		TokenAllowance old = (before != null) ? allowance(name, before) : null;
+		TokenAllowance current = allowance(name, newest);
+		return current != null && current.equals(old);
+	}
+
+	private static @Nullable TokenAllowance allowance(AccountName name, Configuration configuration) {
+		for (ClientAccount account : configuration.accounts()) {
+			if (account.name().equals(name)) {
+				return account.allowance();
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Takes in how many gateways there are, and what the others were asked for.
+	 * @param newGateways the gateways, this one included
+	 * @param othersDemand the others' demand, a second, by client account
+	 */
+	public void others(int newGateways, Map<AccountName, Double> othersDemand) {
+		this.gateways = newGateways;
+		this.meters.forEach((name, meter) -> meter.others(othersDemand.getOrDefault(name, 0.0), newGateways));
+		this.budgets.values().forEach((budget) -> budget.changeMostSaved(mostSavedRetries()));
+	}
+
+	/**
+	 * Returns what this gateway was asked for.
+	 * @return the demand, a second, by client account
+	 */
+	public Map<AccountName, Double> demand() {
+		Map<AccountName, Double> demand = new HashMap<>();
+		this.meters.forEach((name, meter) -> demand.put(name, meter.demand(this.clock.nanos())));
+		return demand;
+	}
+
+	/**
+	 * Begins to stop: what cannot end before the process does is turned away.
+	 */
+	public void stop() {
+		this.stopping = true;
+	}
+
+	/**
+	 * Returns the requests that are being answered.
+	 * @return the number
+	 */
+	public int inProgress() {
+		return this.inProgress;
+	}
+
+	CallerAnswering begin(CallerConnection caller, CallerRequest request) {
+		CallerHeaders said = this.words.readCaller(request.head().headers());
+		Intake intake = new Intake(this.configuration, this.stopping);
+		IntakeDecision decision = intake.decide(request.head().headers().get("host"), request.head().uri(), said,
+				this.random.nextDouble());
+		return switch (decision) {
+			case IntakeDecision.Refused refused -> {
+				refuse(caller, said, refused.kind(), refused.comeBack());
+				yield CallerAnswering.BEGUN;
+			}
+			case IntakeDecision.Taken taken -> begin(caller, request, said, taken);
+		};
+	}
+
+	private CallerAnswering begin(CallerConnection caller, CallerRequest request, CallerHeaders said,
+			IntakeDecision.Taken taken) {
+		Duration wait = chargeAllowance(taken, said);
+		if (!wait.isZero()) {
+			refuse(caller, said, ErrorKind.ACCOUNT_OVER_LIMIT, wait);
+			return CallerAnswering.BEGUN;
+		}
+		this.inProgress++;
+		budget(taken.service().name()).firstAttempt();
+		Exchange exchange = new Exchange(this, caller, request, said, taken);
+		exchange.begin();
+		return exchange;
+	}
+
+	private Duration chargeAllowance(IntakeDecision.Taken taken, CallerHeaders said) {
+		ClientAccount account = taken.account();
+		if (account == null || account.allowance() == null) {
+			return Duration.ZERO;
+		}
+		TokenAllowance allowance = account.allowance();
+		AllowanceMeter meter = this.meters.computeIfAbsent(account.name(),
+				(name) -> new AllowanceMeter(allowance, this.gateways, this.clock.nanos()));
+		boolean taking = meter.tryTake(allowance.costOf(said.prompt().totalTokens()), this.clock.nanos());
+		return taking ? Duration.ZERO : meter.timeToNext();
+	}
+
+	private void refuse(CallerConnection caller, CallerHeaders said, ErrorKind kind, @Nullable Duration comeBack) {
+		this.requestLog.refused(said.requestId(), kind, comeBack, version());
+		caller.answer(FailureAnswer.of(kind, comeBack));
+	}
+
+	void refusedUnread(ErrorKind kind) {
+		this.requestLog.refused(null, kind, null, version());
+	}
+
+	void ended() {
+		this.inProgress--;
+	}
+
+	RetryBudget budget(ServiceName service) {
+		return this.budgets.computeIfAbsent(service,
+				(name) -> new RetryBudget(this.retryLimits.ratio() * SHARE_OF_BUDGET, mostSavedRetries() / 2,
+						mostSavedRetries()));
+	}
+
+	private double mostSavedRetries() {
+		return this.retryLimits.burst() * SHARE_OF_BUDGET / this.gateways;
+	}
+
+	// A gateway's part of the connections that an endpoint accepts from all.
+	int connectionShare(Service service) {
+		return Math.max(2, (int) (service.maxConnections() * 0.9 / this.gateways));
+	}
+
+	long version() {
+		return (this.configuration != null) ? this.configuration.version() : 0;
+	}
+
+	EventLoop eventLoop() {
+		return this.eventLoop;
+	}
+
+	SteadyClock clock() {
+		return this.clock;
+	}
+
+	InstantSource wallClock() {
+		return this.wallClock;
+	}
+
+	HeaderWords words() {
+		return this.words;
+	}
+
+	ClientConnections connections() {
+		return this.connections;
+	}
+
+	EndpointTable endpoints() {
+		return this.endpoints;
+	}
+
+	PlacementRule placement() {
+		return this.placement;
+	}
+
+	AdmissionRule admission() {
+		return this.admission;
+	}
+
+	UsageCounter usage() {
+		return this.usage;
+	}
+
+	RequestLog requestLog() {
+		return this.requestLog;
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -0,0 +1,15 @@
+package org.banyancove.gateway.shared;
+
+import org.banyancove.gateway.endpoint.LoadReport;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What an endpoint says beside an answer.
+ *
+ * @param requestId the request that it answers, or {@code null} if it doesn't say
+ * @param sealed whether the answer carries the endpoint's own seal
+ * @param notRun whether it states that the request was not run
+ * @param load its load, or {@code null} if it doesn't say
+ */
+public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load) {
+}
