--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
@@ -5,78 +5,80 @@
 import org.banyancove.gateway.configuration.TokenAllowance;
 
 /**
- * One gateway's part of a client account's allowance.
+ * A gateway's view of what is left of a client account's allowance, which all gateways
+ * share.
  * <p>
  * The load that it answers: one account sends many times its usual, unevenly over the
- * gateways. Each gateway gets the part of the rate that it was asked for of late, and an
- * equal part of what nobody asked for; all parts add up to the whole. A shared counter
- * would lag by a second, in which every gateway would let in the whole rate.
+ * gateways. Each gateway keeps the whole bucket and takes out of it what it lets in and
+ * what the others tell that they let in, a quarter of a second later. What is let in
+ * twice in that time makes the bucket negative and is paid back before anything else is
+ * let in. A gateway that is not heard may be letting in its part, so its part of the rate
+ * is left to it.
  * <p>
  * Times are nanoseconds of the steady clock.
  */
 public final class AllowanceMeter {
 
 	/**
-	 * How fast past demand loses weight, in s: a few publications of the other gateways.
+	 * The most that the bucket can be overdrawn, in seconds of its rate: more can only be
+	 * due to figures of a gateway that came late, and would lock an account out for long.
 	 */
-	private static final double DEMAND_LIFE_SECONDS = 3;
-
-	/**
-	 * Least part of the burst that one gateway saves up, as its part of the rate's parts:
-	 * an account's requests are uneven over gateways.
-	 */
-	private static final double LEAST_BURST_SHARE = 0.5;
+	private static final double MOST_OVERDRAWN_SECONDS = 4;
 
 	private final TokenAllowance allowance;
 
 	private double level;
 
-	private double demand;
+	private double share = 1;
 
-	private double othersDemand;
-
-	private int gateways;
+	private double used;
 
 	private long updatedAt;
 
 	/**
-	 * Creates the meter, half full: after all gateways started anew together, no more
-	 * than the burst is let in twice.
+	 * Creates the meter, empty: a process that starts anew doesn't know what the others
+	 * let in, and a fleet that starts anew together must not let the burst in twice.
 	 * @param allowance the account's allowance
-	 * @param gateways the gateways that share it
 	 * @param now the present time
 	 */
-	public AllowanceMeter(TokenAllowance allowance, int gateways, long now) {
+	public AllowanceMeter(TokenAllowance allowance, long now) {
 		this.allowance = allowance;
-		this.gateways = Math.max(1, gateways);
 		this.updatedAt = now;
-		this.level = allowance.burst() * share() / 2;
+		this.level = 0;
 	}
 
 	/**
-	 * Takes in what the other gateways were asked for.
-	 * @param newOthersDemand their demand, a second
-	 * @param newGateways the gateways, this one included
+	 * Takes in how much of the fleet is heard.
+	 * @param newShare the gateways that are heard, this one included, as a part of all
 	 */
-	public void others(double newOthersDemand, int newGateways) {
-		this.othersDemand = newOthersDemand;
-		this.gateways = Math.max(1, newGateways);
+	public void heard(double newShare) {
+		this.share = Math.clamp(newShare, 0, 1);
+	}
+
+	/**
+	 * Takes out what another gateway let in.
+	 * @param amount what it let in since it told last
+	 * @param now the present time
+	 */
+	public void usedElsewhere(double amount, long now) {
+		advance(now);
+		this.level = Math.max(this.level - amount, -MOST_OVERDRAWN_SECONDS * this.allowance.ratePerSecond());
 	}
 
 	/**
 	 * Lets a request in if there is anything left. The last one may take more than is
-	 * left, else a gateway's part could be too small for any long prompt.
+	 * left, else no prompt longer than the burst would ever be let in.
 	 * @param cost what the request counts
 	 * @param now the present time
 	 * @return whether it is let in
 	 */
 	public boolean tryTake(double cost, long now) {
 		advance(now);
-		this.demand += cost / DEMAND_LIFE_SECONDS;
 		if (this.level <= 0) {
 			return false;
 		}
 		this.level -= cost;
+		this.used += cost;
 		return true;
 	}
 
@@ -86,39 +88,22 @@
 	 */
 	public Duration timeToNext() {
 		double missing = Math.max(0, -this.level) + 1;
-		return Duration.ofNanos((long) (1e9 * missing / rate()));
+		return Duration.ofNanos((long) (1e9 * missing / (this.allowance.ratePerSecond() * Math.max(this.share, 0.05))));
 	}
 
 	/**
-	 * Returns what this gateway was asked for of late.
-	 * @param now the present time
-	 * @return the demand, a second
+	 * Returns all that this gateway let in.
+	 * @return the sum of the costs
 	 */
-	public double demand(long now) {
-		advance(now);
-		return this.demand;
+	public double used() {
+		return this.used;
 	}
 
 	private void advance(long now) {
 		double seconds = Math.max(0, (now - this.updatedAt) / 1e9);
 		this.updatedAt = now;
-		this.demand *= Math.exp(-seconds / DEMAND_LIFE_SECONDS);
-		double most = this.allowance.burst() * Math.max(share(), LEAST_BURST_SHARE / this.gateways);
-		this.level = Math.min(most, this.level + rate() * seconds);
-	}
-
-	private double rate() {
-		return Math.max(this.allowance.ratePerSecond() * share(), Double.MIN_NORMAL);
-	}
-
-	// The part of the whole rate: what was asked for here, and an equal part of the rest.
-	private double share() {
-		double whole = this.allowance.ratePerSecond();
-		double total = this.demand + this.othersDemand;
-		if (total >= whole) {
-			return this.demand / total;
-		}
-		return (this.demand + (whole - total) / this.gateways) / whole;
+		this.level = Math.min(this.allowance.burst(),
+				this.level + this.allowance.ratePerSecond() * this.share * seconds);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -7,12 +7,15 @@
 import java.util.List;
 import java.util.Set;
 
+import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.GatewayBoard;
 import org.banyancove.gateway.duty.LeaseKeeper;
 import org.banyancove.gateway.duty.LeaseRecord;
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.duty.UsagePlan;
 import org.banyancove.gateway.duty.UsageReport;
+import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.shared.AppendOutcome;
 import org.banyancove.gateway.shared.Duties;
 import org.banyancove.gateway.shared.SharedTopics;
@@ -53,6 +56,8 @@
 
 	private final GatewayBoard board;
 
+	private final OrderWork orders;
+
 	private final Set<Long> taken = new HashSet<>();
 
 	private final Set<Long> sending = new HashSet<>();
@@ -66,13 +71,14 @@
 	private boolean holding;
 
 	DutyWork(SharedTopics topics, Duties duties, SteadyClock clock, InstantSource wallClock, LeaseKeeper keeper,
-			UsageCounter usage, GatewayBoard board) {
+			UsageCounter usage, GatewayBoard board, WorkMeter work, EndpointTable endpoints) {
 		this.topics = topics;
 		this.duties = duties;
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.keeper = keeper;
 		this.board = board;
+		this.orders = new OrderWork(duties, board, work, endpoints);
 		this.plan = new UsagePlan(usage, wallClock.instant());
 		this.lastWall = wallClock.instant();
 		this.lastSteady = clock.nanos();
@@ -101,12 +107,8 @@
 		this.keeper.ends(next);
 	}
 
-	boolean holds() {
-		return this.keeper.holds(this.clock.nanos());
-	}
-
-	long fence() {
-		return this.keeper.fence();
+	void configure(Configuration configuration) {
+		this.orders.configure(configuration);
 	}
 
 	void tick() {
@@ -120,6 +122,7 @@
 		renew(now, holds);
 		if (holds) {
 			this.written.forEach(this::send);
+			this.orders.tick(this.keeper.fence(), now);
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -1,5 +1,7 @@
 package org.banyancove.gateway.daemon;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
@@ -12,19 +14,21 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.core.EndpointId;
-import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.GatewayBoard;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseKeeper;
 import org.banyancove.gateway.duty.UsageCounter;
+import org.banyancove.gateway.duty.WorkMeter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ClientConnections;
+import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestFlow;
 import org.banyancove.gateway.shared.Duties;
 import org.banyancove.gateway.shared.HeaderWords;
@@ -45,18 +49,26 @@
 
 	private static final Logger log = LoggerFactory.getLogger(Gateway.class);
 
-	/** A quarter of the two seconds in which a change must be in force. */
-	private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(400);
+	/**
+	 * How long the store may hold a read until there is something new. Calls are paid
+	 * for; a connection that went silent shows by its keep-alive probes before that.
+	 */
+	private static final Duration LONG_WAIT = Duration.ofSeconds(5);
+
+	/** Between two held reads: changes in quick succession are read together. */
+	private static final Duration CHANGES_INTERVAL = Duration.ofMillis(100);
 
 	/**
-	 * A fifth of the two seconds after which a leaving endpoint must get nothing more.
+	 * Endpoints write every second, so that a held read would return at once. Less than
+	 * half of the two seconds after which a leaving endpoint must get nothing more.
 	 */
-	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(400);
+	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(850);
 
-	/** How often gateways tell of themselves and read the others. */
-	private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
+	/** Half of a lease: a claimant must see that a lease was renewed. */
+	private static final Duration LEASES_INTERVAL = Duration.ofSeconds(3);
 
-	private static final Duration LEASES_INTERVAL = Duration.ofMillis(700);
+	/** How often the address is written again, in case it was lost. */
+	private static final Duration ADDRESS_INTERVAL = Duration.ofSeconds(2);
 
 	private static final Duration TICK = Duration.ofMillis(200);
 
@@ -73,6 +85,8 @@
 
 	private final GatewaySettings settings;
 
+	private final EventLoopGroup eventLoops;
+
 	private final EventLoop eventLoop;
 
 	private final SteadyClock clock;
@@ -101,12 +115,14 @@
 
 	private final DutyWork duties;
 
+	private final PeerExchange peers;
+
+	private final WorkMeter work = new WorkMeter();
+
 	private final TopicFollower endpointFollower;
 
 	private @Nullable Configuration configuration;
 
-	private boolean reporting;
-
 	private boolean stopping;
 
 	private boolean wasReady;
@@ -134,18 +150,21 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, words, connections,
-				this.endpoints, new PlacementRule(settings.zone()), this.usage, this.metrics, settings.retryLimits());
+				this.endpoints, new PlacementRule(settings.zone()), new Meters(this.usage, this.work), this.metrics,
+				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
+		this.peers = new PeerExchange(settings.name(), this::peerReported);
+		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
-		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
+		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease().multipliedBy(2), random.nextDouble(),
 				this.clock.nanos());
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
-				this.board);
-		this.endpointFollower = follower(Topic.ENDPOINTS, ENDPOINTS_INTERVAL, new EndpointListener());
+				this.board, this.work, this.endpoints);
+		this.endpointFollower = follower(Topic.ENDPOINTS, ENDPOINTS_INTERVAL, Duration.ZERO, new EndpointListener());
 	}
 
-	private TopicFollower follower(Topic topic, Duration interval, TopicFollower.Listener listener) {
-		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, interval, listener);
+	private TopicFollower follower(Topic topic, Duration interval, Duration wait, TopicFollower.Listener listener) {
+		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, interval, wait, listener);
 	}
 
 	/**
@@ -154,6 +173,7 @@
 	 */
 	public void start() throws InterruptedException {
 		this.callers.listen(this.settings.callers());
+		this.peers.listen(this.eventLoops, this.settings.peers());
 		this.status.listen(this.settings.readiness());
 		if (this.settings.metrics() != null) {
 			this.status.listen(this.settings.metrics());
@@ -167,14 +187,15 @@
 	}
 
 	private void follow() {
-		follower(Topic.CONFIGURATION, CONFIGURATION_INTERVAL, this::configurationChanged).start();
+		follower(Topic.CONFIGURATION, CHANGES_INTERVAL, CONFIGURATION_WAIT, this::configurationChanged).start();
 		this.endpointFollower.start();
-		follower(Topic.GATEWAYS, REPORT_INTERVAL, this::gatewayReported).start();
+		follower(Topic.GATEWAYS, CHANGES_INTERVAL, LONG_WAIT, this.peers).start();
 		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
-			follower(Topic.LEASES, LEASES_INTERVAL, this.duties).start();
+			follower(Topic.LEASES, LEASES_INTERVAL, Duration.ZERO, this.duties).start();
 		}
 		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
-		this.eventLoop.scheduleWithFixedDelay(this::report, 0, REPORT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+		report();
+		writeAddress();
 	}
 
 	private CallerLimits limits() {
@@ -207,6 +228,7 @@
 		}
 		this.configuration = newest;
 		this.endpoints.configure(newest);
+		this.duties.configure(newest);
 		this.flow.configure(newest);
 		log.atInfo()
 			.addKeyValue("version", newest.version())
@@ -214,33 +236,60 @@
 			.log("configuration taken");
 	}
 
-	private void gatewayReported(TopicRecord entry) {
-		if (entry.value() == null) {
-			return;
-		}
+	private void peerReported(byte[] datagram) {
 		try {
-			this.board.read(this.codec.readReport(entry.value()), this.clock.nanos());
+			this.flow.usedElsewhere(this.board.read(this.codec.readReport(datagram), this.clock.nanos()));
 		}
 		catch (RuntimeException ex) {
-			log.atError().addKeyValue("key", entry.key()).addKeyValue("cause", ex.toString()).log("report unreadable");
+			log.atWarn().addKeyValue("cause", ex.toString()).log("peer's report unreadable");
 		}
 	}
 
 	// ---- what is told
 
 	private void report() {
-		if (this.reporting) {
-			return;
+		try {
+			GatewayReport told = new GatewayReport(this.incarnation, this.usage.counts(), this.flow.used(),
+					this.work.perService(this.clock.nanos()), loads());
+			this.board.readCounts(told);
+			this.peers.send(this.codec.write(told));
+		}
+		catch (RuntimeException ex) {
+			// The timer would end for good; the next report may well succeed.
+			log.error("report failed", ex);
+		}
+		this.eventLoop.schedule(this::report, this.peers.interval().toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private Map<EndpointId, EndpointLoad> loads() {
+		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+		for (Endpoint endpoint : this.endpoints.all()) {
+			if (endpoint.inFlight() > 0) {
+				loads.put(endpoint.id(), new EndpointLoad(endpoint.inFlight(), endpoint.waitingTokens()));
+			}
 		}
-		this.reporting = true;
-		Map<ServiceName, Integer> inFlight = new HashMap<>();
+		return loads;
+	}
+
+	private void readPeersLoads(long now) {
+		Map<EndpointId, EndpointLoad> loads = this.board.loads(now);
 		for (Endpoint endpoint : this.endpoints.all()) {
-			inFlight.merge(endpoint.entry().service(), endpoint.inFlight(), Integer::sum);
+			EndpointLoad others = loads.getOrDefault(endpoint.id(), EndpointLoad.NONE);
+			endpoint.others(others.inFlight(), others.unreadTokens());
 		}
-		GatewayReport told = new GatewayReport(this.incarnation, this.usage.counts(), this.flow.demand(), inFlight);
-		this.topics.append(Topic.GATEWAYS, this.settings.name(), this.codec.write(told))
-			.whenComplete((outcome, failure) -> this.reporting = false);
-		this.board.read(told, this.clock.nanos());
+	}
+
+	// Tells the other gateways where this one listens; until it succeeds, they don't hear
+	// it.
+	private void writeAddress() {
+		InetSocketAddress address = this.settings.peers();
+		byte[] value = (address.getHostString() + ":" + address.getPort()).getBytes(StandardCharsets.UTF_8);
+		this.topics.append(Topic.GATEWAYS, this.settings.name(), value).whenComplete((outcome, failure) -> {
+			if (outcome == null) {
+				log.atWarn().addKeyValue("cause", String.valueOf(failure)).log("address not written");
+				this.eventLoop.schedule(this::writeAddress, ADDRESS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+			}
+		});
 	}
 
 	private void tick() {
@@ -248,7 +297,8 @@
 			long now = this.clock.nanos();
 			this.endpoints.expire(now).forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
 			this.board.expire(now);
-			this.flow.others(this.board.others(this.incarnation) + 1, this.board.othersDemand(this.incarnation));
+			this.flow.fleet(this.board.others() + 1, this.board.heardShare(now));
+			readPeersLoads(now);
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param callers where it listens for callers
  * @param readiness where it tells whether it takes requests
  * @param metrics where it serves metrics, or {@code null}
+ * @param peers where it listens for the other gateways
  * @param retryLimits what all gateways may send again
  * @param lease the length of the lease of the shared duties
  * @param usageWindow the length of a window of the usage report
@@ -23,8 +24,8 @@
  * @param stopTime from being told to stop to being killed
  */
 public record GatewaySettings(String name, ZoneName zone, InetSocketAddress callers, InetSocketAddress readiness,
-		@Nullable InetSocketAddress metrics, RetryLimits retryLimits, Duration lease, Duration usageWindow,
-		boolean reportsUsage, boolean ordersEndpoints, Duration stopTime) {
+		@Nullable InetSocketAddress metrics, InetSocketAddress peers, RetryLimits retryLimits, Duration lease,
+		Duration usageWindow, boolean reportsUsage, boolean ordersEndpoints, Duration stopTime) {
 
 	/**
 	 * Creates the settings.
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
@@ -0,0 +1,154 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.ScalingLimits;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.duty.EndpointLoad;
+import org.banyancove.gateway.duty.EndpointOrders;
+import org.banyancove.gateway.duty.GatewayBoard;
+import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.shared.Duties;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Orders endpoints while the lease is held.
+ */
+final class OrderWork {
+
+	private static final Logger log = LoggerFactory.getLogger(OrderWork.class);
+
+	/** Between two decisions: a start takes seconds, and calls are paid for. */
+	private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * After a holder took over: all endpoints have written their entries, and the others
+	 * have told their loads by then. An order made before would replace endpoints that
+	 * are there.
+	 */
+	private static final Duration FIRST_LOOK = Duration.ofSeconds(3);
+
+	/** Until an order that was not filled, or not taken, is sent again. */
+	private static final Duration AGAIN = Duration.ofSeconds(4);
+
+	private final Duties duties;
+
+	private final GatewayBoard board;
+
+	private final WorkMeter work;
+
+	private final EndpointTable endpoints;
+
+	private final Map<ServiceName, EndpointOrders> deciders = new HashMap<>();
+
+	private final Map<Subject, Sent> sent = new HashMap<>();
+
+	private final Set<Subject> sending = new HashSet<>();
+
+	private @Nullable Configuration configuration;
+
+	private long fence;
+
+	private long nextAt;
+
+	OrderWork(Duties duties, GatewayBoard board, WorkMeter work, EndpointTable endpoints) {
+		this.duties = duties;
+		this.board = board;
+		this.work = work;
+		this.endpoints = endpoints;
+	}
+
+	void configure(Configuration newest) {
+		this.configuration = newest;
+	}
+
+	void tick(long newFence, long now) {
+		if (newFence != this.fence) {
+			this.fence = newFence;
+			this.sent.clear();
+			this.nextAt = now + FIRST_LOOK.toNanos();
+		}
+		Configuration known = this.configuration;
+		if (known == null || now < this.nextAt) {
+			return;
+		}
+		this.nextAt = now + INTERVAL.toNanos();
+		for (Service service : known.services()) {
+			if (service.scaling() != null) {
+				order(service.name(), service.scaling(), now);
+			}
+		}
+	}
+
+	private void order(ServiceName service, ScalingLimits limits, long now) {
+		List<Endpoint> listed = this.endpoints.all()
+			.stream()
+			.filter((endpoint) -> endpoint.entry().service().equals(service))
+			.toList();
+		Map<EndpointId, EndpointLoad> others = this.board.loads(now);
+		int inFlight = listed.stream()
+			.mapToInt((endpoint) -> endpoint.inFlight()
+					+ others.getOrDefault(endpoint.id(), EndpointLoad.NONE).inFlight())
+			.sum();
+		double needed = this.work.perService(now).getOrDefault(service, 0.0) + this.board.work(service, now);
+		List<EndpointEntry> entries = listed.stream().map(Endpoint::entry).toList();
+		this.deciders.computeIfAbsent(service, (name) -> new EndpointOrders())
+			.decide(limits, entries, needed, inFlight, now)
+			.forEach((order) -> send(new Subject(service, order.zone(), order.reclaimable()), order.count(), entries,
+					needed, now));
+	}
+
+	private void send(Subject subject, int count, List<EndpointEntry> listed, double needed, long now) {
+		Sent before = this.sent.get(subject);
+		boolean changed = before == null || before.count() != count;
+		boolean unfilled = subject.running(listed) != count;
+		boolean due = before == null || now - before.at() > AGAIN.toNanos();
+		if (!(changed || (unfilled && due)) || !this.sending.add(subject)) {
+			return;
+		}
+		this.sent.put(subject, new Sent(count, now));
+		this.duties.orderEndpoints(this.fence, subject.service(), subject.zone(), subject.reclaimable(), count)
+			.whenComplete((taken, failure) -> {
+				this.sending.remove(subject);
+				log.atInfo()
+					.addKeyValue("service", subject.service().value())
+					.addKeyValue("zone", subject.zone().value())
+					.addKeyValue("reclaimable", subject.reclaimable())
+					.addKeyValue("count", count)
+					.addKeyValue("running", subject.running(listed))
+					.addKeyValue("neededMsPerSecond", Math.round(needed))
+					.addKeyValue("taken", taken)
+					.addKeyValue("cause", (failure != null) ? failure.toString() : null)
+					.log("endpoints ordered");
+			});
+	}
+
+	private record Sent(int count, long at) {
+	}
+
+	private record Subject(ServiceName service, ZoneName zone, boolean reclaimable) {
+
+		int running(List<EndpointEntry> listed) {
+			return (int) listed.stream()
+				.filter((entry) -> entry.zone().equals(this.zone) && entry.reclaimable() == this.reclaimable
+						&& !entry.draining())
+				.count();
+		}
+
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -10,9 +10,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.BanyancoveException;
 import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseRecord;
 import org.banyancove.gateway.duty.UsageReport;
@@ -29,10 +31,14 @@
 		root.put("incarnation", report.incarnation());
 		ObjectNode counts = root.putObject("counts");
 		report.counts().forEach((window, accounts) -> putCounts(counts.putObject(String.valueOf(window)), accounts));
-		ObjectNode demand = root.putObject("demand");
-		report.demand().forEach((account, value) -> demand.put(account.value(), Math.round(value)));
-		ObjectNode inFlight = root.putObject("inFlight");
-		report.inFlight().forEach((service, value) -> inFlight.put(service.value(), value));
+		ObjectNode used = root.putObject("used");
+		report.used().forEach((account, value) -> used.put(account.value(), Math.round(value)));
+		ObjectNode work = root.putObject("work");
+		report.work().forEach((service, value) -> work.put(service.value(), Math.round(value)));
+		ObjectNode loads = root.putObject("loads");
+		report.loads()
+			.forEach(
+					(endpoint, load) -> loads.putArray(endpoint.value()).add(load.inFlight()).add(load.unreadTokens()));
 		return bytes(root);
 	}
 
@@ -42,15 +48,20 @@
 		root.path("counts")
 			.properties()
 			.forEach((entry) -> counts.put(Long.valueOf(entry.getKey()), counts(entry.getValue())));
-		Map<AccountName, Double> demand = new HashMap<>();
-		root.path("demand")
+		Map<AccountName, Double> used = new HashMap<>();
+		root.path("used")
 			.properties()
-			.forEach((entry) -> demand.put(new AccountName(entry.getKey()), entry.getValue().asDouble()));
-		Map<ServiceName, Integer> inFlight = new HashMap<>();
-		root.path("inFlight")
+			.forEach((entry) -> used.put(new AccountName(entry.getKey()), entry.getValue().asDouble()));
+		Map<ServiceName, Double> work = new HashMap<>();
+		root.path("work")
 			.properties()
-			.forEach((entry) -> inFlight.put(new ServiceName(entry.getKey()), entry.getValue().asInt()));
-		return new GatewayReport(root.path("incarnation").asLong(), counts, demand, inFlight);
+			.forEach((entry) -> work.put(new ServiceName(entry.getKey()), entry.getValue().asDouble()));
+		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+		root.path("loads")
+			.properties()
+			.forEach((entry) -> loads.put(new EndpointId(entry.getKey()),
+					new EndpointLoad(entry.getValue().path(0).asInt(), entry.getValue().path(1).asLong())));
+		return new GatewayReport(root.path("incarnation").asLong(), counts, used, work, loads);
 	}
 
 	byte[] write(LeaseRecord record) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -42,6 +42,8 @@
 
 	private final Duration interval;
 
+	private final Duration wait;
+
 	private final Listener listener;
 
 	private final Map<String, Long> offsets = new HashMap<>();
@@ -59,12 +61,13 @@
 	private long listedEnd;
 
 	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Duration interval,
-			Listener listener) {
+			Duration wait, Listener listener) {
 		this.topic = topic;
 		this.topics = topics;
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.interval = interval;
+		this.wait = wait;
 		this.listener = listener;
 	}
 
@@ -75,7 +78,7 @@
 			readListed(null);
 		}
 		else {
-			this.topics.changes(this.topic, this.next).whenComplete(this::readChanges);
+			this.topics.changes(this.topic, this.next, this.wait).whenComplete(this::readChanges);
 		}
 	}
 
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointLoad.java
@@ -0,0 +1,34 @@
+package org.banyancove.gateway.duty;
+
+/**
+ * What one gateway has at an endpoint.
+ *
+ * @param inFlight its requests there
+ * @param unreadTokens the prompt tokens of theirs that are still to be read
+ */
+public record EndpointLoad(int inFlight, long unreadTokens) {
+
+	/** Nothing. */
+	public static final EndpointLoad NONE = new EndpointLoad(0, 0);
+
+	/**
+	 * Creates the load.
+	 * @throws IllegalArgumentException if a figure is negative
+	 */
+	public EndpointLoad {
+		if (inFlight < 0 || unreadTokens < 0) {
+			throw new IllegalArgumentException(
+					"inFlight and unreadTokens must not be negative: " + inFlight + ", " + unreadTokens);
+		}
+	}
+
+	/**
+	 * Adds another load.
+	 * @param other the other load
+	 * @return the sum
+	 */
+	public EndpointLoad plus(EndpointLoad other) {
+		return new EndpointLoad(this.inFlight + other.inFlight, this.unreadTokens + other.unreadTokens);
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -0,0 +1,162 @@
+package org.banyancove.gateway.duty;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.configuration.ScalingLimits;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+
+/**
+ * Decides how many endpoints of a service are ordered, of which kind and where.
+ * <p>
+ * The load that it answers: a wave of traffic under which all reclaimable endpoints of a
+ * data centre are taken away at once, and no more are to be had for a while. Reclaimable
+ * ones cost a fraction, so they are ordered for what is needed and once more over all
+ * data centres; a few lasting ones in the cheapest data centre carry what matters when
+ * the rest are taken. Orders grow at once and shrink after a while, since a start takes
+ * seconds.
+ * <p>
+ * Times are nanoseconds of the steady clock.
+ */
+public final class EndpointOrders {
+
+	/**
+	 * Part of an engine's time that reading prompts takes where reclaimable endpoints are
+	 * enough: beyond it, prompts wait for each other longer than short targets allow.
+	 */
+	private static final double READING_SHARE = 0.35;
+
+	/**
+	 * The same where lasting endpoints have to stand in: they cost several times as much,
+	 * so that a fuller engine is worth less than another.
+	 */
+	private static final double READING_SHARE_MOST = 0.6;
+
+	/** Requests at once by which an engine's steps become half as long again. */
+	private static final double REQUESTS_AN_ENGINE = 16;
+
+	/** Of the endpoints that are needed at least, the part that is always lasting. */
+	private static final double LASTING_SHARE = 0.25;
+
+	/**
+	 * How long a need for reclaimable ones is remembered: longer than between two bursts.
+	 */
+	private static final Duration MEMORY = Duration.ofSeconds(30);
+
+	/** How long a need for lasting ones is remembered: about two starts. */
+	private static final Duration LASTING_MEMORY = Duration.ofSeconds(8);
+
+	private final TreeMap<Long, Double> needs = new TreeMap<>();
+
+	private final TreeMap<Long, Double> lastingNeeds = new TreeMap<>();
+
+	/**
+	 * Decides the orders.
+	 * @param limits what may be ordered
+	 * @param listed the service's endpoints
+	 * @param work the engine time that is needed, in ms a second
+	 * @param inFlight the requests at the endpoints
+	 * @param now the present time
+	 * @return the orders
+	 */
+	public List<Order> decide(ScalingLimits limits, Collection<EndpointEntry> listed, double work, int inFlight,
+			long now) {
+		List<ZoneName> zones = new ArrayList<>(limits.zonePrices().keySet());
+		zones.sort(Comparator.comparingDouble((ZoneName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
+			.thenComparing(ZoneName::value));
+		if (zones.isEmpty()) {
+			return List.of();
+		}
+		double engines = work / 1000;
+		double crowd = inFlight / REQUESTS_AN_ENGINE;
+		double comfortable = remember(this.needs, MEMORY, Math.max(engines / READING_SHARE, crowd), now);
+		int least = Math.max(1, (int) Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
+		boolean reclaimableCheaper = limits.reclaimablePrice() < 1;
+		int lastingNow = reclaimableCheaper
+				? Math.max((int) Math.ceil(least * LASTING_SHARE), least - count(listed, true)) : least;
+		int lasting = (int) remember(this.lastingNeeds, LASTING_MEMORY, lastingNow, now);
+		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
+		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
+				? spread(Math.max(zones.size() * 2, (int) Math.ceil(comfortable)), zones, limits.most())
+				: new HashMap<>();
+		List<Order> orders = new ArrayList<>();
+		for (ZoneName zone : zones) {
+			int lastingHere = lastingByZone.getOrDefault(zone, 0);
+			int reclaimableHere = Math.min(reclaimable.getOrDefault(zone, 0), limits.most() - lastingHere);
+			if (lastingHere + reclaimableHere < limits.fewest()) {
+				lastingHere = limits.fewest() - reclaimableHere;
+			}
+			orders.add(new Order(zone, false, lastingHere));
+			if (reclaimableCheaper) {
+				orders.add(new Order(zone, true, reclaimableHere));
+			}
+		}
+		return orders;
+	}
+
+	private static double remember(TreeMap<Long, Double> needs, Duration memory, double need, long now) {
+		needs.put(now, need);
+		needs.headMap(now - memory.toNanos()).clear();
+		return needs.values().stream().mapToDouble(Double::doubleValue).max().orElse(need);
+	}
+
+	private static int count(Collection<EndpointEntry> listed, ZoneName zone, boolean reclaimable) {
+		return (int) listed.stream()
+			.filter((entry) -> entry.zone().equals(zone) && entry.reclaimable() == reclaimable && !entry.draining())
+			.count();
+	}
+
+	private static int count(Collection<EndpointEntry> listed, boolean reclaimable) {
+		return (int) listed.stream().filter((entry) -> entry.reclaimable() == reclaimable && !entry.draining()).count();
+	}
+
+	// Spreads evenly, the cheaper data centres first.
+	private static Map<ZoneName, Integer> spread(int total, List<ZoneName> zones, int most) {
+		Map<ZoneName, Integer> spread = new HashMap<>();
+		for (int i = 0; i < total; i++) {
+			spread.merge(zones.get(i % zones.size()), 1, (left, right) -> Math.min(most, left + right));
+		}
+		return spread;
+	}
+
+	// Keeps those that run, the cheapest data centre first, and orders what is missing
+	// where
+	// there is room beside the reclaimable ones: an endpoint that starts is empty, and
+	// one
+	// that leaves breaks streams off.
+	private static Map<ZoneName, Integer> fill(int total, List<ZoneName> zones, ScalingLimits limits,
+			Collection<EndpointEntry> listed) {
+		Map<ZoneName, Integer> filled = new HashMap<>();
+		int left = total;
+		for (ZoneName zone : zones) {
+			int here = Math.min(left, Math.min(count(listed, zone, false), limits.most()));
+			filled.put(zone, here);
+			left -= here;
+		}
+		for (ZoneName zone : zones) {
+			int room = limits.most() - count(listed, zone, true) - filled.getOrDefault(zone, 0);
+			int here = Math.clamp(room, 0, left);
+			filled.merge(zone, here, Integer::sum);
+			left -= here;
+		}
+		return filled;
+	}
+
+	/**
+	 * How many endpoints of a kind there are to be in a data centre.
+	 *
+	 * @param zone the data centre
+	 * @param reclaimable the kind
+	 * @param count the number
+	 */
+	public record Order(ZoneName zone, boolean reclaimable, int count) {
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
@@ -6,18 +6,25 @@
 import java.util.TreeMap;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 
 /**
- * What the gateways told of themselves.
+ * What the other gateways told of themselves.
  * <p>
- * Counts stay when their process is gone: what it counted did run. Everything else is
- * forgotten after a few seconds of silence.
+ * Counts of usage stay when their process is gone: what it counted did run. Loads are
+ * forgotten after a short silence, and a gateway counts as one of the fleet for longer:
+ * it may be cut off from here and go on working.
  */
 public final class GatewayBoard {
 
-	/** Silence after which a gateway counts as gone: a few missed reports. */
-	private static final Duration SILENCE = Duration.ofMillis(4500);
+	/** Silence after which a gateway's loads count no more: a few missed reports. */
+	private static final Duration SILENCE = Duration.ofMillis(1500);
+
+	/**
+	 * Silence after which a gateway is no longer one of the fleet: longer than most cuts.
+	 */
+	private static final Duration GONE = Duration.ofSeconds(12);
 
 	/** Windows that are kept for the usage report. */
 	private static final int MOST_WINDOWS = 12;
@@ -30,9 +37,26 @@
 	 * Takes in a report.
 	 * @param report the report
 	 * @param now when it was read, on the steady clock
+	 * @return what the gateway let in since its last report, by client account; nothing
+	 * for its first one
+	 */
+	public Map<AccountName, Double> read(GatewayReport report, long now) {
+		Heard before = this.heard.put(report.incarnation(), new Heard(report, now));
+		readCounts(report);
+		Map<AccountName, Double> since = new HashMap<>();
+		if (before != null) {
+			report.used()
+				.forEach((account, used) -> since.put(account,
+						Math.max(0, used - before.report().used().getOrDefault(account, 0.0))));
+		}
+		return since;
+	}
+
+	/**
+	 * Takes in the counts of usage of a report.
+	 * @param report the report
 	 */
-	public void read(GatewayReport report, long now) {
-		this.heard.put(report.incarnation(), new Heard(report, now));
+	public void readCounts(GatewayReport report) {
 		report.counts()
 			.forEach((window, accounts) -> this.counts.computeIfAbsent(window, (number) -> new HashMap<>())
 				.put(report.incarnation(), accounts));
@@ -42,46 +66,57 @@
 	}
 
 	/**
-	 * Forgets the gateways that fell silent.
+	 * Forgets the gateways that are gone.
 	 * @param now the present time
 	 */
 	public void expire(long now) {
-		this.heard.values().removeIf((entry) -> now - entry.at() > SILENCE.toNanos());
+		this.heard.values().removeIf((entry) -> now - entry.at() > GONE.toNanos());
 	}
 
 	/**
-	 * Returns the gateways that were heard of late, without one.
-	 * @param own the process to leave out
+	 * Returns the gateways of the fleet that were told of here, without this one.
 	 * @return the number
 	 */
-	public int others(long own) {
-		return (int) this.heard.keySet().stream().filter((incarnation) -> incarnation != own).count();
+	public int others() {
+		return this.heard.size();
+	}
+
+	/**
+	 * Returns the part of the fleet that is heard now, this gateway included.
+	 * @param now the present time
+	 * @return the part, from 0 to 1
+	 */
+	public double heardShare(long now) {
+		long fresh = this.heard.values().stream().filter((entry) -> entry.fresh(now)).count();
+		return (fresh + 1.0) / (this.heard.size() + 1);
 	}
 
 	/**
-	 * Returns what the other gateways were asked for.
-	 * @param own the process to leave out
-	 * @return the demand, a second, by client account
+	 * Returns what the others have at endpoints.
+	 * @param now the present time
+	 * @return the loads
 	 */
-	public Map<AccountName, Double> othersDemand(long own) {
-		Map<AccountName, Double> total = new HashMap<>();
-		this.heard.forEach((incarnation, entry) -> {
-			if (incarnation != own) {
-				entry.report().demand().forEach((account, demand) -> total.merge(account, demand, Double::sum));
+	public Map<EndpointId, EndpointLoad> loads(long now) {
+		Map<EndpointId, EndpointLoad> total = new HashMap<>();
+		for (Heard entry : this.heard.values()) {
+			if (entry.fresh(now)) {
+				entry.report().loads().forEach((endpoint, load) -> total.merge(endpoint, load, EndpointLoad::plus));
 			}
-		});
+		}
 		return total;
 	}
 
 	/**
-	 * Returns the requests of all gateways at the endpoints of a service.
+	 * Returns the engine time that the others' requests need.
 	 * @param service the service
-	 * @return the requests
+	 * @param now the present time
+	 * @return milliseconds a second
 	 */
-	public int inFlight(ServiceName service) {
+	public double work(ServiceName service, long now) {
 		return this.heard.values()
 			.stream()
-			.mapToInt((entry) -> entry.report().inFlight().getOrDefault(service, 0))
+			.filter((entry) -> entry.fresh(now))
+			.mapToDouble((entry) -> entry.report().work().getOrDefault(service, 0.0))
 			.sum();
 	}
 
@@ -99,6 +134,11 @@
 	}
 
 	private record Heard(GatewayReport report, long at) {
+
+		boolean fresh(long now) {
+			return now - this.at < SILENCE.toNanos();
+		}
+
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
@@ -3,26 +3,30 @@
 import java.util.Map;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 
 /**
- * What a gateway tells the others about once a second.
+ * What a gateway tells the others a few times a second.
  *
  * @param incarnation its process
  * @param counts the requests that began to run, by window and client account
- * @param demand what it was asked for, a second, by client account
- * @param inFlight its requests at endpoints, by service
+ * @param used all that it let in, by client account, in the unit of its allowance
+ * @param work the milliseconds of engine time that its requests need, a second, by
+ * service
+ * @param loads what it has at endpoints
  */
-public record GatewayReport(long incarnation, Map<Long, Map<AccountName, Long>> counts, Map<AccountName, Double> demand,
-		Map<ServiceName, Integer> inFlight) {
+public record GatewayReport(long incarnation, Map<Long, Map<AccountName, Long>> counts, Map<AccountName, Double> used,
+		Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads) {
 
 	/**
 	 * Creates the report.
 	 */
 	public GatewayReport {
 		counts = Map.copyOf(counts);
-		demand = Map.copyOf(demand);
-		inFlight = Map.copyOf(inFlight);
+		used = Map.copyOf(used);
+		work = Map.copyOf(work);
+		loads = Map.copyOf(loads);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
@@ -24,7 +24,7 @@
 	private static final double SHARE_HELD = 0.6;
 
 	/** Part of the lease after which a holder renews: twice before it would stop. */
-	private static final double SHARE_RENEWED = 0.25;
+	private static final double SHARE_RENEWED = 0.3;
 
 	/** How long the others wait, in leases: the holder has stopped well before. */
 	private static final double TAKEOVER_LEASES = 1.3;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -66,7 +66,11 @@
 
 	private long unreadTokens;
 
-	private double othersAtReport;
+	private int othersInFlight;
+
+	private long othersUnreadTokens;
+
+	private double unknownAtReport;
 
 	private double waitingAtReport;
 
@@ -203,7 +207,7 @@
 	 * @param now the present time
 	 */
 	public void reported(LoadReport report, long now) {
-		this.othersAtReport = Math.max(0, report.running() + report.waiting() - this.inFlight);
+		this.unknownAtReport = Math.max(0, report.running() + report.waiting() - this.inFlight - this.othersInFlight);
 		this.waitingAtReport = report.waiting();
 		this.reportedAt = now;
 	}
@@ -238,6 +242,33 @@
 		return this.unreadTokens;
 	}
 
+	/**
+	 * Takes in what the other gateways have here.
+	 * @param requests their requests
+	 * @param unread the prompt tokens of theirs that are still to be read
+	 */
+	public void others(int requests, long unread) {
+		this.othersInFlight = requests;
+		this.othersUnreadTokens = unread;
+	}
+
+	/**
+	 * Returns the engine time that reading a prompt takes here.
+	 * @param prompt the prompt
+	 * @return the time in ms
+	 */
+	public double workMillis(Prompt prompt) {
+		return this.generatesTokens ? unreadTokens(prompt) * this.millisPerToken : this.plainMillis;
+	}
+
+	/**
+	 * Returns the time to read a prompt token.
+	 * @return the time in ms
+	 */
+	public double millisPerToken() {
+		return this.millisPerToken;
+	}
+
 	boolean paused(long now) {
 		return now < this.pausedUntil;
 	}
@@ -263,12 +294,13 @@
 	double predictedMillis(Prompt prompt, long now) {
 		double reportWeight = (this.reportedAt == Long.MIN_VALUE) ? 0
 				: Math.exp((this.reportedAt - now) / REPORT_LIFE_NANOS);
-		double running = this.inFlight + this.othersAtReport * reportWeight;
+		double running = this.inFlight + this.othersInFlight + this.unknownAtReport * reportWeight;
 		if (!this.generatesTokens) {
 			double full = Math.max(1, (running + 1) / this.entry.slots());
 			return this.plainMillis * full;
 		}
-		double ahead = this.unreadTokens + this.waitingAtReport * reportWeight * meanPrompt(prompt);
+		double known = this.unreadTokens + this.othersUnreadTokens;
+		double ahead = Math.max(known, this.waitingAtReport * reportWeight * meanPrompt(prompt));
 		double slotsFull = Math.max(0, running + 1 - this.entry.slots());
 		return BASE_MILLIS + this.millisPerToken * (ahead + unreadTokens(prompt)) + MILLIS_PER_RUNNING * running
 				+ slotsFull * this.millisPerToken * meanPrompt(prompt);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -46,6 +46,10 @@
 	 */
 	public void put(EndpointEntry entry) {
 		Endpoint known = this.endpoints.get(entry.id());
+		if (known != null && known.entry().equals(entry)) {
+			known.update(entry);
+			return;
+		}
 		if (known != null && known.entry().service().equals(entry.service())) {
 			known.update(entry);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -151,6 +151,7 @@
 			return;
 		}
 		if (this.attempts == 0) {
+			this.flow.meteredBy().work().add(this.service.name(), placement.endpoint().workMillis(prompt()), now());
 			Duration comeBack = this.flow.admission()
 				.timeToComeBack(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
 						remaining());
@@ -368,7 +369,7 @@
 	private void countBegun() {
 		if (!this.began && this.account != null) {
 			this.began = true;
-			this.flow.usage().began(this.account.name(), this.flow.wallClock().instant());
+			this.flow.meteredBy().usage().began(this.account.name(), this.flow.wallClock().instant());
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -17,7 +18,6 @@
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.configuration.TokenAllowance;
-import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.shared.CallerHeaders;
@@ -52,7 +52,7 @@
 
 	private final PlacementRule placement;
 
-	private final UsageCounter usage;
+	private final Meters meteredBy;
 
 	private final RequestLog requestLog;
 
@@ -66,8 +66,12 @@
 
 	private @Nullable Configuration configuration;
 
+	private final Map<AccountName, Double> usedBefore = new HashMap<>();
+
 	private int gateways = 1;
 
+	private double heardShare = 1;
+
 	private boolean stopping;
 
 	private int inProgress;
@@ -82,13 +86,13 @@
 	 * @param connections the connections to endpoints
 	 * @param endpoints the endpoints
 	 * @param placement chooses among them
-	 * @param usage counts what ran
+	 * @param meteredBy counts what ran and what work it was
 	 * @param requestLog tells what became of requests
 	 * @param retryLimits the fleet's retry budget
 	 */
 	public RequestFlow(EventLoop eventLoop, SteadyClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderWords words, ClientConnections connections, EndpointTable endpoints, PlacementRule placement,
-			UsageCounter usage, RequestLog requestLog, RetryLimits retryLimits) {
+			Meters meteredBy, RequestLog requestLog, RetryLimits retryLimits) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -97,7 +101,7 @@
 		this.connections = connections;
 		this.endpoints = endpoints;
 		this.placement = placement;
-		this.usage = usage;
+		this.meteredBy = meteredBy;
 		this.requestLog = requestLog;
 		this.retryLimits = retryLimits;
 	}
@@ -109,7 +113,13 @@
 	public void configure(Configuration newest) {
 		Configuration before = this.configuration;
 		this.configuration = newest;
-		this.meters.keySet().removeIf((name) -> !sameAllowance(name, before, newest));
+		for (AccountName name : Set.copyOf(this.meters.keySet())) {
+			if (!sameAllowance(name, before, newest)) {
+				AllowanceMeter replaced = this.meters.remove(name);
+				this.usedBefore.merge(name, (replaced != null) ? replaced.used() : 0, Double::sum);
+			}
+		}
+		newest.accounts().forEach((account) -> meter(account.name()));
 	}
 
 	private static boolean sameAllowance(AccountName name, @Nullable Configuration before, Configuration newest) {
@@ -128,24 +138,50 @@
 	}
 
 	/**
-	 * Takes in how many gateways there are, and what the others were asked for.
+	 * Takes in how much of the fleet there is.
 	 * @param newGateways the gateways, this one included
-	 * @param othersDemand the others' demand, a second, by client account
+	 * @param newHeardShare the part of them that is heard now
 	 */
-	public void others(int newGateways, Map<AccountName, Double> othersDemand) {
+	public void fleet(int newGateways, double newHeardShare) {
 		this.gateways = newGateways;
-		this.meters.forEach((name, meter) -> meter.others(othersDemand.getOrDefault(name, 0.0), newGateways));
+		this.heardShare = newHeardShare;
+		this.meters.values().forEach((meter) -> meter.heard(newHeardShare));
 		this.budgets.values().forEach((budget) -> budget.changeMostSaved(mostSavedRetries()));
 	}
 
 	/**
-	 * Returns what this gateway was asked for.
-	 * @return the demand, a second, by client account
+	 * Takes in what another gateway let in.
+	 * @param used what it let in since it told last, by client account
+	 */
+	public void usedElsewhere(Map<AccountName, Double> used) {
+		used.forEach((name, amount) -> {
+			AllowanceMeter meter = meter(name);
+			if (meter != null) {
+				meter.usedElsewhere(amount, this.clock.nanos());
+			}
+		});
+	}
+
+	/**
+	 * Returns all that this gateway let in.
+	 * @return the sums by client account
 	 */
-	public Map<AccountName, Double> demand() {
-		Map<AccountName, Double> demand = new HashMap<>();
-		this.meters.forEach((name, meter) -> demand.put(name, meter.demand(this.clock.nanos())));
-		return demand;
+	public Map<AccountName, Double> used() {
+		Map<AccountName, Double> sums = new HashMap<>(this.usedBefore);
+		this.meters.forEach((name, meter) -> sums.merge(name, meter.used(), Double::sum));
+		return sums;
+	}
+
+	private @Nullable AllowanceMeter meter(AccountName name) {
+		AllowanceMeter known = this.meters.get(name);
+		TokenAllowance allowance = (this.configuration != null) ? allowance(name, this.configuration) : null;
+		if (known != null || allowance == null) {
+			return known;
+		}
+		AllowanceMeter created = new AllowanceMeter(allowance, this.clock.nanos());
+		created.heard(this.heardShare);
+		this.meters.put(name, created);
+		return created;
 	}
 
 	/**
@@ -197,8 +233,10 @@
 			return Duration.ZERO;
 		}
 		TokenAllowance allowance = account.allowance();
-		AllowanceMeter meter = this.meters.computeIfAbsent(account.name(),
-				(name) -> new AllowanceMeter(allowance, this.gateways, this.clock.nanos()));
+		AllowanceMeter meter = meter(account.name());
+		if (meter == null) {
+			return Duration.ZERO;
+		}
 		boolean taking = meter.tryTake(allowance.costOf(said.prompt().totalTokens()), this.clock.nanos());
 		return taking ? Duration.ZERO : meter.timeToNext();
 	}
@@ -267,8 +305,8 @@
 		return this.admission;
 	}
 
-	UsageCounter usage() {
-		return this.usage;
+	Meters meteredBy() {
+		return this.meteredBy;
 	}
 
 	RequestLog requestLog() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/SharedTopics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/SharedTopics.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.shared;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
 import org.jspecify.annotations.Nullable;
@@ -24,9 +25,10 @@
 	 * Reads what was appended since.
 	 * @param topic the topic
 	 * @param from the offset to begin at
+	 * @param wait how long the store may wait for something new
 	 * @return the records, none if there is nothing new
 	 */
-	CompletableFuture<TopicPage> changes(Topic topic, long from);
+	CompletableFuture<TopicPage> changes(Topic topic, long from, Duration wait);
 
 	/**
 	 * Appends a record.
