--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -55,6 +55,13 @@
 	 */
 	private static final Duration LONG_WAIT = Duration.ofSeconds(5);
 
+	/**
+	 * How long it may hold a read of the configuration, which must be in force two
+	 * seconds after a change. Calls are paid for; but a held read was seen to miss a
+	 * change that came just as it began, and a connection may go silent.
+	 */
+	private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1200);
+
 	/** Between two held reads: changes in quick succession are read together. */
 	private static final Duration CHANGES_INTERVAL = Duration.ofMillis(100);
 
