--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.ScalingLimits;
@@ -53,9 +52,9 @@
 	/** How long a need for lasting ones is remembered: about two starts. */
 	private static final Duration LASTING_MEMORY = Duration.ofSeconds(8);
 
-	private final TreeMap<Long, Double> needs = new TreeMap<>();
+	private final RecentPeak needs = new RecentPeak(MEMORY);
 
-	private final TreeMap<Long, Double> lastingNeeds = new TreeMap<>();
+	private final RecentPeak lastingNeeds = new RecentPeak(LASTING_MEMORY);
 
 	/**
 	 * Decides the orders.
@@ -76,12 +75,12 @@
 		}
 		double engines = work / 1000;
 		double crowd = inFlight / REQUESTS_AN_ENGINE;
-		double comfortable = remember(this.needs, MEMORY, Math.max(engines / READING_SHARE, crowd), now);
+		double comfortable = this.needs.add(Math.max(engines / READING_SHARE, crowd), now);
 		int least = Math.max(1, (int) Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
 		boolean reclaimableCheaper = limits.reclaimablePrice() < 1;
 		int lastingNow = reclaimableCheaper
 				? Math.max((int) Math.ceil(least * LASTING_SHARE), least - count(listed, true)) : least;
-		int lasting = (int) remember(this.lastingNeeds, LASTING_MEMORY, lastingNow, now);
+		int lasting = (int) this.lastingNeeds.add(lastingNow, now);
 		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
 		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
 				? spread(Math.max(zones.size() * 2, (int) Math.ceil(comfortable)), zones, limits.most())
@@ -101,12 +100,6 @@
 		return orders;
 	}
 
-	private static double remember(TreeMap<Long, Double> needs, Duration memory, double need, long now) {
-		needs.put(now, need);
-		needs.headMap(now - memory.toNanos()).clear();
-		return needs.values().stream().mapToDouble(Double::doubleValue).max().orElse(need);
-	}
-
 	private static int count(Collection<EndpointEntry> listed, ZoneName zone, boolean reclaimable) {
 		return (int) listed.stream()
 			.filter((entry) -> entry.zone().equals(zone) && entry.reclaimable() == reclaimable && !entry.draining())
