--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -0,0 +1,431 @@
+package org.banyancove.gateway.exchange;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.RouteKind;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.configuration.WeightedService;
+import org.banyancove.gateway.duty.UsageCounter;
+import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.PlacementRule;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ExchangeTests {
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final ZoneName ZONE = new ZoneName("zone");
+
+	private static final String WHOLE = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ncontent-length: 5\r\n\r\nhello";
+
+	private static final String FAILED = "HTTP/1.1 500 Failed\r\nid: ID\r\nseal: s\r\ncontent-length: 4\r\n\r\noops";
+
+	private static final String NOT_RUN = "HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+	private static final String STREAM = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+
+	private final MultiThreadIoEventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1,
+			NioIoHandler.newFactory());
+
+	private final EventLoop eventLoop = this.eventLoops.next();
+
+	private final EndpointTable endpoints = new EndpointTable();
+
+	private final List<ScriptedEndpoint> scripted = new ArrayList<>();
+
+	private final ClientConnections connections = new ClientConnections(this.eventLoop, System::nanoTime);
+
+	private final RequestFlow flow = new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(),
+			new SplittableRandom(1), new TestWords(), this.connections, this.endpoints, new PlacementRule(ZONE),
+			new Meters(new UsageCounter(Duration.ofSeconds(5)), new WorkMeter()), new SilentLog(),
+			new RetryLimits(1, 100));
+
+	private final CallerServer callers = new CallerServer(this.eventLoops, System::nanoTime,
+			() -> new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), this.flow);
+
+	private @Nullable Channel listening;
+
+	@BeforeEach
+	void start() throws Exception {
+		Configuration configuration = new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
+				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
+				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 100, false, 0, null)),
+				List.of(), CallerLimits.DEFAULT);
+		this.eventLoop.submit(() -> {
+			this.endpoints.configure(configuration);
+			this.flow.configure(configuration);
+		}).sync();
+		this.listening = this.callers.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		for (ScriptedEndpoint endpoint : this.scripted) {
+			endpoint.close();
+		}
+		this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+	}
+
+	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
+		return new Route(prefix, "host", prefix, kind, resumable, Duration.ofSeconds(20), Duration.ofSeconds(5),
+				Duration.ofSeconds(5), 0, List.of(new WeightedService(SERVICE, 1)), attempts, true);
+	}
+
+	@Test
+	void passesTheRequestOnUnchangedAndTheAnswerBackWhole() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").thenAnswer(WHOLE);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("POST /once/x?y=%20z HTTP/1.1", "host: host", "id: 1", "other: o", "key: secret",
+					"transfer-encoding: chunked", "", "4", "body", "0", "", ""));
+			Answer answer = caller.read();
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo("hello");
+			assertThat(answer.head()).contains("seal: s");
+		}
+		assertThat(endpoint.request()).startsWith("POST /once/x?y=%20z HTTP/1.1\r\n")
+			.contains("other: o")
+			.contains("endpoint: a")
+			.doesNotContain("secret")
+			.endsWith("\r\n\r\nbody");
+	}
+
+	// The endpoint answers twice. The second answer lies in the kept connection when the
+	// next
+	// request is sent there. Its caller must get the answer that bears its own
+	// identifier.
+	@Test
+	void aSecondAnswerIsNotTakenForTheNextRequestsAnswer() throws Exception {
+		endpoint("a").thenAnswer(WHOLE)
+			.then((connection, id) -> ScriptedEndpoint.write(connection,
+					WHOLE.replace("ID", "1").replace("hello", "stale") + WHOLE.replace("ID", id)));
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").body()).isEqualTo("hello");
+			assertThat(caller.call("POST /once/ HTTP/1.1", "2").body()).isEqualTo("hello");
+		}
+	}
+
+	// The endpoint reads the request and resets the connection. It may have run it, so
+	// the
+	// request is sent nowhere else, and its caller is not told that it did not run.
+	@Test
+	void aRequestThatMayHaveRunIsNotSentAgain() throws Exception {
+		ScriptedEndpoint first = endpoint("a").thenReset("");
+		ScriptedEndpoint second = endpoint("b").thenReset("");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(502);
+		}
+		assertThat(first.waitingRequests() + second.waitingRequests()).isEqualTo(1);
+	}
+
+	@Test
+	void aRepeatableRequestGoesToAnotherEndpointAfterAFailure() throws Exception {
+		endpoint("a").thenAnswer(FAILED).thenAnswer(WHOLE);
+		endpoint("b").thenAnswer(WHOLE).thenAnswer(WHOLE);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("GET /again/ HTTP/1.1", "1").status()).isEqualTo(200);
+			assertThat(caller.call("GET /again/ HTTP/1.1", "2").status()).isEqualTo(200);
+		}
+	}
+
+	@Test
+	void anEndpointsOwnFailureIsPassedOnAsItIs() throws Exception {
+		endpoint("a").thenAnswer(FAILED);
+		try (Caller caller = new Caller()) {
+			Answer answer = caller.call("POST /once/ HTTP/1.1", "1");
+			assertThat(answer.status()).isEqualTo(500);
+			assertThat(answer.body()).isEqualTo("oops");
+			assertThat(answer.head()).contains("seal: s");
+		}
+	}
+
+	@Test
+	void aRequestThatAnEndpointTurnedAwayUnrunMayComeBack() throws Exception {
+		endpoint("a").thenAnswer(NOT_RUN);
+		try (Caller caller = new Caller()) {
+			Answer answer = caller.call("POST /once/ HTTP/1.1", "1");
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.head()).contains("retry-after: 0.");
+		}
+	}
+
+	// A 503 that doesn't state that the request was not run promises nothing. Passed on,
+	// it
+	// would tell the caller to send the request again.
+	@Test
+	void aRefusalThatStatesNothingIsNotPassedOn() throws Exception {
+		endpoint("a").thenAnswer("HTTP/1.1 503 Busy\r\nid: ID\r\nseal: s\r\ncontent-length: 0\r\n\r\n");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(502);
+		}
+	}
+
+	@Test
+	void whatCouldNotBeSentGoesToAnotherEndpointEvenIfItRunsOnce() throws Exception {
+		endpoint("a").close();
+		endpoint("b").thenAnswer(WHOLE).thenAnswer(WHOLE);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(200);
+			assertThat(caller.call("POST /once/ HTTP/1.1", "2").status()).isEqualTo(200);
+		}
+	}
+
+	@Test
+	void aSuccessWithoutASealIsNoAnswer() throws Exception {
+		endpoint("a").thenAnswer("HTTP/1.1 200 OK\r\nid: ID\r\ncontent-length: 5\r\n\r\nhello");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(502);
+		}
+	}
+
+	// The answer has no length and ends with its connection, which is reset on the way.
+	// What
+	// has come looks whole and is not.
+	@Test
+	void anAnswerWithoutALengthWhoseConnectionIsResetIsNotWhole() throws Exception {
+		endpoint("a").thenReset("HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\nhel");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(502);
+		}
+	}
+
+	@Test
+	void anAnswerWithoutALengthThatEndsInOrderIsWhole() throws Exception {
+		endpoint("a").then((connection, id) -> {
+			ScriptedEndpoint.write(connection, "HTTP/1.1 200 OK\r\nid: " + id + "\r\nseal: s\r\n\r\nhello");
+			connection.close();
+		});
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").body()).isEqualTo("hello");
+		}
+	}
+
+	// The first engine breaks off within an event. The stream goes on at another engine
+	// after
+	// the last whole event, within the same answer: the caller gets each event once.
+	@Test
+	void aStreamGoesOnAtAnotherEngine() throws Exception {
+		String broken = STREAM + chunk("id: 1\ndata: a\n\nid: 2\nda");
+		String rest = STREAM + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+		for (String name : List.of("a", "b")) {
+			endpoint(name).then((connection, id) -> {
+				boolean first = this.scripted.stream().mapToInt(ScriptedEndpoint::waitingRequests).sum() == 1;
+				ScriptedEndpoint.write(connection, (first ? broken : rest).replace("ID", id));
+				if (first) {
+					connection.close();
+				}
+			});
+		}
+		try (Caller caller = new Caller()) {
+			Answer answer = caller.call("POST /resumed/ HTTP/1.1", "1");
+			assertThat(answer.body()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+		}
+		List<String> requests = new ArrayList<>();
+		for (ScriptedEndpoint endpoint : this.scripted) {
+			requests.add(String.valueOf(endpoint.request()));
+		}
+		assertThat(requests).anySatisfy((request) -> assertThat(request).contains("last-event: 1"))
+			.anySatisfy((request) -> assertThat(request).doesNotContain("last-event"));
+	}
+
+	@Test
+	void aStreamThatCannotGoOnDoesNotLookWhole() throws Exception {
+		endpoint("a").thenReset(STREAM + chunk("id: 1\ndata: a\n\n"));
+		try (Caller caller = new Caller()) {
+			Answer answer = caller.call("POST /stream/ HTTP/1.1", "1");
+			assertThat(answer.body()).isEqualTo("id: 1\ndata: a\n\n");
+			assertThat(answer.whole()).isFalse();
+		}
+	}
+
+	// The caller closes its connection while the engine works. The engine must learn of
+	// it,
+	// which it does by its own connection.
+	@Test
+	void anEndpointIsToldThatTheCallerLeft() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").then((connection, id) -> {
+		});
+		Caller caller = new Caller();
+		caller.send("POST /stream/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+		assertThat(endpoint.request()).isNotNull();
+		caller.close();
+		assertThat(endpoint.closedByGateway()).isNotNull();
+	}
+
+	// A request states its length twice, so that the end of its body hides another
+	// request.
+	// Neither is passed on.
+	@Test
+	void aRequestWithTwoLengthsIsRefused() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").thenAnswer(WHOLE);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("POST /once/ HTTP/1.1", "host: host", "id: 1", "content-length: 5",
+					"transfer-encoding: chunked", "", "0", "", "POST /once/ HTTP/1.1", "host: host", "id: 2", "", ""));
+			assertThat(caller.read().status()).isEqualTo(400);
+		}
+		assertThat(endpoint.waitingRequests()).isZero();
+	}
+
+	@Test
+	void whatIsTooLargeIsRefused() throws Exception {
+		try (Caller caller = new Caller()) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\nlong: " + "x".repeat(5000) + "\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(431);
+		}
+		try (Caller caller = new Caller()) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 20000\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(413);
+		}
+	}
+
+	@Test
+	void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
+		endpoint("a").thenAnswer(WHOLE.replace("hello", "first")).thenAnswer(WHOLE.replace("hello", "again"));
+		try (Caller caller = new Caller()) {
+			String request = "POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n";
+			caller.send(request + request.replace("id: 1", "id: 2"));
+			assertThat(caller.read().body()).isEqualTo("first");
+			assertThat(caller.read().body()).isEqualTo("again");
+		}
+	}
+
+	@Test
+	void aRequestThatNoEndpointCanTakeIsAnsweredNotRun() throws Exception {
+		try (Caller caller = new Caller()) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ndeadline-ms: 400\r\ncontent-length: 0\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(503);
+		}
+	}
+
+	private static String lines(String... lines) {
+		return String.join("\r\n", lines);
+	}
+
+	private static String chunk(String data) {
+		return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+	}
+
+	private ScriptedEndpoint endpoint(String name) throws Exception {
+		ScriptedEndpoint endpoint = new ScriptedEndpoint();
+		this.scripted.add(endpoint);
+		EndpointEntry entry = new EndpointEntry(new EndpointId(name), SERVICE, endpoint.address(), ZONE, 10, false,
+				false, 1);
+		this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
+		return endpoint;
+	}
+
+	private record Answer(int status, String head, String body, boolean whole) {
+	}
+
+	/**
+	 * A caller with one connection.
+	 */
+	private final class Caller implements AutoCloseable {
+
+		private final Socket connection;
+
+		private Caller() throws IOException {
+			this.connection = new Socket();
+			Channel channel = Objects.requireNonNull(ExchangeTests.this.listening);
+			this.connection.connect(channel.localAddress());
+			this.connection.setSoTimeout(30_000);
+		}
+
+		private void send(String text) throws IOException {
+			this.connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+		}
+
+		private Answer call(String firstLine, String id) throws IOException {
+			send(firstLine + "\r\nhost: host\r\nid: " + id + "\r\ncontent-length: 0\r\n\r\n");
+			return read();
+		}
+
+		private Answer read() throws IOException {
+			InputStream input = this.connection.getInputStream();
+			String head = readLineEndingIn(input, "\r\n\r\n");
+			int status = Integer.parseInt(head.split(" ")[1]);
+			String length = ScriptedEndpoint.header(head, "content-length");
+			if (!length.isEmpty()) {
+				byte[] body = input.readNBytes(Integer.parseInt(length));
+				return new Answer(status, head, new String(body, StandardCharsets.US_ASCII), true);
+			}
+			StringBuilder body = new StringBuilder();
+			while (true) {
+				String size = readLineEndingIn(input, "\r\n").trim();
+				if (size.isEmpty()) {
+					return new Answer(status, head, body.toString(), false);
+				}
+				String part = new String(input.readNBytes(Integer.parseInt(size, 16)), StandardCharsets.US_ASCII);
+				readLineEndingIn(input, "\r\n");
+				if (part.isEmpty()) {
+					return new Answer(status, head, body.toString(), true);
+				}
+				body.append(part);
+			}
+		}
+
+		private static String readLineEndingIn(InputStream input, String end) throws IOException {
+			StringBuilder text = new StringBuilder();
+			while (!text.toString().endsWith(end)) {
+				int read = input.read();
+				if (read < 0) {
+					return text.toString();
+				}
+				text.append((char) read);
+			}
+			return text.toString();
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.connection.close();
+		}
+
+	}
+
+	private static final class SilentLog implements RequestLog {
+
+		@Override
+		public void refused(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack, long version) {
+		}
+
+		@Override
+		public void attemptFailed(AttemptFacts attempt, String reason) {
+		}
+
+		@Override
+		public void ended(RequestFacts facts) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
@@ -0,0 +1,161 @@
+package org.banyancove.gateway.exchange;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An endpoint that answers each request as a test wrote it down.
+ */
+final class ScriptedEndpoint implements AutoCloseable {
+
+	private final ServerSocket server;
+
+	private final Queue<Script> scripts = new ArrayDeque<>();
+
+	private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+
+	ScriptedEndpoint() throws IOException {
+		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	InetSocketAddress address() {
+		return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.server.getLocalPort());
+	}
+
+	ScriptedEndpoint then(Script script) {
+		synchronized (this.scripts) {
+			this.scripts.add(script);
+		}
+		return this;
+	}
+
+	/** Adds an answer; {@code ID} in it becomes the request's identifier. */
+	ScriptedEndpoint thenAnswer(String answer) {
+		return then((connection, id) -> write(connection, answer.replace("ID", id)));
+	}
+
+	/** Adds a beginning of an answer, after which the connection is reset. */
+	ScriptedEndpoint thenReset(String beginning) {
+		return then((connection, id) -> {
+			write(connection, beginning.replace("ID", id));
+			TimeUnit.MILLISECONDS.sleep(100);
+			connection.setSoLinger(true, 0);
+			connection.close();
+		});
+	}
+
+	static void write(Socket connection, String text) throws IOException {
+		OutputStream output = connection.getOutputStream();
+		output.write(text.getBytes(StandardCharsets.US_ASCII));
+		output.flush();
+	}
+
+	/** Returns the next request that arrived, head and body. */
+	@Nullable String request() throws InterruptedException {
+		return this.requests.poll(10, TimeUnit.SECONDS);
+	}
+
+	int waitingRequests() {
+		return this.requests.size();
+	}
+
+	/** Waits until a connection with a request on it was closed by the gateway. */
+	@Nullable String closedByGateway() throws InterruptedException {
+		return this.ends.poll(10, TimeUnit.SECONDS);
+	}
+
+	private void accept() {
+		try {
+			while (true) {
+				Socket connection = this.server.accept();
+				Thread.ofVirtual().start(() -> serve(connection));
+			}
+		}
+		catch (IOException ex) {
+			// The endpoint was closed, which ends the test.
+		}
+	}
+
+	private void serve(Socket connection) {
+		try (connection) {
+			InputStream input = new BufferedInputStream(connection.getInputStream());
+			while (true) {
+				String request = readRequest(input);
+				if (request == null) {
+					this.ends.add("closed");
+					return;
+				}
+				this.requests.add(request);
+				Script script;
+				synchronized (this.scripts) {
+					script = this.scripts.poll();
+				}
+				if (script != null) {
+					script.run(connection, header(request, "id"));
+				}
+			}
+		}
+		catch (IOException ex) {
+			this.ends.add("reset");
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	static String header(String request, String name) {
+		for (String line : request.split("\r\n")) {
+			if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+				return line.substring(name.length() + 1).trim();
+			}
+		}
+		return "";
+	}
+
+	private static @Nullable String readRequest(InputStream input) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+			int read = input.read();
+			if (read < 0) {
+				return null;
+			}
+			head.append((char) read);
+		}
+		String length = header(head.toString(), "content-length");
+		byte[] body = input.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+		return head + new String(body, StandardCharsets.US_ASCII);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.server.close();
+	}
+
+	/**
+	 * What an endpoint does with a request.
+	 */
+	interface Script {
+
+		void run(Socket connection, String id) throws IOException, InterruptedException;
+
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestWords.java
@@ -0,0 +1,43 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.shared.CallerHeaders;
+import org.banyancove.gateway.shared.EndpointCall;
+import org.banyancove.gateway.shared.EndpointHeaders;
+import org.banyancove.gateway.shared.HeaderWords;
+
+/**
+ * The headers of the stand-ins.
+ */
+final class TestWords implements HeaderWords {
+
+	@Override
+	public CallerHeaders readCaller(HttpHeaders headers) {
+		String deadline = headers.get("deadline-ms");
+		return new CallerHeaders(headers.get("id"),
+				(deadline != null) ? Duration.ofMillis(Long.parseLong(deadline)) : null, headers.get("key"),
+				headers.get("last-event"), Prompt.NONE);
+	}
+
+	@Override
+	public boolean passesOn(String name) {
+		return !name.equals("key");
+	}
+
+	@Override
+	public void writeCall(HttpHeaders headers, EndpointCall call) {
+		headers.set("endpoint", call.endpoint().value());
+		if (call.lastEvent() != null) {
+			headers.set("last-event", call.lastEvent());
+		}
+	}
+
+	@Override
+	public EndpointHeaders readEndpoint(HttpHeaders headers) {
+		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null);
+	}
+
+}
