--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
@@ -12,7 +12,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -42,6 +44,9 @@
 	 */
 	private static final double SMALL_FLEET = 10;
 
+	/** The most that a datagram holds; one cut short could not be read. */
+	private static final int MOST_BYTES = 32 * 1024;
+
 	private final String ownName;
 
 	private final Consumer<byte[]> receiver;
@@ -58,6 +63,7 @@
 	void listen(EventLoopGroup eventLoops, InetSocketAddress address) throws InterruptedException {
 		this.channel = new Bootstrap().group(eventLoops)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_BYTES))
 			.handler(new DatagramHandler())
 			.bind(address)
 			.sync()
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsageCounter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsageCounter.java
@@ -13,8 +13,8 @@
  */
 public final class UsageCounter {
 
-	/** Windows that are kept: a report is due two windows after its own ends. */
-	private static final int MOST_WINDOWS = 8;
+	/** Windows that are told again and again: the others have heard of older ones. */
+	private static final int MOST_WINDOWS = 4;
 
 	private final Duration window;
 
