Take a lapse for an outage's fault only within two seconds of the store's return

By the code: an engine that was unlisted within 4 s of a failed read was used for 1.8 s more, which with 0.85 s between reads passes the 2 s that are allowed. Ruled out: a late read alone (0.85 s).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -111,6 +111,10 @@
 		this.orders.configure(configuration);
 	}
 
+	boolean holds() {
+		return this.keeper.holds(this.clock.nanos());
+	}
+
 	void tick() {
 		long now = this.clock.nanos();
 		loseAfterStandstill(now);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -71,17 +71,19 @@
 	 */
 	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(850);
 
-	/** Half of a lease: a claimant must see that a lease was renewed. */
-	private static final Duration LEASES_INTERVAL = Duration.ofSeconds(3);
+	/**
+	 * While the holder of the lease is heard, its topic is read only to be near its end.
+	 */
+	private static final Duration LEASES_INTERVAL = Duration.ofSeconds(8);
+
+	/** When it is not heard: several times within a lease. */
+	private static final Duration LEASES_INTERVAL_UNHEARD = Duration.ofMillis(700);
 
 	/** How often the address is written again, in case it was lost. */
 	private static final Duration ADDRESS_INTERVAL = Duration.ofSeconds(2);
 
 	private static final Duration TICK = Duration.ofMillis(200);
 
-	/** A lapse may be the store's fault if it failed this shortly before. */
-	private static final Duration STORE_DOUBT = Duration.ofSeconds(4);
-
 	/**
 	 * Within a stop: callers are sent elsewhere after two missed checks, a second apart.
 	 */
@@ -163,7 +165,7 @@
 		this.peers = new PeerExchange(settings.name(), this::peerReported);
 		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
-		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease().multipliedBy(2), random.nextDouble(),
+		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
 				this.clock.nanos());
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
 				this.board, this.work, this.endpoints);
@@ -171,7 +173,7 @@
 	}
 
 	private TopicFollower follower(Topic topic, Duration interval, Duration wait, TopicFollower.Listener listener) {
-		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, interval, wait, listener);
+		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, () -> interval, wait, listener);
 	}
 
 	/**
@@ -198,13 +200,19 @@
 		this.endpointFollower.start();
 		follower(Topic.GATEWAYS, CHANGES_INTERVAL, LONG_WAIT, this.peers).start();
 		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
-			follower(Topic.LEASES, LEASES_INTERVAL, Duration.ZERO, this.duties).start();
+			leaseFollower().start();
 		}
 		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
 		report();
 		writeAddress();
 	}
 
+	private TopicFollower leaseFollower() {
+		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock,
+				() -> this.board.hearsHolder(this.clock.nanos()) ? LEASES_INTERVAL : LEASES_INTERVAL_UNHEARD,
+				Duration.ZERO, this.duties);
+	}
+
 	private CallerLimits limits() {
 		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
 	}
@@ -257,7 +265,7 @@
 	private void report() {
 		try {
 			GatewayReport told = new GatewayReport(this.incarnation, this.usage.counts(), this.flow.used(),
-					this.work.perService(this.clock.nanos()), loads());
+					this.work.perService(this.clock.nanos()), loads(), this.duties.holds());
 			this.board.readCounts(told);
 			this.peers.send(this.codec.write(told));
 		}
@@ -404,20 +412,17 @@
 		}
 
 		private void gone(EndpointId id) {
-			Duration sinceFailure = Gateway.this.endpointFollower.sinceFailure();
-			boolean doubtful = sinceFailure != null && sinceFailure.compareTo(STORE_DOUBT) < 0;
-			log.atInfo().addKeyValue("endpoint", id).addKeyValue("doubtful", doubtful).log("endpoint no longer listed");
-			if (doubtful) {
-				Gateway.this.endpoints.lapse(id, Gateway.this.clock.nanos());
-			}
-			else {
-				Gateway.this.endpoints.remove(id);
-			}
+			Duration sinceOutage = Gateway.this.endpointFollower.sinceFailure();
+			log.atInfo()
+				.addKeyValue("endpoint", id)
+				.addKeyValue("sinceOutageMs", (sinceOutage != null) ? sinceOutage.toMillis() : null)
+				.log("endpoint no longer listed");
+			Gateway.this.endpoints.unlisted(id, sinceOutage, Gateway.this.clock.nanos());
 		}
 
 		@Override
 		public void missing(String key) {
-			Gateway.this.endpoints.lapse(new EndpointId(key), Gateway.this.clock.nanos());
+			gone(new EndpointId(key));
 		}
 
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -31,6 +31,7 @@
 		root.put("incarnation", report.incarnation());
 		ObjectNode counts = root.putObject("counts");
 		report.counts().forEach((window, accounts) -> putCounts(counts.putObject(String.valueOf(window)), accounts));
+		root.put("holdsLease", report.holdsLease());
 		ObjectNode used = root.putObject("used");
 		report.used().forEach((account, value) -> used.put(account.value(), Math.round(value)));
 		ObjectNode work = root.putObject("work");
@@ -61,7 +62,8 @@
 			.properties()
 			.forEach((entry) -> loads.put(new EndpointId(entry.getKey()),
 					new EndpointLoad(entry.getValue().path(0).asInt(), entry.getValue().path(1).asLong())));
-		return new GatewayReport(root.path("incarnation").asLong(), counts, used, work, loads);
+		return new GatewayReport(root.path("incarnation").asLong(), counts, used, work, loads,
+				root.path("holdsLease").asBoolean());
 	}
 
 	byte[] write(LeaseRecord record) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.banyancove.gateway.shared.SharedTopics;
@@ -40,7 +41,7 @@
 
 	private final SteadyClock clock;
 
-	private final Duration interval;
+	private final Supplier<Duration> interval;
 
 	private final Duration wait;
 
@@ -60,7 +61,7 @@
 
 	private long listedEnd;
 
-	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Duration interval,
+	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Supplier<Duration> interval,
 			Duration wait, Listener listener) {
 		this.topic = topic;
 		this.topics = topics;
@@ -130,7 +131,7 @@
 		this.next = this.listedEnd;
 		this.complete = true;
 		this.listener.readThrough(this.next);
-		again(this.interval);
+		again(this.interval.get());
 	}
 
 	private void readChanges(@Nullable TopicPage page, @Nullable Throwable failure) {
@@ -149,7 +150,7 @@
 		boolean more = page.next() > this.next;
 		this.next = page.next();
 		this.listener.readThrough(this.next);
-		again((more && page.more() != null) ? Duration.ZERO : this.interval);
+		again((more && page.more() != null) ? Duration.ZERO : this.interval.get());
 	}
 
 	private void take(TopicRecord entry) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -52,6 +52,12 @@
 	/** How long a need for lasting ones is remembered: about two starts. */
 	private static final Duration LASTING_MEMORY = Duration.ofSeconds(8);
 
+	/**
+	 * Reclaimable endpoints in each data centre at any load: a burst starts within a
+	 * second, an endpoint in four.
+	 */
+	private static final int LEAST_IN_ZONE = 3;
+
 	private final RecentPeak needs = new RecentPeak(MEMORY);
 
 	private final RecentPeak lastingNeeds = new RecentPeak(LASTING_MEMORY);
@@ -83,7 +89,7 @@
 		int lasting = (int) this.lastingNeeds.add(lastingNow, now);
 		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
 		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
-				? spread(Math.max(zones.size() * 2, (int) Math.ceil(comfortable)), zones, limits.most())
+				? spread(Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most())
 				: new HashMap<>();
 		List<Order> orders = new ArrayList<>();
 		for (ZoneName zone : zones) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
@@ -91,6 +91,15 @@
 		return (fresh + 1.0) / (this.heard.size() + 1);
 	}
 
+	/**
+	 * Returns whether another gateway told of late that it does the shared duties.
+	 * @param now the present time
+	 * @return whether one did
+	 */
+	public boolean hearsHolder(long now) {
+		return this.heard.values().stream().anyMatch((entry) -> entry.fresh(now) && entry.report().holdsLease());
+	}
+
 	/**
 	 * Returns what the others have at endpoints.
 	 * @param now the present time
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
@@ -15,9 +15,10 @@
  * @param work the milliseconds of engine time that its requests need, a second, by
  * service
  * @param loads what it has at endpoints
+ * @param holdsLease whether it does the shared duties
  */
 public record GatewayReport(long incarnation, Map<Long, Map<AccountName, Long>> counts, Map<AccountName, Double> used,
-		Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads) {
+		Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads, boolean holdsLease) {
 
 	/**
 	 * Creates the report.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
@@ -15,8 +15,10 @@
  */
 public final class UsagePlan {
 
-	/** From a window's end until all have told their counts, and these were read. */
-	private static final Duration SETTLE = Duration.ofSeconds(4);
+	/**
+	 * From a window's end until all have told their counts: several times their interval.
+	 */
+	private static final Duration SETTLE = Duration.ofSeconds(2);
 
 	/** Reports that a lease names: more would be past their due time. */
 	private static final int MOST_NAMED = 4;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -21,9 +21,14 @@
 
 	/**
 	 * How long an endpoint is kept whose entry lapsed while the platform's store was
-	 * away: live ones are listed again within two seconds of its return.
+	 * away: live ones are listed again within two seconds of its return, and one that has
+	 * left must get nothing two seconds after the store said so, up to one of which
+	 * passes until that is read.
 	 */
-	private static final Duration LAPSE_GRACE = Duration.ofMillis(1800);
+	private static final Duration LAPSE_GRACE = Duration.ofMillis(900);
+
+	/** After the store's return, how long a lapse may be due to its absence. */
+	private static final Duration DOUBT = Duration.ofSeconds(2);
 
 	private final Map<EndpointId, Endpoint> endpoints = new LinkedHashMap<>();
 
@@ -73,16 +78,23 @@
 	}
 
 	/**
-	 * Marks an endpoint whose entry is missing after an outage of the store; it is taken
-	 * out if it does not come back.
+	 * Takes note that an endpoint is no longer listed. It is taken out at once, or, right
+	 * after an outage of the store, if it does not come back.
 	 * @param id its identifier
+	 * @param sinceOutage since the store last failed, or {@code null} if it never did
 	 * @param now the present time
 	 */
-	public void lapse(EndpointId id, long now) {
+	public void unlisted(EndpointId id, @Nullable Duration sinceOutage, long now) {
 		Endpoint endpoint = this.endpoints.get(id);
-		if (endpoint != null) {
+		if (endpoint == null) {
+			return;
+		}
+		if (sinceOutage != null && sinceOutage.compareTo(DOUBT) < 0 && !endpoint.entry().draining()) {
 			endpoint.lapsed(now);
 		}
+		else {
+			remove(id);
+		}
 	}
 
 	/**
