Take nothing in the last two seconds of a stop

Ruled out: a new connection (callers had been sent elsewhere since 2 s). Change: a third phase of the stop in which all requests are turned away unrun; IntakeTests failed without it (a plain request was taken to the end).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -30,6 +30,7 @@
 import org.banyancove.gateway.exchange.ClientConnections;
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestFlow;
+import org.banyancove.gateway.exchange.TakingPhase;
 import org.banyancove.gateway.shared.Duties;
 import org.banyancove.gateway.shared.HeaderWords;
 import org.banyancove.gateway.shared.SharedTopics;
@@ -89,6 +90,12 @@
 	 */
 	private static final Duration STOP_IDLE_AFTER = Duration.ofMillis(2500);
 
+	/**
+	 * At the end of a stop, nothing more is taken for as long as a plain request may
+	 * last: a request that was taken in the last moment would be cut off while it runs.
+	 */
+	private static final Duration STOP_TAKES_NONE_FOR = Duration.ofSeconds(2);
+
 	/** Left over at the end of a stop, so that the last answers leave the VM. */
 	private static final Duration STOP_MARGIN = Duration.ofMillis(400);
 
@@ -344,9 +351,13 @@
 			this.callers.stop();
 		});
 		TimeUnit.MILLISECONDS.sleep(STOP_IDLE_AFTER.toMillis());
-		this.eventLoop.execute(this.flow::stop);
+		this.eventLoop.execute(() -> this.flow.take(TakingPhase.SHORT_ONES));
 		long end = began + this.settings.stopTime().minus(STOP_MARGIN).toNanos();
+		long lastTaken = end - STOP_TAKES_NONE_FOR.toNanos();
 		while (this.clock.nanos() < end && connectionsLeft() > 0) {
+			if (this.clock.nanos() > lastTaken) {
+				this.eventLoop.execute(() -> this.flow.take(TakingPhase.NONE));
+			}
 			TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
 		}
 		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopped");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Intake.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Intake.java
@@ -21,11 +21,11 @@
 
 	private final @Nullable Configuration configuration;
 
-	private final boolean stopping;
+	private final TakingPhase phase;
 
-	Intake(@Nullable Configuration configuration, boolean stopping) {
+	Intake(@Nullable Configuration configuration, TakingPhase phase) {
 		this.configuration = configuration;
-		this.stopping = stopping;
+		this.phase = phase;
 	}
 
 	IntakeDecision decide(@Nullable String host, String uri, CallerHeaders said, double draw) {
@@ -47,7 +47,7 @@
 				return new IntakeDecision.Refused(ErrorKind.ACCOUNT_UNKNOWN, null);
 			}
 		}
-		if (this.stopping && route.kind() == RouteKind.STREAMING) {
+		if (!takes(route)) {
 			return new IntakeDecision.Refused(ErrorKind.STOPPING, COME_BACK);
 		}
 		Service service = known.service(route.serviceFor(draw));
@@ -57,6 +57,14 @@
 		return new IntakeDecision.Taken(route, service, account);
 	}
 
+	private boolean takes(Route route) {
+		return switch (this.phase) {
+			case ALL -> true;
+			case SHORT_ONES -> route.kind() != RouteKind.STREAMING;
+			case NONE -> false;
+		};
+	}
+
 	private static String path(String uri) {
 		int query = uri.indexOf('?');
 		return (query < 0) ? uri : uri.substring(0, query);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -72,7 +72,7 @@
 
 	private double heardShare = 1;
 
-	private boolean stopping;
+	private TakingPhase phase = TakingPhase.ALL;
 
 	private int inProgress;
 
@@ -185,10 +185,11 @@
 	}
 
 	/**
-	 * Begins to stop: what cannot end before the process does is turned away.
+	 * Changes which requests are taken.
+	 * @param newPhase which ones
 	 */
-	public void stop() {
-		this.stopping = true;
+	public void take(TakingPhase newPhase) {
+		this.phase = newPhase;
 	}
 
 	/**
@@ -201,7 +202,7 @@
 
 	CallerAnswering begin(CallerConnection caller, CallerRequest request) {
 		CallerHeaders said = this.words.readCaller(request.head().headers());
-		Intake intake = new Intake(this.configuration, this.stopping);
+		Intake intake = new Intake(this.configuration, this.phase);
 		IntakeDecision decision = intake.decide(request.head().headers().get("host"), request.head().uri(), said,
 				this.random.nextDouble());
 		return switch (decision) {
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
@@ -0,0 +1,82 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.banyancove.core.AccountName;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.ClientAccount;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.RouteKind;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.configuration.WeightedService;
+import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.shared.CallerHeaders;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class IntakeTests {
+
+	private static final Configuration CONFIGURATION = new Configuration(1,
+			List.of(route("/plain/", RouteKind.NON_IDEMPOTENT, false), route("/open/", RouteKind.IDEMPOTENT, true),
+					route("/stream/", RouteKind.STREAMING, false)),
+			List.of(new Service(new ServiceName("service"), 10, false, 0, null)),
+			List.of(new ClientAccount(new AccountName("account"), List.of("key"), null, null)), CallerLimits.DEFAULT);
+
+	private static Route route(String prefix, RouteKind kind, boolean anonymous) {
+		return new Route(prefix, "host", prefix, kind, false, Duration.ofSeconds(1), Duration.ofSeconds(1),
+				Duration.ofSeconds(1), 0, List.of(new WeightedService(new ServiceName("service"), 1)), 1, anonymous);
+	}
+
+	@Test
+	void takesWhatIsConfigured() {
+		assertThat(decide(CONFIGURATION, TakingPhase.ALL, "/plain/x?y", "key"))
+			.isInstanceOf(IntakeDecision.Taken.class);
+		assertThat(decide(CONFIGURATION, TakingPhase.ALL, "/open/", null)).isInstanceOf(IntakeDecision.Taken.class);
+	}
+
+	@Test
+	void refusesWhatIsNotConfigured() {
+		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/other/", "key")).isEqualTo(ErrorKind.SERVICE_UNKNOWN);
+		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/plain/", "old")).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
+		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/plain/", null)).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
+	}
+
+	// A process that has just started knows no configuration. It must not tell callers
+	// that
+	// their route or key is unknown, which they would take for final.
+	@Test
+	void withoutAConfigurationNothingIsCalledUnknown() {
+		assertThat(refusal(null, TakingPhase.ALL, "/plain/", "key")).isEqualTo(ErrorKind.PLATFORM_UNREACHABLE);
+	}
+
+	// A caller keeps its connection open all through a stop and sends a request shortly
+	// before
+	// the process ends. The endpoint begins to run it, and the process ends under it. It
+	// is
+	// turned away unrun instead, so that the caller sends it elsewhere.
+	@Test
+	void towardsTheEndOfAStopNothingIsTakenThatCouldBeCutOff() {
+		assertThat(refusal(CONFIGURATION, TakingPhase.SHORT_ONES, "/stream/", "key")).isEqualTo(ErrorKind.STOPPING);
+		assertThat(decide(CONFIGURATION, TakingPhase.SHORT_ONES, "/plain/", "key"))
+			.isInstanceOf(IntakeDecision.Taken.class);
+		assertThat(refusal(CONFIGURATION, TakingPhase.NONE, "/plain/", "key")).isEqualTo(ErrorKind.STOPPING);
+	}
+
+	private static ErrorKind refusal(@Nullable Configuration configuration, TakingPhase phase, String uri,
+			@Nullable String key) {
+		return ((IntakeDecision.Refused) decide(configuration, phase, uri, key)).kind();
+	}
+
+	private static IntakeDecision decide(@Nullable Configuration configuration, TakingPhase phase, String uri,
+			@Nullable String key) {
+		return new Intake(configuration, phase).decide("host", uri,
+				new CallerHeaders("1", null, key, null, Prompt.NONE), 0);
+	}
+
+}
