End a request before its connection is closed, log what a handler threw, probe silent connections sooner

Ruled out: an error thrown in a handler (none was logged, but it would have been swallowed: now it is logged). Found beside it by reading: a stream that was broken off ended twice, the second time as left by its caller. Change: probes begin after 1 s, so that such a request is answered after 3 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.exchange;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -129,7 +130,7 @@
 	}
 
 	void connectionFailed(Throwable cause) {
-		if (cause instanceof java.io.IOException) {
+		if (cause instanceof IOException) {
 			log.debug("a caller reset its connection: {}", cause.toString());
 		}
 		else {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.exchange;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
@@ -15,12 +16,16 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One connection to an endpoint or the platform, with at most one call on it.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+	private static final Logger log = LoggerFactory.getLogger(ClientConnection.class);
+
 	/**
 	 * How long a connection is kept whose server doesn't say: most keep theirs for 5 s or
 	 * more.
@@ -174,6 +179,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (!(cause instanceof IOException)) {
+			log.error("a connection to {} failed", this.address, cause);
+		}
 		// A reset: an answer that ends with its connection must not count as whole.
 		fail(this.headSeen ? CallFailure.BROKEN_ANSWER : CallFailure.NO_ANSWER);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -29,9 +29,9 @@
 public final class ClientConnections {
 
 	/**
-	 * Idle seconds before the first keep-alive probe, its gap and count: dead after 4 s.
+	 * Idle seconds before the first keep-alive probe, its gap and count: dead after 3 s.
 	 */
-	private static final int PROBE_AFTER_SECONDS = 2;
+	private static final int PROBE_AFTER_SECONDS = 1;
 
 	private static final int PROBE_GAP_SECONDS = 1;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -322,8 +322,8 @@
 
 	private void deliver(Attempt from) {
 		if (this.caller.streaming()) {
-			this.caller.abort();
 			end("stream not resumed", 0);
+			this.caller.abort();
 			return;
 		}
 		this.firstByteAt = now();
@@ -422,8 +422,8 @@
 			return;
 		}
 		if (this.caller.streaming()) {
-			this.caller.abort();
 			end(kind.code(), 0);
+			this.caller.abort();
 			return;
 		}
 		boolean sent = this.mayHaveRun || (kind == ErrorKind.OUTCOME_UNKNOWN && this.attempts > 0);
