Give a connection a quarter of the target, so that a cut-off endpoint leaves time for another

Ruled out: too few endpoints (the other data centres had room). Change: the admission rule says how long a connection may take, 40 to 300 ms by the route's target; its test failed before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -31,6 +31,24 @@
 
 	private static final Duration LONGEST_RETURN = Duration.ofSeconds(4);
 
+	/**
+	 * Of a request's target, the part that a connection may take: then there is time for
+	 * another endpoint.
+	 */
+	private static final double SHARE_TO_CONNECT = 0.25;
+
+	/**
+	 * A connection takes some ms within a region; below this, a busy VM would be taken
+	 * for a dead one.
+	 */
+	private static final Duration SHORTEST_CONNECT = Duration.ofMillis(40);
+
+	/**
+	 * A lost packet is sent again after a second, when another endpoint has long
+	 * answered.
+	 */
+	private static final Duration LONGEST_CONNECT = Duration.ofMillis(300);
+
 	/**
 	 * Decides on a request.
 	 * @param route its route
@@ -47,7 +65,7 @@
 		if (!late && !tooLate) {
 			return Duration.ZERO;
 		}
-		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)));
+		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), SHORTEST_RETURN, LONGEST_RETURN);
 	}
 
 	/**
@@ -62,11 +80,22 @@
 		return (half.compareTo(quarter) < 0) ? half : quarter;
 	}
 
-	private static Duration clamp(Duration duration) {
-		if (duration.compareTo(SHORTEST_RETURN) < 0) {
-			return SHORTEST_RETURN;
+	/**
+	 * Returns how long a connection may take until another endpoint is tried. Endpoints
+	 * that are cut off don't answer at all, and a request that waited for one is late
+	 * anywhere.
+	 * @param route the request's route
+	 * @return the time
+	 */
+	public Duration connectTimeout(Route route) {
+		return clamp(scaled(route.latencyTarget(), SHARE_TO_CONNECT), SHORTEST_CONNECT, LONGEST_CONNECT);
+	}
+
+	private static Duration clamp(Duration duration, Duration least, Duration most) {
+		if (duration.compareTo(least) < 0) {
+			return least;
 		}
-		return (duration.compareTo(LONGEST_RETURN) > 0) ? LONGEST_RETURN : duration;
+		return (duration.compareTo(most) > 0) ? most : duration;
 	}
 
 	private static Duration scaled(Duration duration, double factor) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -47,12 +47,6 @@
 	 */
 	private static final Duration LAST_WORD = Duration.ofMillis(120);
 
-	/**
-	 * A connection in an engine's own data centre takes some ms; a lost packet is sent
-	 * again after a second, when another endpoint has long answered.
-	 */
-	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
-
 	/** A kept connection that has been idle for longer may have gone silent. */
 	private static final Duration LONGEST_IDLE = Duration.ofSeconds(10);
 
@@ -180,8 +174,8 @@
 		Attempt next = new Attempt(this, placement, this.attempts, now());
 		this.attempt = next;
 		boolean once = !this.route.repeatable();
-		CallOptions options = new CallOptions(CONNECT_TIMEOUT, once ? LONGEST_IDLE_ONCE : LONGEST_IDLE,
-				this.flow.connectionShare(this.service));
+		CallOptions options = new CallOptions(this.flow.admission().connectTimeout(this.route),
+				once ? LONGEST_IDLE_ONCE : LONGEST_IDLE, this.flow.connectionShare(this.service));
 		next.started(this.flow.connections()
 			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, next));
 		watchSilence(silenceBeforeAnswer());
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
@@ -48,6 +48,21 @@
 		assertThat(this.rule.patience(HINTS, Duration.ofMillis(400))).isEqualTo(Duration.ofMillis(100));
 	}
 
+	// A data centre is cut off, and a request is placed at one of its endpoints.
+	// Connecting to
+	// it must leave time for an endpoint that answers, within the request's target.
+	@Test
+	void connectingLeavesTimeForAnotherEndpoint() {
+		assertThat(this.rule.connectTimeout(HINTS)).isEqualTo(Duration.ofMillis(125));
+		assertThat(this.rule.connectTimeout(withTarget(Duration.ofMillis(100)))).isEqualTo(Duration.ofMillis(40));
+		assertThat(this.rule.connectTimeout(withTarget(Duration.ofSeconds(9)))).isEqualTo(Duration.ofMillis(300));
+	}
+
+	private static Route withTarget(Duration target) {
+		return new Route("plain", "h", "/q/", RouteKind.NON_IDEMPOTENT, false, Duration.ofSeconds(9), target,
+				Duration.ofSeconds(1), 0, HINTS.services(), 1, false);
+	}
+
 	private Duration timeToComeBack(long predicted, long elapsed, long remaining) {
 		return this.rule.timeToComeBack(HINTS, Duration.ofMillis(predicted), Duration.ofMillis(elapsed),
 				Duration.ofMillis(remaining));
