--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -126,10 +126,8 @@
 	}
 
 	// Keeps those that run, the cheapest data centre first, and orders what is missing
-	// where
-	// there is room beside the reclaimable ones: an endpoint that starts is empty, and
-	// one
-	// that leaves breaks streams off.
+	// where there is room beside the reclaimable ones: an endpoint that starts is empty,
+	// and one that leaves breaks streams off.
 	private static Map<ZoneName, Integer> fill(int total, List<ZoneName> zones, ScalingLimits limits,
 			Collection<EndpointEntry> listed) {
 		Map<ZoneName, Integer> filled = new HashMap<>();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
@@ -25,8 +25,7 @@
 	}
 
 	// The queues of all engines are a second and a half long. A caller that waited for
-	// one
-	// would get its answer late, and make those behind it late; it is told at once.
+	// one would get its answer late, and make those behind it late; it is told at once.
 	@Test
 	void turnsAwayAtOnceWhatIsPredictedLate() {
 		assertThat(timeToComeBack(1500, 0, 3000)).isEqualTo(Duration.ofMillis(1250));
@@ -49,8 +48,8 @@
 	}
 
 	// A data centre is cut off, and a request is placed at one of its endpoints.
-	// Connecting to
-	// it must leave time for an endpoint that answers, within the request's target.
+	// Connecting to it must leave time for an endpoint that answers, within the request's
+	// target.
 	@Test
 	void connectingLeavesTimeForAnotherEndpoint() {
 		assertThat(this.rule.connectTimeout(HINTS)).isEqualTo(Duration.ofMillis(125));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AllowanceMeterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AllowanceMeterTests.java
@@ -38,8 +38,7 @@
 
 	// One account sends eight times its rate to nine gateways, half of it to one of them.
 	// Each hears what the others let in a quarter of a second late. In no window of 8 s
-	// may
-	// all of them together let in more than rate, burst and what is tolerated beyond.
+	// may all of them together let in more than rate, burst and what is tolerated beyond.
 	@Test
 	void allGatewaysTogetherKeepToTheAllowanceOfAnAccountThatSendsEightTimesItsRate() {
 		Fleet fleet = new Fleet(9);
@@ -50,8 +49,7 @@
 	}
 
 	// A fleet is cut in two halves that both go on serving. Each half leaves the rate of
-	// the
-	// gateways that it doesn't hear to them.
+	// the gateways that it doesn't hear to them.
 	@Test
 	void halvesThatDoNotHearEachOtherKeepToTheAllowance() {
 		Fleet fleet = new Fleet(8);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
@@ -54,8 +54,8 @@
 	}
 
 	// The store dropped its history, and answers the full read from a state some seconds
-	// old.
-	// What is known better must not be undone: an endpoint that was taken out stays out.
+	// old. What is known better must not be undone: an endpoint that was taken out stays
+	// out.
 	@Test
 	void anOlderStateUndoesNothing() {
 		this.topics.newest.add(page(2, entry(0, "a", "1"), entry(1, "b", "1")));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -46,8 +46,7 @@
 
 	// All reclaimable endpoints of two data centres are taken away, and no more are to be
 	// had. Lasting ones are ordered at once for what is needed at least, and the
-	// reclaimable
-	// ones that are left are kept.
+	// reclaimable ones that are left are kept.
 	@Test
 	void lastingEndpointsStandInWhereReclaimableOnesWereTakenAway() {
 		decide(listed(0, 2), 1900, 0);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/LeaseKeeperTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/LeaseKeeperTests.java
@@ -29,8 +29,7 @@
 	}
 
 	// Two gateways start together and see the same empty topic. The store takes one
-	// append;
-	// the other is told that the topic has moved, and must not act.
+	// append; the other is told that the topic has moved, and must not act.
 	@Test
 	void ofTwoClaimantsOneFails() {
 		Topic topic = new Topic();
@@ -47,8 +46,7 @@
 	}
 
 	// The answer to a claim is lost, though the store took it. The claimant doesn't act
-	// on a
-	// guess; it finds its own record, renews it, and acts from then on.
+	// on a guess; it finds its own record, renews it, and acts from then on.
 	@Test
 	void aClaimWhoseAnswerWasLostIsFoundInTheTopic() {
 		Topic topic = new Topic();
@@ -75,10 +73,8 @@
 	}
 
 	// Four gateways lose the store and come back at random, for twenty minutes. At no
-	// moment
-	// do two of them hold the lease, the fence never falls, and no holder that lost it
-	// acts
-	// again within a lease's time of another.
+	// moment do two of them hold the lease, the fence never falls, and no holder that
+	// lost it acts again within a lease's time of another.
 	@Test
 	void neverTwoHoldersAndTheFenceOnlyGrows() {
 		SplittableRandom random = new SplittableRandom(11);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -47,8 +47,7 @@
 	}
 
 	// The store was away until a second ago, and entries lapsed meanwhile. The endpoint
-	// lives
-	// and writes itself in again; callers are served by it all the while.
+	// lives and writes itself in again; callers are served by it all the while.
 	@Test
 	void anEndpointWhoseEntryLapsedInAnOutageIsKeptUntilItIsBack() {
 		this.table.unlisted(ID, Duration.ofSeconds(1), 0);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/EventSplitterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/EventSplitterTests.java
@@ -28,8 +28,7 @@
 	}
 
 	// An engine breaks off within an event; another one goes on after the last whole
-	// event,
-	// and repeats one that the caller has. The caller gets each event once.
+	// event, and repeats one that the caller has. The caller gets each event once.
 	@Test
 	void aTornEventIsDroppedAndARepeatedOneLeftOut() {
 		assertThat(read("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -120,8 +120,7 @@
 	}
 
 	// The endpoint answers twice. The second answer lies in the kept connection when the
-	// next
-	// request is sent there. Its caller must get the answer that bears its own
+	// next request is sent there. Its caller must get the answer that bears its own
 	// identifier.
 	@Test
 	void aSecondAnswerIsNotTakenForTheNextRequestsAnswer() throws Exception {
@@ -135,8 +134,7 @@
 	}
 
 	// The endpoint reads the request and resets the connection. It may have run it, so
-	// the
-	// request is sent nowhere else, and its caller is not told that it did not run.
+	// the request is sent nowhere else, and its caller is not told that it did not run.
 	@Test
 	void aRequestThatMayHaveRunIsNotSentAgain() throws Exception {
 		ScriptedEndpoint first = endpoint("a").thenReset("");
@@ -179,8 +177,7 @@
 	}
 
 	// A 503 that doesn't state that the request was not run promises nothing. Passed on,
-	// it
-	// would tell the caller to send the request again.
+	// it would tell the caller to send the request again.
 	@Test
 	void aRefusalThatStatesNothingIsNotPassedOn() throws Exception {
 		endpoint("a").thenAnswer("HTTP/1.1 503 Busy\r\nid: ID\r\nseal: s\r\ncontent-length: 0\r\n\r\n");
@@ -208,8 +205,7 @@
 	}
 
 	// The answer has no length and ends with its connection, which is reset on the way.
-	// What
-	// has come looks whole and is not.
+	// What has come looks whole and is not.
 	@Test
 	void anAnswerWithoutALengthWhoseConnectionIsResetIsNotWhole() throws Exception {
 		endpoint("a").thenReset("HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n\r\nhel");
@@ -230,8 +226,8 @@
 	}
 
 	// The first engine breaks off within an event. The stream goes on at another engine
-	// after
-	// the last whole event, within the same answer: the caller gets each event once.
+	// after the last whole event, within the same answer: the caller gets each event
+	// once.
 	@Test
 	void aStreamGoesOnAtAnotherEngine() throws Exception {
 		String broken = STREAM + chunk("id: 1\ndata: a\n\nid: 2\nda");
@@ -268,8 +264,7 @@
 	}
 
 	// The caller closes its connection while the engine works. The engine must learn of
-	// it,
-	// which it does by its own connection.
+	// it, which it does by its own connection.
 	@Test
 	void anEndpointIsToldThatTheCallerLeft() throws Exception {
 		ScriptedEndpoint endpoint = endpoint("a").then((connection, id) -> {
@@ -282,8 +277,7 @@
 	}
 
 	// A request states its length twice, so that the end of its body hides another
-	// request.
-	// Neither is passed on.
+	// request. Neither is passed on.
 	@Test
 	void aRequestWithTwoLengthsIsRefused() throws Exception {
 		ScriptedEndpoint endpoint = endpoint("a").thenAnswer(WHOLE);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
@@ -48,18 +48,15 @@
 	}
 
 	// A process that has just started knows no configuration. It must not tell callers
-	// that
-	// their route or key is unknown, which they would take for final.
+	// that their route or key is unknown, which they would take for final.
 	@Test
 	void withoutAConfigurationNothingIsCalledUnknown() {
 		assertThat(refusal(null, TakingPhase.ALL, "/plain/", "key")).isEqualTo(ErrorKind.PLATFORM_UNREACHABLE);
 	}
 
 	// A caller keeps its connection open all through a stop and sends a request shortly
-	// before
-	// the process ends. The endpoint begins to run it, and the process ends under it. It
-	// is
-	// turned away unrun instead, so that the caller sends it elsewhere.
+	// before the process ends. The endpoint begins to run it, and the process ends under
+	// it. It is turned away unrun instead, so that the caller sends it elsewhere.
 	@Test
 	void towardsTheEndOfAStopNothingIsTakenThatCouldBeCutOff() {
 		assertThat(refusal(CONFIGURATION, TakingPhase.SHORT_ONES, "/stream/", "key")).isEqualTo(ErrorKind.STOPPING);
