Keep one copy of what the gateway had twice, and take out what nothing calls

Cause: read over as a whole, the gateway read numeric addresses in two places beside SocketAddressText, counted running endpoints of a kind in OrderWork and in EndpointOrders, scaled durations in Exchange and in AdmissionRule, and compared two configurations to learn whether a meter's allowance had changed, which the meter knows. Change: SocketAddressText.parseNumeric, EndpointOrders.running and AllowanceMeter.allowance serve both sides; how long a silence may last is decided in AdmissionRule, apart from input and output; EndpointTable.put updates in one place; a connection count, an accessor and a return value that nothing read are gone. An account's allowance is no longer searched for on each request. Behaviour and tests are as before. Ruled out for now: one JSON reader for the four classes that have an ObjectMapper each (their errors differ).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -49,6 +49,15 @@
 	 */
 	private static final Duration LONGEST_CONNECT = Duration.ofMillis(300);
 
+	/**
+	 * Silence after which a repeatable request tries another endpoint, in targets: some
+	 * one in a hundred answers of a sound endpoint takes longer.
+	 */
+	private static final double SILENCE_TARGETS = 2.0;
+
+	/** Silence within a stream after which it goes on elsewhere, in longest pauses. */
+	private static final double SILENCE_PAUSES = 2.0;
+
 	/**
 	 * Decides on a request.
 	 * @param route its route
@@ -91,6 +100,24 @@
 		return clamp(scaled(route.latencyTarget(), SHARE_TO_CONNECT), SHORTEST_CONNECT, LONGEST_CONNECT);
 	}
 
+	/**
+	 * Returns the silence after which a repeatable request tries another endpoint.
+	 * @param route the request's route
+	 * @return the time
+	 */
+	public Duration silenceBeforeAnswer(Route route) {
+		return scaled(route.latencyTarget(), SILENCE_TARGETS);
+	}
+
+	/**
+	 * Returns the silence after which a stream that can be resumed goes on elsewhere.
+	 * @param route the request's route
+	 * @return the time
+	 */
+	public Duration silenceInStream(Route route) {
+		return scaled(route.longestPause(), SILENCE_PAUSES);
+	}
+
 	private static Duration clamp(Duration duration, Duration least, Duration most) {
 		if (duration.compareTo(least) < 0) {
 			return least;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
@@ -47,6 +47,14 @@
 		this.level = 0;
 	}
 
+	/**
+	 * Returns the allowance that is metered.
+	 * @return the allowance
+	 */
+	public TokenAllowance allowance() {
+		return this.allowance;
+	}
+
 	/**
 	 * Takes in how much of the fleet is heard.
 	 * @param newShare the gateways that are heard, this one included, as a part of all
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -1,6 +1,5 @@
 package org.banyancove.gateway.daemon;
 
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -39,6 +38,7 @@
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.banyancove.program.MetricsText;
+import org.banyancove.program.SocketAddressText;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -304,8 +304,7 @@
 	// Tells the other gateways where this one listens; until it succeeds, they don't hear
 	// it.
 	private void writeAddress() {
-		InetSocketAddress address = this.settings.peers();
-		byte[] value = (address.getHostString() + ":" + address.getPort()).getBytes(StandardCharsets.UTF_8);
+		byte[] value = SocketAddressText.format(this.settings.peers()).getBytes(StandardCharsets.UTF_8);
 		this.topics.append(Topic.GATEWAYS, this.settings.name(), value).whenComplete((outcome, failure) -> {
 			if (outcome == null) {
 				log.atWarn().addKeyValue("cause", String.valueOf(failure)).log("address not written");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
@@ -115,7 +115,8 @@
 	private void send(Subject subject, int count, List<EndpointEntry> listed, double needed, long now) {
 		Sent before = this.sent.get(subject);
 		boolean changed = before == null || before.count() != count;
-		boolean unfilled = subject.running(listed) != count;
+		int running = EndpointOrders.running(listed, subject.zone(), subject.reclaimable());
+		boolean unfilled = running != count;
 		boolean due = before == null || now - before.at() > AGAIN.toNanos();
 		if (!(changed || (unfilled && due)) || !this.sending.add(subject)) {
 			return;
@@ -129,7 +130,7 @@
 					.addKeyValue("zone", subject.zone().value())
 					.addKeyValue("reclaimable", subject.reclaimable())
 					.addKeyValue("count", count)
-					.addKeyValue("running", subject.running(listed))
+					.addKeyValue("running", running)
 					.addKeyValue("neededMsPerSecond", Math.round(needed))
 					.addKeyValue("taken", taken)
 					.addKeyValue("cause", (failure != null) ? failure.toString() : null)
@@ -141,14 +142,6 @@
 	}
 
 	private record Subject(ServiceName service, ZoneName zone, boolean reclaimable) {
-
-		int running(List<EndpointEntry> listed) {
-			return (int) listed.stream()
-				.filter((entry) -> entry.zone().equals(this.zone) && entry.reclaimable() == this.reclaimable
-						&& !entry.draining())
-				.count();
-		}
-
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.banyancove.gateway.shared.TopicRecord;
+import org.banyancove.program.SocketAddressText;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -91,14 +92,18 @@
 		if (entry.key().equals(this.ownName)) {
 			return;
 		}
-		String[] address = (entry.value() != null) ? new String(entry.value(), StandardCharsets.UTF_8).split(":")
-				: new String[0];
-		if (address.length != 2 || !address[0].matches("[0-9.]+") || !address[1].matches("\\d{1,5}")) {
-			log.atWarn().addKeyValue("gateway", entry.key()).log("address unreadable");
+		byte[] value = entry.value();
+		String address = (value != null) ? new String(value, StandardCharsets.UTF_8) : "";
+		try {
+			this.peers.put(entry.key(), SocketAddressText.parseNumeric(address));
+		}
+		catch (IllegalArgumentException ex) {
+			log.atWarn()
+				.addKeyValue("gateway", entry.key())
+				.addKeyValue("cause", ex.toString())
+				.log("address unreadable");
 			this.peers.remove(entry.key());
-			return;
 		}
-		this.peers.put(entry.key(), new InetSocketAddress(address[0], Integer.parseInt(address[1])));
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -106,7 +106,14 @@
 		return orders;
 	}
 
-	private static int count(Collection<EndpointEntry> listed, ZoneName zone, boolean reclaimable) {
+	/**
+	 * Counts the endpoints of a kind in a data centre that are not leaving.
+	 * @param listed the service's endpoints
+	 * @param zone the data centre
+	 * @param reclaimable the kind
+	 * @return the number
+	 */
+	public static int running(Collection<EndpointEntry> listed, ZoneName zone, boolean reclaimable) {
 		return (int) listed.stream()
 			.filter((entry) -> entry.zone().equals(zone) && entry.reclaimable() == reclaimable && !entry.draining())
 			.count();
@@ -133,12 +140,12 @@
 		Map<ZoneName, Integer> filled = new HashMap<>();
 		int left = total;
 		for (ZoneName zone : zones) {
-			int here = Math.min(left, Math.min(count(listed, zone, false), limits.most()));
+			int here = Math.min(left, Math.min(running(listed, zone, false), limits.most()));
 			filled.put(zone, here);
 			left -= here;
 		}
 		for (ZoneName zone : zones) {
-			int room = limits.most() - count(listed, zone, true) - filled.getOrDefault(zone, 0);
+			int room = limits.most() - running(listed, zone, true) - filled.getOrDefault(zone, 0);
 			int here = Math.clamp(room, 0, left);
 			filled.merge(zone, here, Integer::sum);
 			left -= here;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -261,14 +261,6 @@
 		return this.generatesTokens ? unreadTokens(prompt) * this.millisPerToken : this.plainMillis;
 	}
 
-	/**
-	 * Returns the time to read a prompt token.
-	 * @return the time in ms
-	 */
-	public double millisPerToken() {
-		return this.millisPerToken;
-	}
-
 	boolean paused(long now) {
 		return now < this.pausedUntil;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -51,10 +51,7 @@
 	 */
 	public void put(EndpointEntry entry) {
 		Endpoint known = this.endpoints.get(entry.id());
-		if (known != null && known.entry().equals(entry)) {
-			known.update(entry);
-			return;
-		}
+		boolean changed = known == null || !known.entry().equals(entry);
 		if (known != null && known.entry().service().equals(entry.service())) {
 			known.update(entry);
 		}
@@ -64,7 +61,9 @@
 			this.endpoints.put(entry.id(),
 					new Endpoint(entry, generates, (service != null) ? service.cacheTokens() : 0));
 		}
-		this.taking.clear();
+		if (changed) {
+			this.taking.clear();
+		}
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -209,17 +210,14 @@
 
 	/**
 	 * Closes the connection if no request is on it.
-	 * @return whether it was closed
 	 */
-	boolean closeIfIdle() {
+	void closeIfIdle() {
 		if (this.answering == null && this.head == null && this.ahead.isEmpty()) {
 			close();
-			return true;
 		}
-		return false;
 	}
 
-	private void finish(io.netty.channel.ChannelFuture written, boolean keep) {
+	private void finish(ChannelFuture written, boolean keep) {
 		this.answering = null;
 		this.streaming = false;
 		if (!keep) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -51,8 +51,6 @@
 
 	private final Map<InetSocketAddress, Integer> open = new HashMap<>();
 
-	private long opened;
-
 	/**
 	 * Creates the connections.
 	 * @param eventLoop the loop that serves them
@@ -87,14 +85,6 @@
 		return call;
 	}
 
-	/**
-	 * Returns the connections that were opened so far.
-	 * @return the number
-	 */
-	public long opened() {
-		return this.opened;
-	}
-
 	/**
 	 * Closes the idle connections to an address, whose owner may have changed.
 	 * @param address the address
@@ -119,7 +109,6 @@
 	}
 
 	private void connect(InetSocketAddress address, CallOptions options, PendingCall call) {
-		this.opened++;
 		this.open.merge(address, 1, Integer::sum);
 		Bootstrap bootstrap = new Bootstrap().group(this.eventLoop)
 			.channel(NioSocketChannel.class)
@@ -134,7 +123,7 @@
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
 						.addLast(new HttpClientCodec(MOST_INITIAL_LINE_BYTES, MOST_HEADER_BYTES, MOST_CHUNK_BYTES))
-						.addLast("connection", new ClientConnection(ClientConnections.this, address, channel));
+						.addLast(new ClientConnection(ClientConnections.this, address, channel));
 				}
 			});
 		ChannelFuture connecting = bootstrap.connect(address);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -53,15 +53,6 @@
 	/** The same for a request that cannot be sent again if the connection was dead. */
 	private static final Duration LONGEST_IDLE_ONCE = Duration.ofSeconds(2);
 
-	/**
-	 * Silence after which a repeatable request tries another endpoint, in targets: some
-	 * one in a hundred answers of a sound endpoint takes longer.
-	 */
-	private static final double SILENCE_TARGETS = 2.0;
-
-	/** Silence within a stream after which it goes on elsewhere, in longest pauses. */
-	private static final double SILENCE_PAUSES = 2.0;
-
 	/** When to come back after an endpoint turned a request away unrun. */
 	private static final Duration COME_BACK = Duration.ofMillis(400);
 
@@ -178,7 +169,7 @@
 				once ? LONGEST_IDLE_ONCE : LONGEST_IDLE, this.flow.connectionShare(this.service));
 		next.started(this.flow.connections()
 			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, next));
-		watchSilence(silenceBeforeAnswer());
+		watchSilence(this.flow.admission().silenceBeforeAnswer(this.route));
 	}
 
 	private FullHttpRequest endpointRequest(Placement placement) {
@@ -228,7 +219,7 @@
 		countBegun();
 		openStream(from);
 		this.caller.stream(whole);
-		watchSilence(scaled(this.route.longestPause(), SILENCE_PAUSES));
+		watchSilence(this.flow.admission().silenceInStream(this.route));
 	}
 
 	private void openStream(Attempt from) {
@@ -369,10 +360,6 @@
 
 	// ---- time
 
-	private Duration silenceBeforeAnswer() {
-		return scaled(this.route.latencyTarget(), SILENCE_TARGETS);
-	}
-
 	private void watchSilence(Duration longest) {
 		cancel(this.silenceTimer);
 		this.silenceTimer = null;
@@ -476,10 +463,6 @@
 		return Duration.ofNanos(Math.max(0, this.deadlineAt - now()));
 	}
 
-	private static Duration scaled(Duration duration, double factor) {
-		return Duration.ofNanos((long) (duration.toNanos() * factor));
-	}
-
 	private ScheduledFuture<?> schedule(Runnable action, long nanos) {
 		return this.flow.eventLoop().schedule(action, Math.max(0, nanos), TimeUnit.NANOSECONDS);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -111,23 +112,17 @@
 	 * @param newest the configuration
 	 */
 	public void configure(Configuration newest) {
-		Configuration before = this.configuration;
 		this.configuration = newest;
 		for (AccountName name : Set.copyOf(this.meters.keySet())) {
-			if (!sameAllowance(name, before, newest)) {
-				AllowanceMeter replaced = this.meters.remove(name);
-				this.usedBefore.merge(name, (replaced != null) ? replaced.used() : 0, Double::sum);
+			AllowanceMeter meter = Objects.requireNonNull(this.meters.get(name));
+			if (!meter.allowance().equals(allowance(name, newest))) {
+				this.meters.remove(name);
+				this.usedBefore.merge(name, meter.used(), Double::sum);
 			}
 		}
 		newest.accounts().forEach((account) -> meter(account.name()));
 	}
 
-	private static boolean sameAllowance(AccountName name, @Nullable Configuration before, Configuration newest) {
-		TokenAllowance old = (before != null) ? allowance(name, before) : null;
-		TokenAllowance current = allowance(name, newest);
-		return current != null && current.equals(old);
-	}
-
 	private static @Nullable TokenAllowance allowance(AccountName name, Configuration configuration) {
 		for (ClientAccount account : configuration.accounts()) {
 			if (account.name().equals(name)) {
@@ -174,10 +169,13 @@
 
 	private @Nullable AllowanceMeter meter(AccountName name) {
 		AllowanceMeter known = this.meters.get(name);
-		TokenAllowance allowance = (this.configuration != null) ? allowance(name, this.configuration) : null;
-		if (known != null || allowance == null) {
+		if (known != null || this.configuration == null) {
 			return known;
 		}
+		TokenAllowance allowance = allowance(name, this.configuration);
+		if (allowance == null) {
+			return null;
+		}
 		AllowanceMeter created = new AllowanceMeter(allowance, this.clock.nanos());
 		created.heard(this.heardShare);
 		this.meters.put(name, created);
@@ -230,15 +228,11 @@
 
 	private Duration chargeAllowance(IntakeDecision.Taken taken, CallerHeaders said) {
 		ClientAccount account = taken.account();
-		if (account == null || account.allowance() == null) {
-			return Duration.ZERO;
-		}
-		TokenAllowance allowance = account.allowance();
-		AllowanceMeter meter = meter(account.name());
+		AllowanceMeter meter = (account != null) ? meter(account.name()) : null;
 		if (meter == null) {
 			return Duration.ZERO;
 		}
-		boolean taking = meter.tryTake(allowance.costOf(said.prompt().totalTokens()), this.clock.nanos());
+		boolean taking = meter.tryTake(meter.allowance().costOf(said.prompt().totalTokens()), this.clock.nanos());
 		return taking ? Duration.ZERO : meter.timeToNext();
 	}
 
