Order lasting endpoints for the loss of the fullest data centre

Cause: EndpointOrders took all reclaimable endpoints as cover for what is needed at least. Change: only what is left after the loss of the fullest data centre counts.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -85,7 +85,7 @@
 		int least = Math.max(1, (int) Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
 		boolean reclaimableCheaper = limits.reclaimablePrice() < 1;
 		int lastingNow = reclaimableCheaper
-				? Math.max((int) Math.ceil(least * LASTING_SHARE), least - count(listed, true)) : least;
+				? Math.max((int) Math.ceil(least * LASTING_SHARE), least - leftAfterLoss(listed, zones)) : least;
 		int lasting = (int) this.lastingNeeds.add(lastingNow, now);
 		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
 		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
@@ -119,8 +119,19 @@
 			.count();
 	}
 
-	private static int count(Collection<EndpointEntry> listed, boolean reclaimable) {
-		return (int) listed.stream().filter((entry) -> entry.reclaimable() == reclaimable && !entry.draining()).count();
+	// The reclaimable endpoints that are left when the data centre with the most of them
+	// loses all at one blow. Counting those too would order lasting ones only once they
+	// are
+	// leaving: callers would wait for a start, four seconds, at whatever is left.
+	private static int leftAfterLoss(Collection<EndpointEntry> listed, List<ZoneName> zones) {
+		int all = 0;
+		int most = 0;
+		for (ZoneName zone : zones) {
+			int here = running(listed, zone, true);
+			all += here;
+			most = Math.max(most, here);
+		}
+		return all - most;
 	}
 
 	// Spreads evenly, the cheaper data centres first.
