Let lasting endpoints make room for reclaimable ones once these are to be had again

Reclaimable ones were to be had again at 31 s, but the lasting ones held all places of two data centres, and the remembered need for lasting ones took eight seconds at each step: at 67 s four were still there. Ruled out: refused orders (none after 31 s). Change: the need is remembered instead of the lasting part of it; while lasting ones leave no room and the last order of reclaimable ones was taken, all running reclaimable ones count as cover. Orders still wander between data centres while what was ordered starts.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
@@ -59,6 +59,8 @@
 
 	private final Set<Subject> sending = new HashSet<>();
 
+	private final Set<ServiceName> reclaimableToBeHad = new HashSet<>();
+
 	private @Nullable Configuration configuration;
 
 	private long fence;
@@ -107,7 +109,7 @@
 		double needed = this.work.perService(now).getOrDefault(service, 0.0) + this.board.work(service, now);
 		List<EndpointEntry> entries = listed.stream().map(Endpoint::entry).toList();
 		this.deciders.computeIfAbsent(service, (name) -> new EndpointOrders())
-			.decide(limits, entries, needed, inFlight, now)
+			.decide(limits, entries, needed, inFlight, this.reclaimableToBeHad.contains(service), now)
 			.forEach((order) -> send(new Subject(service, order.zone(), order.reclaimable()), order.count(), entries,
 					needed, now));
 	}
@@ -125,6 +127,9 @@
 		this.duties.orderEndpoints(this.fence, subject.service(), subject.zone(), subject.reclaimable(), count)
 			.whenComplete((taken, failure) -> {
 				this.sending.remove(subject);
+				if (subject.reclaimable()) {
+					noteWhetherToBeHad(subject.service(), Boolean.TRUE.equals(taken));
+				}
 				log.atInfo()
 					.addKeyValue("service", subject.service().value())
 					.addKeyValue("zone", subject.zone().value())
@@ -138,6 +143,15 @@
 			});
 	}
 
+	private void noteWhetherToBeHad(ServiceName service, boolean taken) {
+		if (taken) {
+			this.reclaimableToBeHad.add(service);
+		}
+		else {
+			this.reclaimableToBeHad.remove(service);
+		}
+	}
+
 	private record Sent(int count, long at) {
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -20,7 +20,9 @@
  * ones cost a fraction, so they are ordered for what is needed and once more over all
  * data centres; a few lasting ones in the cheapest data centre carry what matters when
  * the rest are taken. Orders grow at once and shrink after a while, since a start takes
- * seconds.
+ * seconds. Lasting ones that stood in fill the places of the data centres; once
+ * reclaimable ones are to be had again they make room for them step by step, as many as
+ * have started.
  * <p>
  * Times are nanoseconds of the steady clock.
  */
@@ -49,8 +51,8 @@
 	 */
 	private static final Duration MEMORY = Duration.ofSeconds(30);
 
-	/** How long a need for lasting ones is remembered: about two starts. */
-	private static final Duration LASTING_MEMORY = Duration.ofSeconds(8);
+	/** How long the least need is remembered: about two starts. */
+	private static final Duration LEAST_MEMORY = Duration.ofSeconds(8);
 
 	/**
 	 * Reclaimable endpoints in each data centre at any load: a burst starts within a
@@ -60,7 +62,7 @@
 
 	private final RecentPeak needs = new RecentPeak(MEMORY);
 
-	private final RecentPeak lastingNeeds = new RecentPeak(LASTING_MEMORY);
+	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
 
 	/**
 	 * Decides the orders.
@@ -68,11 +70,12 @@
 	 * @param listed the service's endpoints
 	 * @param work the engine time that is needed, in ms a second
 	 * @param inFlight the requests at the endpoints
+	 * @param reclaimableToBeHad whether the last order of reclaimable endpoints was taken
 	 * @param now the present time
 	 * @return the orders
 	 */
 	public List<Order> decide(ScalingLimits limits, Collection<EndpointEntry> listed, double work, int inFlight,
-			long now) {
+			boolean reclaimableToBeHad, long now) {
 		List<ZoneName> zones = new ArrayList<>(limits.zonePrices().keySet());
 		zones.sort(Comparator.comparingDouble((ZoneName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
 			.thenComparing(ZoneName::value));
@@ -82,11 +85,15 @@
 		double engines = work / 1000;
 		double crowd = inFlight / REQUESTS_AN_ENGINE;
 		double comfortable = this.needs.add(Math.max(engines / READING_SHARE, crowd), now);
-		int least = Math.max(1, (int) Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
+		double leastNow = Math.max(1, Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
+		int least = (int) this.leastNeeds.add(leastNow, now);
 		boolean reclaimableCheaper = limits.reclaimablePrice() < 1;
-		int lastingNow = reclaimableCheaper
-				? Math.max((int) Math.ceil(least * LASTING_SHARE), least - leftAfterLoss(listed, zones)) : least;
-		int lasting = (int) this.lastingNeeds.add(lastingNow, now);
+		int lasting = least;
+		if (reclaimableCheaper) {
+			boolean noRoom = running(listed, false) > zones.size() * (limits.most() - LEAST_IN_ZONE);
+			int covered = (reclaimableToBeHad && noRoom) ? running(listed, true) : leftAfterLoss(listed, zones);
+			lasting = Math.max((int) Math.ceil(least * LASTING_SHARE), least - covered);
+		}
 		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
 		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
 				? spread(Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most())
@@ -119,6 +126,10 @@
 			.count();
 	}
 
+	private static int running(Collection<EndpointEntry> listed, boolean reclaimable) {
+		return (int) listed.stream().filter((entry) -> entry.reclaimable() == reclaimable && !entry.draining()).count();
+	}
+
 	// The reclaimable endpoints that are left when the data centre with the most of them
 	// loses all at one blow. Counting those too would order lasting ones only once they
 	// are
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -90,10 +90,36 @@
 		assertThat(total(decide(listed, 1500, 60), true)).isEqualTo(calm);
 	}
 
+	// While no reclaimable endpoints were to be had, lasting ones filled all places of
+	// all
+	// data centres. Reclaimable ones are to be had again, but have nowhere to start. Each
+	// second what was ordered runs, so the lasting ones must have made room after a few.
+	// Until then callers need what is left in sum.
+	@Test
+	void lastingEndpointsThatFillAllPlacesMakeRoomForReclaimableOnes() {
+		List<EndpointEntry> listed = listed(6, 0);
+		for (int second = 0; second < 12; second++) {
+			List<EndpointOrders.Order> orders = decide(listed, 6000, true, second);
+			listed = new ArrayList<>();
+			for (EndpointOrders.Order order : orders) {
+				add(listed, order.zone(), order.count(), order.reclaimable());
+			}
+			assertThat(listed).hasSizeGreaterThanOrEqualTo(10);
+		}
+		assertThat(total(decide(listed, 6000, true, 12), false)).isLessThanOrEqualTo(3);
+	}
+
+	@Test
+	void lastingEndpointsStayWhileNoReclaimableOnesAreToBeHad() {
+		for (int second = 0; second < 12; second++) {
+			assertThat(total(decide(listed(6, 0), 6000, second), false)).isEqualTo(10);
+		}
+	}
+
 	@Test
 	void keepsToTheMostAndTheFewestOfADataCentre() {
 		for (int work = 0; work < 40_000; work += 1000) {
-			List<EndpointOrders.Order> orders = new EndpointOrders().decide(LIMITS, listed(1, 2), work, 0, 0);
+			List<EndpointOrders.Order> orders = new EndpointOrders().decide(LIMITS, listed(1, 2), work, 0, true, 0);
 			for (ZoneName zone : List.of(CHEAP, MIDDLE, DEAR)) {
 				int both = orders.stream()
 					.filter((order) -> order.zone().equals(zone))
@@ -105,7 +131,11 @@
 	}
 
 	private List<EndpointOrders.Order> decide(List<EndpointEntry> listed, double work, long second) {
-		return this.orders.decide(LIMITS, listed, work, 0, second * SECOND);
+		return decide(listed, work, false, second);
+	}
+
+	private List<EndpointOrders.Order> decide(List<EndpointEntry> listed, double work, boolean toBeHad, long second) {
+		return this.orders.decide(LIMITS, listed, work, 0, toBeHad, second * SECOND);
 	}
 
 	private static int total(List<EndpointOrders.Order> orders, boolean reclaimable) {
