Leave orders of lasting endpoints where these start

Cause: an order that had not started yet did not count as placed. Ruled out: orders lost on the way (all taken). Change: what was ordered before counts like what runs when lasting endpoints are placed.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -64,6 +64,8 @@
 
 	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
 
+	private Map<ZoneName, Integer> lastingOrdered = Map.of();
+
 	/**
 	 * Decides the orders.
 	 * @param limits what may be ordered
@@ -95,6 +97,7 @@
 			lasting = Math.max((int) Math.ceil(least * LASTING_SHARE), least - covered);
 		}
 		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
+		this.lastingOrdered = lastingByZone;
 		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
 				? spread(Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most())
 				: new HashMap<>();
@@ -154,15 +157,17 @@
 		return spread;
 	}
 
-	// Keeps those that run, the cheapest data centre first, and orders what is missing
-	// where there is room beside the reclaimable ones: an endpoint that starts is empty,
-	// and one that leaves breaks streams off.
-	private static Map<ZoneName, Integer> fill(int total, List<ZoneName> zones, ScalingLimits limits,
+	// Keeps those that run or start, the cheapest data centre first, and orders what is
+	// missing where there is room beside the reclaimable ones: an endpoint that starts is
+	// empty, one that leaves breaks streams off, and an order that moves while its
+	// endpoint starts costs a start, four seconds, once more.
+	private Map<ZoneName, Integer> fill(int total, List<ZoneName> zones, ScalingLimits limits,
 			Collection<EndpointEntry> listed) {
 		Map<ZoneName, Integer> filled = new HashMap<>();
 		int left = total;
 		for (ZoneName zone : zones) {
-			int here = Math.min(left, Math.min(running(listed, zone, false), limits.most()));
+			int there = Math.max(running(listed, zone, false), this.lastingOrdered.getOrDefault(zone, 0));
+			int here = Math.min(left, Math.min(there, limits.most()));
 			filled.put(zone, here);
 			left -= here;
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -109,6 +109,23 @@
 		assertThat(total(decide(listed, 6000, true, 12), false)).isLessThanOrEqualTo(3);
 	}
 
+	// A lasting endpoint was ordered and starts. A cheaper data centre gets a free place
+	// meanwhile. An order that moved there would end the start, and callers would wait
+	// for
+	// a whole one again.
+	@Test
+	void anOrderStaysWhereItsEndpointStarts() {
+		List<EndpointEntry> listed = new ArrayList<>();
+		add(listed, CHEAP, 6, true);
+		add(listed, MIDDLE, 6, true);
+		assertThat(lastingIn(DEAR, decide(listed, 4700, 0))).isEqualTo(2);
+		List<EndpointEntry> changed = new ArrayList<>();
+		add(changed, CHEAP, 4, true);
+		add(changed, MIDDLE, 6, true);
+		add(changed, DEAR, 2, true);
+		assertThat(lastingIn(DEAR, decide(changed, 4700, 1))).isEqualTo(2);
+	}
+
 	@Test
 	void lastingEndpointsStayWhileNoReclaimableOnesAreToBeHad() {
 		for (int second = 0; second < 12; second++) {
@@ -130,6 +147,10 @@
 		}
 	}
 
+	private static int lastingIn(ZoneName zone, List<EndpointOrders.Order> orders) {
+		return total(orders.stream().filter((order) -> order.zone().equals(zone)).toList(), false);
+	}
+
 	private List<EndpointOrders.Order> decide(List<EndpointEntry> listed, double work, long second) {
 		return decide(listed, work, false, second);
 	}
