Log what decided a refusal over an account's limit, and the kind and data centre of listed endpoints

Change: `request refused` bears the account and what was left, `endpoint listed` the data centre and whether it is reclaimable. Refusals' facts are a record, as those of attempts and ends are. Conclusion: these refusals are due; nothing to mend in the meter for them.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
@@ -99,6 +99,14 @@
 		return Duration.ofNanos((long) (1e9 * missing / (this.allowance.ratePerSecond() * Math.max(this.share, 0.05))));
 	}
 
+	/**
+	 * Returns what is left, as of the last change.
+	 * @return the amount, negative if more was let in than was earned
+	 */
+	public double left() {
+		return this.level;
+	}
+
 	/**
 	 * Returns all that this gateway let in.
 	 * @return the sum of the costs
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -255,6 +255,7 @@
 		log.atInfo()
 			.addKeyValue("version", newest.version())
 			.addKeyValue("routes", newest.routes().size())
+			.addKeyValue("accounts", newest.accounts().size())
 			.log("configuration taken");
 	}
 
@@ -410,6 +411,8 @@
 						.addKeyValue("endpoint", id)
 						.addKeyValue("service", read.service())
 						.addKeyValue("address", read.address())
+						.addKeyValue("zone", read.zone())
+						.addKeyValue("reclaimable", read.reclaimable())
 						.addKeyValue("draining", read.draining())
 						.log("endpoint listed");
 				}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -1,13 +1,9 @@
 package org.banyancove.gateway.daemon;
 
-import java.time.Duration;
-
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.exchange.RequestLog;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -95,15 +91,17 @@
 	}
 
 	@Override
-	public void refused(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack, long version) {
-		this.requests.labelValues(kind.code()).inc();
+	public void refused(RefusalFacts facts) {
+		this.requests.labelValues(facts.kind().code()).inc();
 		if (mayLog()) {
 			log.atInfo()
-				.addKeyValue("requestId", requestId)
-				.addKeyValue("error", kind.code())
-				.addKeyValue("status", kind.status())
-				.addKeyValue("comeBackMs", (comeBack != null) ? comeBack.toMillis() : null)
-				.addKeyValue("configuration", version)
+				.addKeyValue("requestId", facts.requestId())
+				.addKeyValue("error", facts.kind().code())
+				.addKeyValue("status", facts.kind().status())
+				.addKeyValue("comeBackMs", (facts.comeBack() != null) ? facts.comeBack().toMillis() : null)
+				.addKeyValue("account", facts.account())
+				.addKeyValue("allowanceLeft", facts.allowanceLeft())
+				.addKeyValue("configuration", facts.version())
 				.log("request refused");
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.banyancove.gateway.exchange;
 
-import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
@@ -205,7 +204,8 @@
 				this.random.nextDouble());
 		return switch (decision) {
 			case IntakeDecision.Refused refused -> {
-				refuse(caller, said, refused.kind(), refused.comeBack());
+				refuse(caller, new RequestLog.RefusalFacts(said.requestId(), refused.kind(), refused.comeBack(), null,
+						null, version()));
 				yield CallerAnswering.BEGUN;
 			}
 			case IntakeDecision.Taken taken -> begin(caller, request, said, taken);
@@ -214,9 +214,9 @@
 
 	private CallerAnswering begin(CallerConnection caller, CallerRequest request, CallerHeaders said,
 			IntakeDecision.Taken taken) {
-		Duration wait = chargeAllowance(taken, said);
-		if (!wait.isZero()) {
-			refuse(caller, said, ErrorKind.ACCOUNT_OVER_LIMIT, wait);
+		RequestLog.RefusalFacts overLimit = chargeAllowance(taken.account(), said);
+		if (overLimit != null) {
+			refuse(caller, overLimit);
 			return CallerAnswering.BEGUN;
 		}
 		this.inProgress++;
@@ -226,23 +226,23 @@
 		return exchange;
 	}
 
-	private Duration chargeAllowance(IntakeDecision.Taken taken, CallerHeaders said) {
-		ClientAccount account = taken.account();
+	private RequestLog.@Nullable RefusalFacts chargeAllowance(@Nullable ClientAccount account, CallerHeaders said) {
 		AllowanceMeter meter = (account != null) ? meter(account.name()) : null;
-		if (meter == null) {
-			return Duration.ZERO;
+		if (account == null || meter == null
+				|| meter.tryTake(meter.allowance().costOf(said.prompt().totalTokens()), this.clock.nanos())) {
+			return null;
 		}
-		boolean taking = meter.tryTake(meter.allowance().costOf(said.prompt().totalTokens()), this.clock.nanos());
-		return taking ? Duration.ZERO : meter.timeToNext();
+		return new RequestLog.RefusalFacts(said.requestId(), ErrorKind.ACCOUNT_OVER_LIMIT, meter.timeToNext(),
+				account.name(), Math.round(meter.left()), version());
 	}
 
-	private void refuse(CallerConnection caller, CallerHeaders said, ErrorKind kind, @Nullable Duration comeBack) {
-		this.requestLog.refused(said.requestId(), kind, comeBack, version());
-		caller.answer(FailureAnswer.of(kind, comeBack));
+	private void refuse(CallerConnection caller, RequestLog.RefusalFacts facts) {
+		this.requestLog.refused(facts);
+		caller.answer(FailureAnswer.of(facts.kind(), facts.comeBack()));
 	}
 
 	void refusedUnread(ErrorKind kind) {
-		this.requestLog.refused(null, kind, null, version());
+		this.requestLog.refused(new RequestLog.RefusalFacts(null, kind, null, null, null, version()));
 	}
 
 	void ended() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.banyancove.core.AccountName;
 import org.banyancove.core.error.ErrorKind;
 import org.jspecify.annotations.Nullable;
 
@@ -12,12 +13,9 @@
 
 	/**
 	 * Tells of a request that was answered before it was sent on.
-	 * @param requestId the request, or {@code null} if it has no identifier
-	 * @param kind why
-	 * @param comeBack when the caller may come back, or {@code null}
-	 * @param version the configuration's version
+	 * @param facts what decided it
 	 */
-	void refused(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack, long version);
+	void refused(RefusalFacts facts);
 
 	/**
 	 * Tells of an attempt at an endpoint that did not bring the answer.
@@ -32,6 +30,21 @@
 	 */
 	void ended(RequestFacts facts);
 
+	/**
+	 * A refusal.
+	 *
+	 * @param requestId the request, or {@code null} if it has no identifier
+	 * @param kind why
+	 * @param comeBack when the caller may come back, or {@code null}
+	 * @param account the client account, or {@code null} if it is not known
+	 * @param allowanceLeft what was left of the account's allowance, negative if it is
+	 * overdrawn, or {@code null} if it was not asked
+	 * @param version the configuration's version
+	 */
+	record RefusalFacts(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack,
+			@Nullable AccountName account, @Nullable Long allowanceLeft, long version) {
+	}
+
 	/**
 	 * An attempt at an endpoint.
 	 *
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -21,7 +21,6 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.ZoneName;
-import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Route;
@@ -409,7 +408,7 @@
 	private static final class SilentLog implements RequestLog {
 
 		@Override
-		public void refused(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack, long version) {
+		public void refused(RefusalFacts facts) {
 		}
 
 		@Override
