Do not charge what a silent gateway let in once more when it is heard again

Each side leaves the other its part of every account's rate, and at the end of the cut each charged all that the other had let in meanwhile at once: allowances went to -257,680 tokens, and 111 requests within their accounts' limits were refused within seconds. Ruled out: the parts themselves (a third of the gateways refused 66, after the cut as well as in it). Change: of what came after a silence only the part counts that was let in before the silence was noticed. QUOTA was not broken; the tests of two halves that do not hear each other go on passing.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
@@ -37,21 +37,29 @@
 	 * Takes in a report.
 	 * @param report the report
 	 * @param now when it was read, on the steady clock
-	 * @return what the gateway let in since its last report, by client account; nothing
-	 * for its first one
+	 * @return what the gateway let in since its last report and was not left to it while
+	 * it was silent, by client account; nothing for its first one
 	 */
 	public Map<AccountName, Double> read(GatewayReport report, long now) {
 		Heard before = this.heard.put(report.incarnation(), new Heard(report, now));
 		readCounts(report);
 		Map<AccountName, Double> since = new HashMap<>();
 		if (before != null) {
+			double charged = chargedPart(now - before.at());
 			report.used()
 				.forEach((account, used) -> since.put(account,
-						Math.max(0, used - before.report().used().getOrDefault(account, 0.0))));
+						charged * Math.max(0, used - before.report().used().getOrDefault(account, 0.0))));
 		}
 		return since;
 	}
 
+	// A gateway that is silent has its part of each allowance left to it. What it let in
+	// meanwhile was earned by that part: charged once more when a cut ends, the sum of
+	// several seconds would lock its accounts out at all gateways.
+	private static double chargedPart(long silentNanos) {
+		return Math.min(1, SILENCE.toNanos() / (double) Math.max(1, silentNanos));
+	}
+
 	/**
 	 * Takes in the counts of usage of a report.
 	 * @param report the report
