Plan lasting endpoints by what is to be had, and leave data centres alone that fell silent

And when a data centre was cut off, its endpoints' lapsed entries counted as free places: three to four lasting ones were ordered behind the cut, and the reclaimable ones there given back. Ruled out: noise of the need alone (it moved by a fifth). Change: while reclaimable endpoints are to be had, lasting ones cover what the planned reclaimable ones leave open after a loss, and what has not started yet; else what the running ones leave open. A data centre that vanishes from the list without a word keeps its orders for 10 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -7,10 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides how many endpoints of a service are ordered, of which kind and where.
@@ -60,6 +62,8 @@
 	 */
 	private static final int LEAST_IN_ZONE = 3;
 
+	private final SilentZones silentZones = new SilentZones();
+
 	private final RecentPeak needs = new RecentPeak(MEMORY);
 
 	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
@@ -74,13 +78,16 @@
 	 * @param inFlight the requests at the endpoints
 	 * @param reclaimableToBeHad whether the last order of reclaimable endpoints was taken
 	 * @param now the present time
-	 * @return the orders
+	 * @return the orders; none for a data centre that is cut off, where what was ordered
+	 * stays
 	 */
 	public List<Order> decide(ScalingLimits limits, Collection<EndpointEntry> listed, double work, int inFlight,
 			boolean reclaimableToBeHad, long now) {
-		List<ZoneName> zones = new ArrayList<>(limits.zonePrices().keySet());
-		zones.sort(Comparator.comparingDouble((ZoneName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
+		List<ZoneName> all = new ArrayList<>(limits.zonePrices().keySet());
+		all.sort(Comparator.comparingDouble((ZoneName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
 			.thenComparing(ZoneName::value));
+		Set<ZoneName> silent = this.silentZones.update(listed, all, now);
+		List<ZoneName> zones = all.stream().filter((zone) -> !silent.contains(zone)).toList();
 		if (zones.isEmpty()) {
 			return List.of();
 		}
@@ -89,27 +96,27 @@
 		double comfortable = this.needs.add(Math.max(engines / READING_SHARE, crowd), now);
 		double leastNow = Math.max(1, Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
 		int least = (int) this.leastNeeds.add(leastNow, now);
-		boolean reclaimableCheaper = limits.reclaimablePrice() < 1;
-		int lasting = least;
-		if (reclaimableCheaper) {
-			boolean noRoom = running(listed, false) > zones.size() * (limits.most() - LEAST_IN_ZONE);
-			int covered = (reclaimableToBeHad && noRoom) ? running(listed, true) : leftAfterLoss(listed, zones);
-			lasting = Math.max((int) Math.ceil(least * LASTING_SHARE), least - covered);
+		if (limits.reclaimablePrice() >= 1) {
+			return orders(zones, fill(least, zones, limits, listed), null, limits);
 		}
-		Map<ZoneName, Integer> lastingByZone = fill(lasting, zones, limits, listed);
-		this.lastingOrdered = lastingByZone;
-		Map<ZoneName, Integer> reclaimable = reclaimableCheaper
-				? spread(Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most())
-				: new HashMap<>();
+		Map<ZoneName, Integer> reclaimable = spread(
+				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
+		int uncovered = reclaimableToBeHad ? Math.max(least - leftAfterLoss(reclaimable), least - running(listed, true))
+				: least - leftAfterLoss(runningByZone(listed, zones));
+		int lasting = Math.max((int) Math.ceil(least * LASTING_SHARE), uncovered);
+		return orders(zones, fill(lasting, zones, limits, listed), reclaimable, limits);
+	}
+
+	private List<Order> orders(List<ZoneName> zones, Map<ZoneName, Integer> lasting,
+			@Nullable Map<ZoneName, Integer> reclaimable, ScalingLimits limits) {
+		this.lastingOrdered = lasting;
 		List<Order> orders = new ArrayList<>();
 		for (ZoneName zone : zones) {
-			int lastingHere = lastingByZone.getOrDefault(zone, 0);
-			int reclaimableHere = Math.min(reclaimable.getOrDefault(zone, 0), limits.most() - lastingHere);
-			if (lastingHere + reclaimableHere < limits.fewest()) {
-				lastingHere = limits.fewest() - reclaimableHere;
-			}
-			orders.add(new Order(zone, false, lastingHere));
-			if (reclaimableCheaper) {
+			int lastingHere = lasting.getOrDefault(zone, 0);
+			int wanted = (reclaimable != null) ? reclaimable.getOrDefault(zone, 0) : 0;
+			int reclaimableHere = Math.min(wanted, limits.most() - lastingHere);
+			orders.add(new Order(zone, false, Math.max(lastingHere, limits.fewest() - reclaimableHere)));
+			if (reclaimable != null) {
 				orders.add(new Order(zone, true, reclaimableHere));
 			}
 		}
@@ -133,18 +140,19 @@
 		return (int) listed.stream().filter((entry) -> entry.reclaimable() == reclaimable && !entry.draining()).count();
 	}
 
+	private static Map<ZoneName, Integer> runningByZone(Collection<EndpointEntry> listed, List<ZoneName> zones) {
+		Map<ZoneName, Integer> running = new HashMap<>();
+		zones.forEach((zone) -> running.put(zone, running(listed, zone, true)));
+		return running;
+	}
+
 	// The reclaimable endpoints that are left when the data centre with the most of them
 	// loses all at one blow. Counting those too would order lasting ones only once they
 	// are
 	// leaving: callers would wait for a start, four seconds, at whatever is left.
-	private static int leftAfterLoss(Collection<EndpointEntry> listed, List<ZoneName> zones) {
-		int all = 0;
-		int most = 0;
-		for (ZoneName zone : zones) {
-			int here = running(listed, zone, true);
-			all += here;
-			most = Math.max(most, here);
-		}
+	private static int leftAfterLoss(Map<ZoneName, Integer> reclaimable) {
+		int all = reclaimable.values().stream().mapToInt(Integer::intValue).sum();
+		int most = reclaimable.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 		return all - most;
 	}
 
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/SilentZones.java
@@ -0,0 +1,61 @@
+package org.banyancove.gateway.duty;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+
+/**
+ * The data centres whose endpoints all fell out of the list without having said that they
+ * leave.
+ * <p>
+ * The load that it answers: a data centre is cut off for some seconds, and its endpoints
+ * cannot write their entries. They run on and are back when the cut ends. Endpoints that
+ * were ordered there meanwhile would be as unreachable, and orders of fewer would take
+ * away those that run.
+ */
+final class SilentZones {
+
+	/**
+	 * How long a silence is taken for a cut: longer than cuts usually last. Endpoints
+	 * that were lost for good are ordered anew after it.
+	 */
+	private static final Duration LONGEST_CUT = Duration.ofSeconds(10);
+
+	private final Set<ZoneName> serving = new HashSet<>();
+
+	private final Map<ZoneName, Long> silentSince = new HashMap<>();
+
+	/**
+	 * Takes in the list of endpoints.
+	 * @param listed the endpoints
+	 * @param zones the data centres that may have some
+	 * @param now the present time
+	 * @return the data centres that are silent
+	 */
+	Set<ZoneName> update(Collection<EndpointEntry> listed, List<ZoneName> zones, long now) {
+		Set<ZoneName> silent = new HashSet<>();
+		for (ZoneName zone : zones) {
+			List<EndpointEntry> here = listed.stream().filter((entry) -> entry.zone().equals(zone)).toList();
+			if (here.stream().anyMatch((entry) -> !entry.draining())) {
+				this.serving.add(zone);
+				this.silentSince.remove(zone);
+			}
+			else if (!here.isEmpty()) {
+				this.serving.remove(zone);
+			}
+			else if (this.serving.contains(zone)
+					&& now - this.silentSince.computeIfAbsent(zone, (name) -> now) < LONGEST_CUT.toNanos()) {
+				silent.add(zone);
+			}
+		}
+		return silent;
+	}
+
+}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -126,6 +126,31 @@
 		assertThat(lastingIn(DEAR, decide(changed, 4700, 1))).isEqualTo(2);
 	}
 
+	// A data centre is cut off, so that its endpoints' entries lapse. They run on and are
+	// back after some seconds. Orders for this data centre would take them away, and what
+	// started there would be out of reach as well.
+	@Test
+	void nothingIsOrderedInADataCentreThatFellSilent() {
+		decide(listed(1, 3), 4700, true, 0);
+		List<EndpointEntry> left = new ArrayList<>();
+		add(left, CHEAP, 3, true);
+		add(left, MIDDLE, 3, true);
+		assertThat(decide(left, 4700, true, 1)).isNotEmpty().noneMatch((order) -> order.zone().equals(DEAR));
+		assertThat(decide(left, 4700, true, 30)).anyMatch((order) -> order.zone().equals(DEAR));
+	}
+
+	@Test
+	void aDataCentreWhoseEndpointsSaidThatTheyLeaveIsNotTakenForCutOff() {
+		List<EndpointEntry> leaving = new ArrayList<>();
+		add(leaving, CHEAP, 3, true);
+		leaving.add(new EndpointEntry(new EndpointId("d"), new ServiceName("engines"),
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), DEAR, 64, true, true, 1));
+		decide(leaving, 4700, true, 0);
+		List<EndpointEntry> left = new ArrayList<>();
+		add(left, CHEAP, 3, true);
+		assertThat(decide(left, 4700, true, 1)).anyMatch((order) -> order.zone().equals(DEAR));
+	}
+
 	@Test
 	void lastingEndpointsStayWhileNoReclaimableOnesAreToBeHad() {
 		for (int second = 0; second < 12; second++) {
