Let callers wait in the socket and before the configuration while a process starts

Callers have one retry. Ruled out: a shorter start (0.51 s of processor time; Jackson's first use takes 55 of 140 ms here, but the configuration needs it too). Change: the socket is opened as the first act, from an address that the platform puts into the environment, and served later; a request that comes before the first configuration waits for it, 0.8 s or a quarter of its deadline at most.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.banyancove.gateway.configuration.Route;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides whether a request is sent on or turned away at once.
@@ -58,6 +59,16 @@
 	/** Silence within a stream after which it goes on elsewhere, in longest pauses. */
 	private static final double SILENCE_PAUSES = 2.0;
 
+	/**
+	 * How long a request waits at most for the first configuration, which is read some
+	 * 100 ms after a start. Refused at once, it would come back only once, to a gateway
+	 * that may have started no sooner; held for longer, it would be late anyway.
+	 */
+	private static final Duration LONGEST_AT_START = Duration.ofMillis(800);
+
+	/** A caller that is refused after a quarter of its time can still go elsewhere. */
+	private static final int PARTS_OF_DEADLINE = 4;
+
 	/**
 	 * Decides on a request.
 	 * @param route its route
@@ -89,6 +100,18 @@
 		return (half.compareTo(quarter) < 0) ? half : quarter;
 	}
 
+	/**
+	 * Returns how long a request may wait for the configuration of a process that starts.
+	 * @param deadline how long its caller waits, or {@code null} if it doesn't say
+	 * @return the time
+	 */
+	public Duration patienceAtStart(@Nullable Duration deadline) {
+		if (deadline == null) {
+			return LONGEST_AT_START;
+		}
+		return clamp(deadline.dividedBy(PARTS_OF_DEADLINE), Duration.ZERO, LONGEST_AT_START);
+	}
+
 	/**
 	 * Returns how long a connection may take until another endpoint is tried. Endpoints
 	 * that are cut off don't answer at all, and a request that waited for one is late
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -185,10 +186,11 @@
 
 	/**
 	 * Starts to listen and to follow shared state.
+	 * @param callersSocket where callers' connections arrive
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public void start() throws InterruptedException {
-		this.callers.listen(this.settings.callers());
+	public void start(ServerSocketChannel callersSocket) throws InterruptedException {
+		this.callers.listen(callersSocket);
 		this.peers.listen(this.eventLoops, this.settings.peers());
 		this.status.listen(this.settings.readiness());
 		if (this.settings.metrics() != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -1,7 +1,7 @@
 package org.banyancove.gateway.exchange;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -28,9 +28,6 @@
 
 	private static final Logger log = LoggerFactory.getLogger(CallerServer.class);
 
-	/** Connections that wait to be accepted; a full queue costs callers seconds. */
-	private static final int BACKLOG = 1024;
-
 	private final EventLoopGroup eventLoops;
 
 	private final SteadyClock clock;
@@ -58,16 +55,14 @@
 	}
 
 	/**
-	 * Begins to listen.
-	 * @param address where to listen
+	 * Begins to serve callers' connections.
+	 * @param socket where they arrive, or have arrived before
 	 * @return the channel that listens
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public Channel listen(InetSocketAddress address) throws InterruptedException {
+	public Channel listen(ServerSocketChannel socket) throws InterruptedException {
 		return new ServerBootstrap().group(this.eventLoops)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
-			.option(ChannelOption.SO_REUSEADDR, true)
+			.channelFactory(() -> new NioServerSocketChannel(socket))
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<Channel>() {
@@ -79,7 +74,7 @@
 						.addLast(new CallerConnection(CallerServer.this));
 				}
 			})
-			.bind(address)
+			.register()
 			.sync()
 			.channel();
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -1,10 +1,14 @@
 package org.banyancove.gateway.exchange;
 
+import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -36,6 +40,12 @@
 	 */
 	private static final double SHARE_OF_BUDGET = 0.7;
 
+	/**
+	 * Requests that wait for the first configuration at most: a second's worth at a
+	 * gateway's greatest load.
+	 */
+	private static final int MOST_HELD = 256;
+
 	private final EventLoop eventLoop;
 
 	private final SteadyClock clock;
@@ -64,6 +74,8 @@
 
 	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
+	private final List<HeldRequest> held = new ArrayList<>();
+
 	private @Nullable Configuration configuration;
 
 	private final Map<AccountName, Double> usedBefore = new HashMap<>();
@@ -120,6 +132,8 @@
 			}
 		}
 		newest.accounts().forEach((account) -> meter(account.name()));
+		this.held.forEach(HeldRequest::release);
+		this.held.clear();
 	}
 
 	private static @Nullable TokenAllowance allowance(AccountName name, Configuration configuration) {
@@ -198,6 +212,24 @@
 	}
 
 	CallerAnswering begin(CallerConnection caller, CallerRequest request) {
+		if (this.configuration == null && this.held.size() < MOST_HELD) {
+			return hold(caller, request);
+		}
+		return beginNow(caller, request);
+	}
+
+	private CallerAnswering hold(CallerConnection caller, CallerRequest request) {
+		HeldRequest holding = new HeldRequest(() -> beginNow(caller, request));
+		this.held.add(holding);
+		Duration deadline = this.words.readCaller(request.head().headers()).deadline();
+		this.eventLoop.schedule(() -> {
+			this.held.remove(holding);
+			holding.release();
+		}, this.admission.patienceAtStart(deadline).toMillis(), TimeUnit.MILLISECONDS);
+		return holding;
+	}
+
+	private CallerAnswering beginNow(CallerConnection caller, CallerRequest request) {
 		CallerHeaders said = this.words.readCaller(request.head().headers());
 		Intake intake = new Intake(this.configuration, this.phase);
 		IntakeDecision decision = intake.decide(request.head().headers().get("host"), request.head().uri(), said,
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
@@ -57,6 +57,16 @@
 		assertThat(this.rule.connectTimeout(withTarget(Duration.ofSeconds(9)))).isEqualTo(Duration.ofMillis(300));
 	}
 
+	// A process starts while the store is away. A caller that waits for 600 ms is told
+	// after a quarter of it, and goes elsewhere; one that waits for 15 s is not held so
+	// long.
+	@Test
+	void aCallerIsHeldAtAStartOnlyAsLongAsItCanStillGoElsewhere() {
+		assertThat(this.rule.patienceAtStart(Duration.ofMillis(600))).isEqualTo(Duration.ofMillis(150));
+		assertThat(this.rule.patienceAtStart(Duration.ofSeconds(15))).isLessThan(Duration.ofSeconds(1));
+		assertThat(this.rule.patienceAtStart(null)).isLessThan(Duration.ofSeconds(1));
+	}
+
 	private static Route withTarget(Duration target) {
 		return new Route("plain", "h", "/q/", RouteKind.NON_IDEMPOTENT, false, Duration.ofSeconds(9), target,
 				Duration.ofSeconds(1), 0, HINTS.services(), 1, false);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -5,6 +5,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -64,27 +66,43 @@
 
 	private final ClientConnections connections = new ClientConnections(this.eventLoop, System::nanoTime);
 
-	private final RequestFlow flow = new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(),
-			new SplittableRandom(1), new TestWords(), this.connections, this.endpoints, new PlacementRule(ZONE),
-			new Meters(new UsageCounter(Duration.ofSeconds(5)), new WorkMeter()), new SilentLog(),
-			new RetryLimits(1, 100));
+	private final RequestFlow flow = newFlow();
 
-	private final CallerServer callers = new CallerServer(this.eventLoops, System::nanoTime,
-			() -> new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), this.flow);
+	private final CallerServer callers = newServer(this.flow);
+
+	private @Nullable Configuration configuration;
 
 	private @Nullable Channel listening;
 
+	private RequestFlow newFlow() {
+		return new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
+				new TestWords(), this.connections, this.endpoints, new PlacementRule(ZONE),
+				new Meters(new UsageCounter(Duration.ofSeconds(5)), new WorkMeter()), new SilentLog(),
+				new RetryLimits(1, 100));
+	}
+
+	private CallerServer newServer(RequestFlow served) {
+		return new CallerServer(this.eventLoops, System::nanoTime,
+				() -> new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), served);
+	}
+
 	@BeforeEach
 	void start() throws Exception {
-		Configuration configuration = new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
+		this.configuration = new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
 				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
 				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 100, false, 0, null)),
 				List.of(), CallerLimits.DEFAULT);
+		configure(this.flow);
+		this.listening = this.callers
+			.listen(ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+	}
+
+	private void configure(RequestFlow configured) throws InterruptedException {
+		Configuration known = Objects.requireNonNull(this.configuration);
 		this.eventLoop.submit(() -> {
-			this.endpoints.configure(configuration);
-			this.flow.configure(configuration);
+			this.endpoints.configure(known);
+			configured.configure(known);
 		}).sync();
-		this.listening = this.callers.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
 	}
 
 	@AfterEach
@@ -319,6 +337,51 @@
 		}
 	}
 
+	// All processes were killed and start again. A caller's only retry reaches a gateway
+	// that has not read the configuration yet. Refused, the caller would have no further
+	// try; the request is held for the moment until the configuration is known.
+	@Test
+	void aRequestThatArrivesBeforeTheConfigurationIsReadIsAnsweredOnceItIs() throws Exception {
+		endpoint("a").thenAnswer(WHOLE);
+		RequestFlow starting = newFlow();
+		this.listening = newServer(starting)
+			.listen(ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+		try (Caller caller = new Caller()) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+			this.eventLoop.submit(() -> assertThat(starting.inProgress()).isZero()).sync();
+			configure(starting);
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+	}
+
+	// A process starts and opens its socket first. A caller connects and sends its
+	// request
+	// while nobody reads yet; it is answered once the rest of the process has started.
+	@Test
+	void aConnectionThatArrivedBeforeItIsServedIsAnswered() throws Exception {
+		endpoint("a").thenAnswer(WHOLE);
+		ServerSocketChannel socket = ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		try (Caller caller = new Caller(socket.getLocalAddress())) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+			newServer(this.flow).listen(socket);
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+	}
+
+	// The store is away while a gateway starts, so that no configuration comes. Callers
+	// are
+	// told so while they still have time to go elsewhere.
+	@Test
+	void aRequestIsRefusedUnrunWhenNoConfigurationComes() throws Exception {
+		this.listening = newServer(newFlow())
+			.listen(ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+		try (Caller caller = new Caller()) {
+			Answer answer = caller.call("POST /once/ HTTP/1.1", "1");
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.head()).contains("retry-after: 0.");
+		}
+	}
+
 	private static String lines(String... lines) {
 		return String.join("\r\n", lines);
 	}
@@ -347,9 +410,12 @@
 		private final Socket connection;
 
 		private Caller() throws IOException {
+			this(Objects.requireNonNull(ExchangeTests.this.listening).localAddress());
+		}
+
+		private Caller(SocketAddress address) throws IOException {
 			this.connection = new Socket();
-			Channel channel = Objects.requireNonNull(ExchangeTests.this.listening);
-			this.connection.connect(channel.localAddress());
+			this.connection.connect(address);
 			this.connection.setSoTimeout(30_000);
 		}
 
