Reset what is given up, count endpoints that stayed silent, and avoid data centres that fell silent

Ruled out: the list of endpoints (the request was sent 2.8 s before the engine left). Change: a call that is given up resets its connection, which drops what was not delivered; an endpoint that was silent until the end has failed; endpoints cost a failure more while no gateway of their data centre was heard for 0.6 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -84,6 +84,15 @@
 	/** How often the address is written again, in case it was lost. */
 	private static final Duration ADDRESS_INTERVAL = Duration.ofSeconds(2);
 
+	/**
+	 * Reports that all gateways of a data centre must miss until it counts as cut off:
+	 * one is lost now and then, two of each of several hardly ever.
+	 */
+	private static final int MISSED_REPORTS = 2;
+
+	/** The same as a time: above two ticks, so that a slow VM is not taken for a cut. */
+	private static final Duration SHORTEST_ZONE_SILENCE = Duration.ofMillis(600);
+
 	private static final Duration TICK = Duration.ofMillis(200);
 
 	/**
@@ -124,6 +133,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final PlacementRule placement;
+
 	private final RequestFlow flow;
 
 	private final CallerServer callers;
@@ -166,8 +177,9 @@
 		PrometheusRegistry registry = new PrometheusRegistry();
 		this.metrics = new GatewayMetrics(registry);
 		this.usage = new UsageCounter(settings.usageWindow());
+		this.placement = new PlacementRule(settings.zone());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, words, connections,
-				this.endpoints, new PlacementRule(settings.zone()), new Meters(this.usage, this.work), this.metrics,
+				this.endpoints, this.placement, new Meters(this.usage, this.work), this.metrics,
 				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
 		this.peers = new PeerExchange(settings.name(), this::peerReported);
@@ -274,8 +286,8 @@
 
 	private void report() {
 		try {
-			GatewayReport told = new GatewayReport(this.incarnation, this.usage.counts(), this.flow.used(),
-					this.work.perService(this.clock.nanos()), loads(), this.duties.holds());
+			GatewayReport told = new GatewayReport(this.incarnation, this.settings.zone(), this.usage.counts(),
+					this.flow.used(), this.work.perService(this.clock.nanos()), loads(), this.duties.holds());
 			this.board.readCounts(told);
 			this.peers.send(this.codec.write(told));
 		}
@@ -316,6 +328,11 @@
 		});
 	}
 
+	private Duration zoneSilence() {
+		Duration missed = this.peers.interval().multipliedBy(MISSED_REPORTS);
+		return (missed.compareTo(SHORTEST_ZONE_SILENCE) > 0) ? missed : SHORTEST_ZONE_SILENCE;
+	}
+
 	private void tick() {
 		try {
 			long now = this.clock.nanos();
@@ -323,6 +340,7 @@
 			this.board.expire(now);
 			this.flow.fleet(this.board.others() + 1, this.board.heardShare(now));
 			readPeersLoads(now);
+			this.placement.unreachable(this.board.silentZones(this.settings.zone(), zoneSilence(), now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -12,6 +12,7 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
 import org.banyancove.core.error.BanyancoveException;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.duty.EndpointLoad;
@@ -29,6 +30,7 @@
 	byte[] write(GatewayReport report) {
 		ObjectNode root = this.mapper.createObjectNode();
 		root.put("incarnation", report.incarnation());
+		root.put("zone", report.zone().value());
 		ObjectNode counts = root.putObject("counts");
 		report.counts().forEach((window, accounts) -> putCounts(counts.putObject(String.valueOf(window)), accounts));
 		root.put("holdsLease", report.holdsLease());
@@ -62,8 +64,8 @@
 			.properties()
 			.forEach((entry) -> loads.put(new EndpointId(entry.getKey()),
 					new EndpointLoad(entry.getValue().path(0).asInt(), entry.getValue().path(1).asLong())));
-		return new GatewayReport(root.path("incarnation").asLong(), counts, used, work, loads,
-				root.path("holdsLease").asBoolean());
+		return new GatewayReport(root.path("incarnation").asLong(), new ZoneName(root.path("zone").asText()), counts,
+				used, work, loads, root.path("holdsLease").asBoolean());
 	}
 
 	byte[] write(LeaseRecord record) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
 
 /**
  * What the other gateways told of themselves.
@@ -99,6 +102,24 @@
 		return (fresh + 1.0) / (this.heard.size() + 1);
 	}
 
+	/**
+	 * Returns the data centres all of whose gateways have been silent for a while.
+	 * @param own this gateway's data centre, which is none of them
+	 * @param silence for how long
+	 * @param now the present time
+	 * @return the data centres
+	 */
+	public Set<ZoneName> silentZones(ZoneName own, Duration silence, long now) {
+		Set<ZoneName> silent = new HashSet<>();
+		Set<ZoneName> audible = new HashSet<>(Set.of(own));
+		for (Heard entry : this.heard.values()) {
+			boolean heardOfLate = now - entry.at() < silence.toNanos();
+			(heardOfLate ? audible : silent).add(entry.report().zone());
+		}
+		silent.removeAll(audible);
+		return silent;
+	}
+
 	/**
 	 * Returns whether another gateway told of late that it does the shared duties.
 	 * @param now the present time
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
@@ -5,11 +5,13 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
 
 /**
  * What a gateway tells the others a few times a second.
  *
  * @param incarnation its process
+ * @param zone its data centre
  * @param counts the requests that began to run, by window and client account
  * @param used all that it let in, by client account, in the unit of its allowance
  * @param work the milliseconds of engine time that its requests need, a second, by
@@ -17,8 +19,9 @@
  * @param loads what it has at endpoints
  * @param holdsLease whether it does the shared duties
  */
-public record GatewayReport(long incarnation, Map<Long, Map<AccountName, Long>> counts, Map<AccountName, Double> used,
-		Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads, boolean holdsLease) {
+public record GatewayReport(long incarnation, ZoneName zone, Map<Long, Map<AccountName, Long>> counts,
+		Map<AccountName, Double> used, Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads,
+		boolean holdsLease) {
 
 	/**
 	 * Creates the report.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -34,8 +34,17 @@
 	/** The time that another data centre costs, in ms: the hop there and back. */
 	private static final double FAR_MILLIS = 3;
 
+	/**
+	 * The time that an endpoint in a data centre costs whose gateways fell silent, in ms.
+	 * The data centre may be cut off, and a request sent there would wait until its end;
+	 * as long as a failure, so that it is used where nothing else is left.
+	 */
+	private static final double SILENT_ZONE_MILLIS = FAILURE_MILLIS;
+
 	private final ZoneName zone;
 
+	private Set<ZoneName> unreachable = Set.of();
+
 	/**
 	 * Creates the rule.
 	 * @param zone the gateway's own data centre
@@ -44,6 +53,14 @@
 		this.zone = zone;
 	}
 
+	/**
+	 * Takes in which data centres may be cut off from here.
+	 * @param zones the data centres
+	 */
+	public void unreachable(Set<ZoneName> zones) {
+		this.unreachable = Set.copyOf(zones);
+	}
+
 	/**
 	 * Chooses an endpoint for a request.
 	 * @param candidates the service's endpoints that take requests
@@ -69,6 +86,9 @@
 			if (!candidate.entry().zone().equals(this.zone)) {
 				cost += FAR_MILLIS;
 			}
+			if (this.unreachable.contains(candidate.entry().zone())) {
+				cost += SILENT_ZONE_MILLIS;
+			}
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -71,6 +71,10 @@
 		return Objects.requireNonNull(this.said, "no answer has begun");
 	}
 
+	boolean silent() {
+		return this.head == null;
+	}
+
 	ByteBuf body() {
 		return this.body;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -87,6 +88,16 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Closes the connection and drops what has not reached the other side. Closed in
+	 * order, a request that a cut holds up would arrive when the cut ends, and run
+	 * seconds after its caller was told that nobody knows.
+	 */
+	void reset() {
+		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		this.channel.close();
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		PendingCall current = this.call;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -378,9 +378,7 @@
 	}
 
 	private void deadlinePassed() {
-		if (this.attempt != null) {
-			this.attempt.cancel();
-		}
+		giveUpAttempt();
 		endWithout(ErrorKind.OUTCOME_UNKNOWN);
 	}
 
@@ -389,12 +387,25 @@
 		if (this.ended) {
 			return;
 		}
-		if (this.attempt != null) {
-			this.attempt.cancel();
-		}
+		giveUpAttempt();
 		end("caller left", 0);
 	}
 
+	// An endpoint that was silent until the end has failed. Unless that is counted, one
+	// that a cut silenced gets request after request until its entry lapses.
+	private void giveUpAttempt() {
+		Attempt current = this.attempt;
+		if (current == null) {
+			return;
+		}
+		current.cancel();
+		if (current.silent()
+				&& current.elapsed().compareTo(this.flow.admission().silenceBeforeAnswer(this.route)) > 0) {
+			this.flow.requestLog().attemptFailed(current.facts(), "silent until the request was given up");
+			current.endpoint().failed(now());
+		}
+	}
+
 	// ---- the end
 
 	// Ends a request that gets no endpoint's answer.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/PendingCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/PendingCall.java
@@ -24,7 +24,7 @@
 	}
 
 	/**
-	 * Gives the call up. Closes its connection, by which the endpoint learns to stop; the
+	 * Gives the call up. Resets its connection, by which the endpoint learns to stop; the
 	 * listener hears nothing more.
 	 */
 	public void cancel() {
@@ -33,7 +33,7 @@
 		}
 		end();
 		if (this.connection != null) {
-			this.connection.close();
+			this.connection.reset();
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/GatewayBoardTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/GatewayBoardTests.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.ZoneName;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,8 +37,33 @@
 		assertThat(charged).as("what it let in before it counted as silent").isBetween(10_000.0, 20_000.0);
 	}
 
+	// A data centre is cut off. Connections to its endpoints stay open and silent, so
+	// that
+	// callers would wait out their deadlines there. Its gateways, which report several
+	// times a second, are not heard either.
+	@Test
+	void aDataCentreAllOfWhoseGatewaysFellSilentMayBeCutOff() {
+		this.board.read(report(1, "near"), 0);
+		this.board.read(report(2, "far"), 0);
+		this.board.read(report(3, "far"), 0);
+		this.board.read(report(4, "third"), 0);
+		this.board.read(report(3, "far"), SECOND);
+		assertThat(silentZones(SECOND)).extracting(ZoneName::value).containsExactly("third");
+		assertThat(silentZones(2 * SECOND)).extracting(ZoneName::value).containsExactlyInAnyOrder("far", "third");
+		this.board.read(report(4, "third"), 2 * SECOND);
+		assertThat(silentZones(2 * SECOND)).extracting(ZoneName::value).containsExactly("far");
+	}
+
+	private Set<ZoneName> silentZones(long now) {
+		return this.board.silentZones(new ZoneName("near"), Duration.ofMillis(600), now);
+	}
+
+	private static GatewayReport report(long incarnation, String zone) {
+		return new GatewayReport(incarnation, new ZoneName(zone), Map.of(), Map.of(), Map.of(), Map.of(), false);
+	}
+
 	private static GatewayReport report(double used) {
-		return new GatewayReport(7, Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(), false);
+		return new GatewayReport(7, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(), false);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.ZoneName;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -44,9 +45,12 @@
 	@Test
 	void countsStayWhenTheProcessThatCountedIsGone() {
 		GatewayBoard board = new GatewayBoard();
-		board.read(new GatewayReport(1, Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(), Map.of(), Map.of(), false), 0);
-		board.read(new GatewayReport(2, Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(), Map.of(), Map.of(), false), 0);
-		board.read(new GatewayReport(2, Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(), Map.of(), Map.of(), false), 1);
+		board.read(new GatewayReport(1, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(), Map.of(),
+				Map.of(), false), 0);
+		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(), Map.of(),
+				Map.of(), false), 0);
+		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(), Map.of(),
+				Map.of(), false), 1);
 		board.expire(Duration.ofMinutes(1).toNanos());
 		assertThat(board.others()).isZero();
 		assertThat(board.counted(200)).containsExactly(Map.entry(ACCOUNT, 9L));
@@ -62,7 +66,7 @@
 	}
 
 	private static GatewayReport used(double amount) {
-		return new GatewayReport(1, Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), false);
+		return new GatewayReport(1, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), false);
 	}
 
 	private List<UsageReport> toName(List<UsageReport> named, long second, long count) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -73,6 +73,19 @@
 		assertThat(this.rule.choose(endpoints, prompt(0, 0), Set.of(endpoints.getFirst().id()), later)).isNotNull();
 	}
 
+	@Test
+	void aDataCentreThatMayBeCutOffIsUsedOnlyIfNothingElseIsLeft() {
+		List<Endpoint> endpoints = endpoints(1);
+		EndpointEntry near = endpoints.getFirst().entry();
+		endpoints.add(new Endpoint(new EndpointEntry(new EndpointId("far"), SERVICE, near.address(),
+				new ZoneName("far"), 64, false, false, 1), true, 600_000));
+		endpoints.getFirst().others(5, 40_000);
+		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
+		this.rule.unreachable(Set.of(new ZoneName("far")));
+		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getFirst());
+		assertThat(choose(endpoints.subList(1, 2), prompt(0, 0))).isEqualTo(endpoints.getLast());
+	}
+
 	@Test
 	void aSlowEndpointGetsLess() {
 		List<Endpoint> endpoints = endpoints(2);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -293,6 +293,21 @@
 		assertThat(endpoint.closedByGateway()).isNotNull();
 	}
 
+	// A data centre is cut off, and a request to it is held up on its way. Its caller's
+	// deadline passes. Closed in order, the connection would still deliver the request
+	// when
+	// the cut ends, and a booking would run that the caller was told nothing of.
+	@Test
+	void aRequestThatIsGivenUpIsDroppedOnItsWay() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").then((connection, id) -> {
+		});
+		try (Caller caller = new Caller()) {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: 1\r\ndeadline-ms: 200\r\ncontent-length: 0\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(504);
+		}
+		assertThat(endpoint.closedByGateway()).isEqualTo("reset");
+	}
+
 	// A request states its length twice, so that the end of its body hides another
 	// request. Neither is passed on.
 	@Test
