Let failures of endpoints lose weight with time

Each failure costs placement up to 1.5 s, and only an answer of the same engine lowered that; avoided engines got no requests, so nothing lowered it. From 42 s on four of ten engines had most of the load, with medians of 250 to 720 ms, while six had a tenth of it. Ruled out: too few engines (nine reclaimable and one lasting one all the while), the new count of silent endpoints alone (15). Change: past outcomes fade within 3 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -20,6 +20,13 @@
 	 */
 	private static final double NEWEST_OUTCOME = 0.25;
 
+	/**
+	 * How fast past outcomes lose weight, in ns: most troubles are over after some
+	 * seconds. Without it, one that is avoided for its failures would never show that it
+	 * is well again, and the others would carry its load for good.
+	 */
+	private static final double OUTCOME_LIFE_NANOS = 3e9;
+
 	/** First guess of the time to read a prompt token, in ms; corrected by answers. */
 	private static final double FIRST_MILLIS_PER_TOKEN = 0.02;
 
@@ -84,6 +91,8 @@
 
 	private double failureRate;
 
+	private long outcomeAt;
+
 	private int failuresInRow;
 
 	private long pausedUntil = Long.MIN_VALUE;
@@ -173,11 +182,18 @@
 	/**
 	 * Notes an answer, which shows that the endpoint lives.
 	 * @param sound whether it was a success
+	 * @param now the present time
 	 */
-	public void answered(boolean sound) {
+	public void answered(boolean sound, long now) {
 		this.failuresInRow = 0;
 		this.pausedUntil = Long.MIN_VALUE;
-		this.failureRate += NEWEST_OUTCOME * ((sound ? 0 : 1) - this.failureRate);
+		learnOutcome(sound ? 0 : 1, now);
+	}
+
+	private void learnOutcome(double failure, long now) {
+		double before = failureRate(now);
+		this.failureRate = before + NEWEST_OUTCOME * (failure - before);
+		this.outcomeAt = now;
 	}
 
 	/**
@@ -185,7 +201,7 @@
 	 * @param now the present time
 	 */
 	public void failed(long now) {
-		this.failureRate += NEWEST_OUTCOME * (1 - this.failureRate);
+		learnOutcome(1, now);
 		this.failuresInRow++;
 		if (this.failuresInRow > 1) {
 			int doublings = Math.min(this.failuresInRow - 2, 10);
@@ -268,8 +284,8 @@
 		return now < this.pausedUntil;
 	}
 
-	double failureRate() {
-		return this.failureRate;
+	double failureRate(long now) {
+		return this.failureRate * Math.exp((this.outcomeAt - now) / OUTCOME_LIFE_NANOS);
 	}
 
 	int unreadTokens(Prompt prompt) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -79,7 +79,7 @@
 				continue;
 			}
 			double predicted = candidate.predictedMillis(prompt, now);
-			double cost = predicted + FAILURE_MILLIS * candidate.failureRate();
+			double cost = predicted + FAILURE_MILLIS * candidate.failureRate(now);
 			if (candidate != home) {
 				cost += REREAD_MILLIS * Math.max(0, prompt.sharedTokens() - candidate.heldTokens(prompt));
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -241,7 +241,7 @@
 				failed(from, CallFailure.BROKEN_ANSWER);
 				return;
 			}
-			from.endpoint().answered(true);
+			from.endpoint().answered(true, now());
 			openStream(from);
 			this.caller.endStream();
 			end("answered", from.answerHead().status().code());
@@ -260,7 +260,7 @@
 		countBegun();
 		boolean success = status.code() >= 200 && status.code() < 300;
 		boolean sound = success ? from.said().sealed() : status.code() < 500;
-		from.endpoint().answered(sound);
+		from.endpoint().answered(sound, now());
 		if (sound && success) {
 			from.endpoint().plainAnswer(from.elapsed());
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -63,7 +63,7 @@
 	@Test
 	void anEndpointThatFailsIsAvoidedAndOneThatDoesNotAnswerIsPaused() {
 		List<Endpoint> endpoints = endpoints(2);
-		endpoints.getFirst().answered(false);
+		endpoints.getFirst().answered(false, 0);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 		endpoints.getLast().failed(0);
 		endpoints.getLast().failed(0);
@@ -86,6 +86,21 @@
 		assertThat(choose(endpoints.subList(1, 2), prompt(0, 0))).isEqualTo(endpoints.getLast());
 	}
 
+	// Engines lost answers for a few seconds. They are well again, but nobody sends them
+	// anything, so that nothing shows it; the others' queues grow.
+	@Test
+	void anEndpointIsTriedAgainSomeSecondsAfterItFailed() {
+		List<Endpoint> endpoints = endpoints(2);
+		for (int i = 0; i < 6; i++) {
+			endpoints.getFirst().answered(false, 0);
+		}
+		endpoints.getLast().others(10, 10_000);
+		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
+		long later = Duration.ofSeconds(10).toNanos();
+		assertThat(Objects.requireNonNull(this.rule.choose(endpoints, prompt(0, 0), Set.of(), later)).endpoint())
+			.isEqualTo(endpoints.getFirst());
+	}
+
 	@Test
 	void aSlowEndpointGetsLess() {
 		List<Endpoint> endpoints = endpoints(2);
