Take endpoints for what they are when they are listed before the configuration is read

Cause: an endpoint asked for its service once, when it was first listed. Ruled out: nothing else reads the service at that moment. Change: a configuration describes the endpoints that are known; what an engine holds begins anew if that changes. Before: the new test fails. After: it passes.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -65,9 +65,9 @@
 
 	private PromptCache cache;
 
-	private final long memoryTokens;
+	private long memoryTokens;
 
-	private final boolean generatesTokens;
+	private boolean generatesTokens;
 
 	private int inFlight;
 
@@ -130,6 +130,19 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Takes in what the configuration says of the endpoint's service.
+	 * @param generates whether it is a model engine
+	 * @param tokens what an engine's memory holds
+	 */
+	void describe(boolean generates, long tokens) {
+		if (generates != this.generatesTokens || tokens != this.memoryTokens) {
+			this.generatesTokens = generates;
+			this.memoryTokens = tokens;
+			this.cache = new PromptCache(tokens);
+		}
+	}
+
 	void update(EndpointEntry newer) {
 		if (!newer.sameStart(this.entry)) {
 			this.cache = new PromptCache(this.memoryTokens);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -37,12 +37,21 @@
 	private @Nullable Configuration configuration;
 
 	/**
-	 * Takes in a new configuration, which says what the services are.
+	 * Takes in a new configuration, which says what the services are. Endpoints may have
+	 * been listed before it was read.
 	 * @param newest the configuration
 	 */
 	public void configure(Configuration newest) {
 		this.configuration = newest;
 		this.taking.clear();
+		this.endpoints.values().forEach(this::describe);
+	}
+
+	private void describe(Endpoint endpoint) {
+		Service service = (this.configuration != null) ? this.configuration.service(endpoint.entry().service()) : null;
+		if (service != null) {
+			endpoint.describe(service.generatesTokens(), service.cacheTokens());
+		}
 	}
 
 	/**
@@ -56,10 +65,9 @@
 			known.update(entry);
 		}
 		else {
-			Service service = (this.configuration != null) ? this.configuration.service(entry.service()) : null;
-			boolean generates = service != null && service.generatesTokens();
-			this.endpoints.put(entry.id(),
-					new Endpoint(entry, generates, (service != null) ? service.cacheTokens() : 0));
+			Endpoint listed = new Endpoint(entry, false, 0);
+			describe(listed);
+			this.endpoints.put(entry.id(), listed);
 		}
 		if (changed) {
 			this.taking.clear();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -79,6 +79,21 @@
 		assertThat(this.table.all()).isEmpty();
 	}
 
+	// A process starts, and the list of endpoints is read before the configuration. Taken
+	// for a plain service, an engine would get prompts regardless of what waits there.
+	@Test
+	void anEndpointThatIsListedBeforeTheConfigurationIsReadCountsAsWhatItIs() {
+		EndpointTable early = new EndpointTable();
+		early.put(entry(false));
+		Endpoint endpoint = early.taking(SERVICE).getFirst();
+		Prompt prompt = new Prompt(List.of(), 10_000, 100);
+		double asPlain = endpoint.workMillis(prompt);
+		early.configure(new Configuration(1, List.of(), List.of(new Service(SERVICE, 10, true, 600_000, null)),
+				List.of(), CallerLimits.DEFAULT));
+		assertThat(endpoint.workMillis(prompt)).isGreaterThan(asPlain);
+		assertThat(endpoint.workMillis(new Prompt(List.of(), 20_000, 100))).isEqualTo(2 * endpoint.workMillis(prompt));
+	}
+
 	private static EndpointEntry entry(boolean draining) {
 		return new EndpointEntry(ID, SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
 				new ZoneName("a"), 10, draining, false, 1);
