--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -34,7 +34,7 @@
 	 * Part of an engine's time that reading prompts takes where reclaimable endpoints are
 	 * enough: beyond it, prompts wait for each other longer than short targets allow.
 	 */
-	private static final double READING_SHARE = 0.35;
+	private static final double READING_SHARE = 0.25;
 
 	/**
 	 * The same where lasting endpoints have to stand in: they cost several times as much,
