Let three gateways read the store for all, and pass on what changes

Cause: each gateway polled the configuration and the endpoints, 1.9 calls a second. Ruled out: longer intervals (a leaving endpoint must get nothing two seconds later), held reads of endpoints (they write every second). Change: the three gateways with the lowest incarnations of those heard read, and send records that changed something as datagrams. Each report tells how far its gateway knows, with a digest of the endpoints; what is missing for 0.3 s is read from the store. One that hears fewer than three readers, or whose readers' last read is older than 1.1 s, reads itself. The configuration and the endpoints are watched by a class of their own, StateWatch, out of Gateway.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -23,7 +23,6 @@
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.duty.WorkMeter;
 import org.banyancove.gateway.endpoint.Endpoint;
-import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
@@ -37,7 +36,6 @@
 import org.banyancove.gateway.shared.StateReader;
 import org.banyancove.gateway.shared.SteadyClock;
 import org.banyancove.gateway.shared.Topic;
-import org.banyancove.gateway.shared.TopicRecord;
 import org.banyancove.program.MetricsText;
 import org.banyancove.program.SocketAddressText;
 import org.jspecify.annotations.Nullable;
@@ -52,26 +50,14 @@
 	private static final Logger log = LoggerFactory.getLogger(Gateway.class);
 
 	/**
-	 * How long the store may hold a read until there is something new. Calls are paid
-	 * for; a connection that went silent shows by its keep-alive probes before that.
+	 * How long the store may hold a read of the gateways' addresses until there is
+	 * something new: somewhat below its bound of 30 s. Calls are paid for; a connection
+	 * that went silent shows by its keep-alive probes before that.
 	 */
-	private static final Duration LONG_WAIT = Duration.ofSeconds(5);
+	private static final Duration GATEWAYS_WAIT = Duration.ofSeconds(25);
 
-	/**
-	 * How long it may hold a read of the configuration, which must be in force two
-	 * seconds after a change. Calls are paid for; but a held read was seen to miss a
-	 * change that came just as it began, and a connection may go silent.
-	 */
-	private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1200);
-
-	/** Between two held reads: changes in quick succession are read together. */
-	private static final Duration CHANGES_INTERVAL = Duration.ofMillis(100);
-
-	/**
-	 * Endpoints write every second, so that a held read would return at once. Less than
-	 * half of the two seconds after which a leaving endpoint must get nothing more.
-	 */
-	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(850);
+	/** Between two held reads of the gateways' addresses. */
+	private static final Duration GATEWAYS_INTERVAL = Duration.ofMillis(100);
 
 	/**
 	 * While the holder of the lease is heard, its topic is read only to be near its end.
@@ -91,7 +77,7 @@
 	private static final int MISSED_REPORTS = 2;
 
 	/** The same as a time: above two ticks, so that a slow VM is not taken for a cut. */
-	private static final Duration SHORTEST_ZONE_SILENCE = Duration.ofMillis(600);
+	private static final Duration SHORTEST_SILENCE = Duration.ofMillis(600);
 
 	private static final Duration TICK = Duration.ofMillis(200);
 
@@ -119,8 +105,6 @@
 
 	private final SharedTopics topics;
 
-	private final StateReader reader;
-
 	private final long incarnation;
 
 	private final EndpointTable endpoints = new EndpointTable();
@@ -147,7 +131,7 @@
 
 	private final WorkMeter work = new WorkMeter();
 
-	private final TopicFollower endpointFollower;
+	private final StateWatch state;
 
 	private @Nullable Configuration configuration;
 
@@ -172,7 +156,6 @@
 		this.eventLoop = eventLoops.next();
 		this.clock = clocks.steady();
 		this.topics = ports.topics();
-		this.reader = reader;
 		this.incarnation = random.nextLong() >>> 1;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		this.metrics = new GatewayMetrics(registry);
@@ -182,18 +165,19 @@
 				this.endpoints, this.placement, new Meters(this.usage, this.work), this.metrics,
 				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
-		this.peers = new PeerExchange(settings.name(), this::peerReported);
+		this.peers = new PeerExchange(settings.name(), this::peerTold);
 		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
 				this.clock.nanos());
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
 				this.board, this.work, this.endpoints);
-		this.endpointFollower = follower(Topic.ENDPOINTS, ENDPOINTS_INTERVAL, Duration.ZERO, new EndpointListener());
+		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints, this::leftToOthers,
+				(records) -> this.peers.send(this.codec.write(records)), this::configure);
 	}
 
-	private TopicFollower follower(Topic topic, Duration interval, Duration wait, TopicFollower.Listener listener) {
-		return new TopicFollower(topic, this.topics, this.eventLoop, this.clock, () -> interval, wait, listener);
+	private boolean leftToOthers() {
+		return this.board.readingIsLeftToOthers(this.incarnation, silence(), this.clock.nanos());
 	}
 
 	/**
@@ -217,9 +201,10 @@
 	}
 
 	private void follow() {
-		follower(Topic.CONFIGURATION, CHANGES_INTERVAL, CONFIGURATION_WAIT, this::configurationChanged).start();
-		this.endpointFollower.start();
-		follower(Topic.GATEWAYS, CHANGES_INTERVAL, LONG_WAIT, this.peers).start();
+		this.state.start();
+		new TopicFollower(Topic.GATEWAYS, this.topics, this.eventLoop, this.clock, () -> GATEWAYS_INTERVAL,
+				GATEWAYS_WAIT, () -> false, this.peers)
+			.start();
 		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 			leaseFollower().start();
 		}
@@ -231,7 +216,7 @@
 	private TopicFollower leaseFollower() {
 		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock,
 				() -> this.board.hearsHolder(this.clock.nanos()) ? LEASES_INTERVAL : LEASES_INTERVAL_UNHEARD,
-				Duration.ZERO, this.duties);
+				Duration.ZERO, () -> false, this.duties);
 	}
 
 	private CallerLimits limits() {
@@ -239,46 +224,28 @@
 	}
 
 	private boolean ready() {
-		return !this.stopping && this.configuration != null && this.endpointFollower.complete();
+		return !this.stopping && this.state.complete();
 	}
 
 	// ---- what is followed
 
-	private void configurationChanged(TopicRecord entry) {
-		if (!this.reader.isConfiguration(entry.key()) || entry.value() == null) {
-			return;
-		}
-		Configuration newest;
-		try {
-			newest = this.reader.readConfiguration(entry.value());
-		}
-		catch (RuntimeException ex) {
-			log.atError()
-				.addKeyValue("offset", entry.offset())
-				.addKeyValue("cause", ex.toString())
-				.log("configuration unreadable");
-			return;
-		}
-		if (this.configuration != null && newest.version() <= this.configuration.version()) {
-			return;
-		}
+	private void configure(Configuration newest) {
 		this.configuration = newest;
 		this.endpoints.configure(newest);
 		this.duties.configure(newest);
 		this.flow.configure(newest);
-		log.atInfo()
-			.addKeyValue("version", newest.version())
-			.addKeyValue("routes", newest.routes().size())
-			.addKeyValue("accounts", newest.accounts().size())
-			.log("configuration taken");
 	}
 
-	private void peerReported(byte[] datagram) {
+	private void peerTold(byte[] datagram) {
 		try {
-			this.flow.usedElsewhere(this.board.read(this.codec.readReport(datagram), this.clock.nanos()));
+			switch (this.codec.readMessage(datagram)) {
+				case PeerMessage.Report told ->
+					this.flow.usedElsewhere(this.board.read(told.report(), this.clock.nanos()));
+				case PeerMessage.Relay told -> this.state.relayed(told.relayed());
+			}
 		}
 		catch (RuntimeException ex) {
-			log.atWarn().addKeyValue("cause", ex.toString()).log("peer's report unreadable");
+			log.atWarn().addKeyValue("cause", ex.toString()).log("peer's message unreadable");
 		}
 	}
 
@@ -287,7 +254,8 @@
 	private void report() {
 		try {
 			GatewayReport told = new GatewayReport(this.incarnation, this.settings.zone(), this.usage.counts(),
-					this.flow.used(), this.work.perService(this.clock.nanos()), loads(), this.duties.holds());
+					this.flow.used(), this.work.perService(this.clock.nanos()), loads(), this.duties.holds(),
+					this.state.known());
 			this.board.readCounts(told);
 			this.peers.send(this.codec.write(told));
 		}
@@ -328,9 +296,9 @@
 		});
 	}
 
-	private Duration zoneSilence() {
+	private Duration silence() {
 		Duration missed = this.peers.interval().multipliedBy(MISSED_REPORTS);
-		return (missed.compareTo(SHORTEST_ZONE_SILENCE) > 0) ? missed : SHORTEST_ZONE_SILENCE;
+		return (missed.compareTo(SHORTEST_SILENCE) > 0) ? missed : SHORTEST_SILENCE;
 	}
 
 	private void tick() {
@@ -340,7 +308,8 @@
 			this.board.expire(now);
 			this.flow.fleet(this.board.others() + 1, this.board.heardShare(now));
 			readPeersLoads(now);
-			this.placement.unreachable(this.board.silentZones(this.settings.zone(), zoneSilence(), now));
+			this.state.compare(this.board.furthestReader(silence(), now), now);
+			this.placement.unreachable(this.board.silentZones(this.settings.zone(), silence(), now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
@@ -411,53 +380,4 @@
 	public record Ports(SharedTopics topics, Duties duties) {
 	}
 
-	/**
-	 * Hears of endpoints.
-	 */
-	private final class EndpointListener implements TopicFollower.Listener {
-
-		@Override
-		public void changed(TopicRecord entry) {
-			EndpointId id = new EndpointId(entry.key());
-			if (entry.value() == null) {
-				gone(id);
-				return;
-			}
-			try {
-				EndpointEntry read = Gateway.this.reader.readEndpoint(id, entry.value());
-				Endpoint known = Gateway.this.endpoints.get(id);
-				if (known == null || !known.entry().equals(read)) {
-					log.atInfo()
-						.addKeyValue("endpoint", id)
-						.addKeyValue("service", read.service())
-						.addKeyValue("address", read.address())
-						.addKeyValue("zone", read.zone())
-						.addKeyValue("reclaimable", read.reclaimable())
-						.addKeyValue("draining", read.draining())
-						.log("endpoint listed");
-				}
-				Gateway.this.endpoints.put(read);
-			}
-			catch (RuntimeException ex) {
-				log.atWarn().addKeyValue("endpoint", id).addKeyValue("cause", ex.toString()).log("endpoint unreadable");
-				Gateway.this.endpoints.remove(id);
-			}
-		}
-
-		private void gone(EndpointId id) {
-			Duration sinceOutage = Gateway.this.endpointFollower.sinceFailure();
-			log.atInfo()
-				.addKeyValue("endpoint", id)
-				.addKeyValue("sinceOutageMs", (sinceOutage != null) ? sinceOutage.toMillis() : null)
-				.log("endpoint no longer listed");
-			Gateway.this.endpoints.unlisted(id, sinceOutage, Gateway.this.clock.nanos());
-		}
-
-		@Override
-		public void missing(String key) {
-			gone(new EndpointId(key));
-		}
-
-	}
-
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerExchange.java
@@ -76,13 +76,13 @@
 		return Duration.ofNanos((long) (INTERVAL.toNanos() * growth));
 	}
 
-	void send(byte[] report) {
+	void send(byte[] message) {
 		Channel open = this.channel;
 		if (open == null) {
 			return;
 		}
 		for (InetSocketAddress peer : this.peers.values()) {
-			open.write(new DatagramPacket(Unpooled.wrappedBuffer(report), peer));
+			open.write(new DatagramPacket(Unpooled.wrappedBuffer(message), peer));
 		}
 		open.flush();
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -17,8 +17,12 @@
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.KnownState;
 import org.banyancove.gateway.duty.LeaseRecord;
+import org.banyancove.gateway.duty.RelayedRecords;
 import org.banyancove.gateway.duty.UsageReport;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicRecord;
 
 /**
  * Writes and reads the records that gateways keep in shared state, as JSON.
@@ -34,6 +38,12 @@
 		ObjectNode counts = root.putObject("counts");
 		report.counts().forEach((window, accounts) -> putCounts(counts.putObject(String.valueOf(window)), accounts));
 		root.put("holdsLease", report.holdsLease());
+		KnownState known = report.known();
+		root.putArray("known")
+			.add(known.reads() ? 1 : 0)
+			.add(known.endpointsNext())
+			.add(known.endpointsDigest())
+			.add(known.configurationOffset());
 		ObjectNode used = root.putObject("used");
 		report.used().forEach((account, value) -> used.put(account.value(), Math.round(value)));
 		ObjectNode work = root.putObject("work");
@@ -45,8 +55,7 @@
 		return bytes(root);
 	}
 
-	GatewayReport readReport(byte[] value) {
-		JsonNode root = tree(value);
+	private static GatewayReport report(JsonNode root) {
 		Map<Long, Map<AccountName, Long>> counts = new HashMap<>();
 		root.path("counts")
 			.properties()
@@ -65,7 +74,51 @@
 			.forEach((entry) -> loads.put(new EndpointId(entry.getKey()),
 					new EndpointLoad(entry.getValue().path(0).asInt(), entry.getValue().path(1).asLong())));
 		return new GatewayReport(root.path("incarnation").asLong(), new ZoneName(root.path("zone").asText()), counts,
-				used, work, loads, root.path("holdsLease").asBoolean());
+				used, work, loads, root.path("holdsLease").asBoolean(), knownState(root.path("known")));
+	}
+
+	private static KnownState knownState(JsonNode node) {
+		return new KnownState(node.path(0).asInt() == 1, node.path(1).asLong(), node.path(2).asLong(),
+				node.path(3).asLong(-1));
+	}
+
+	byte[] write(RelayedRecords relayed) {
+		ObjectNode root = this.mapper.createObjectNode();
+		root.put("topic", relayed.topic().name());
+		root.put("outageMillis", relayed.outageMillis());
+		var records = root.putArray("records");
+		for (TopicRecord entry : relayed.records()) {
+			records.addObject().put("offset", entry.offset()).put("key", entry.key()).put("value", entry.value());
+		}
+		return bytes(root);
+	}
+
+	/**
+	 * Reads what another gateway sent.
+	 * @param value the datagram
+	 * @return the message
+	 * @throws BanyancoveException if it cannot be read
+	 */
+	PeerMessage readMessage(byte[] value) {
+		JsonNode root = tree(value);
+		return root.has("topic") ? new PeerMessage.Relay(relayed(root)) : new PeerMessage.Report(report(root));
+	}
+
+	private static RelayedRecords relayed(JsonNode root) {
+		List<TopicRecord> records = new ArrayList<>();
+		try {
+			for (JsonNode entry : root.path("records")) {
+				JsonNode content = entry.path("value");
+				records.add(new TopicRecord(entry.path("offset").asLong(), entry.path("key").asText(),
+						content.isNull() ? null : content.binaryValue()));
+			}
+			JsonNode outage = root.path("outageMillis");
+			return new RelayedRecords(Topic.valueOf(root.path("topic").asText()), records,
+					outage.isNumber() ? outage.asLong() : null);
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			throw new BanyancoveException(ErrorKind.MALFORMED_REQUEST, "relayed records unreadable", ex);
+		}
 	}
 
 	byte[] write(LeaseRecord record) {
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -0,0 +1,325 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.banyancove.core.EndpointId;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.duty.KnownState;
+import org.banyancove.gateway.duty.RelayedRecords;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.shared.SharedTopics;
+import org.banyancove.gateway.shared.StateReader;
+import org.banyancove.gateway.shared.SteadyClock;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps up with the configuration and the list of endpoints, by its own reads of the
+ * store or by what other gateways pass on.
+ */
+final class StateWatch {
+
+	private static final Logger log = LoggerFactory.getLogger(StateWatch.class);
+
+	/**
+	 * How long the store may hold a read of the configuration, which must be in force two
+	 * seconds after a change. Calls are paid for; but a held read was seen to miss a
+	 * change that came just as it began, and a connection may go silent.
+	 */
+	private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1200);
+
+	/** Between two held reads: changes in quick succession are read together. */
+	private static final Duration CONFIGURATION_INTERVAL = Duration.ofMillis(100);
+
+	/**
+	 * Endpoints write every second, so that a held read would return at once. Less than
+	 * half of the two seconds after which a leaving endpoint must get nothing more.
+	 */
+	private static final Duration ENDPOINTS_INTERVAL = Duration.ofMillis(850);
+
+	/**
+	 * A gateway whose last read of the endpoints is older doesn't read for others: the
+	 * interval and an answer that is slow.
+	 */
+	private static final Duration FRESH_ENDPOINTS = Duration.ofMillis(1100);
+
+	/** The same for the configuration, whose reads are held. */
+	private static final Duration FRESH_CONFIGURATION = Duration.ofMillis(1600);
+
+	/**
+	 * How long something may be missing that another gateway knows until it is read from
+	 * the store: what was passed on arrives within some ms, or was lost.
+	 */
+	private static final Duration LONGEST_MISSING = Duration.ofMillis(300);
+
+	/** Records in one datagram: some 400 bytes each, a quarter of the most. */
+	private static final int MOST_RELAYED = 20;
+
+	/**
+	 * A larger configuration is not passed on, as it would not fit into a datagram;
+	 * others read it when they hear of it.
+	 */
+	private static final int MOST_RELAYED_BYTES = 16 * 1024;
+
+	private final StateReader reader;
+
+	private final EndpointTable endpoints;
+
+	private final SteadyClock clock;
+
+	private final BooleanSupplier leftToOthers;
+
+	private final Consumer<RelayedRecords> relay;
+
+	private final Consumer<Configuration> configured;
+
+	private final TopicFollower configurationFollower;
+
+	private final TopicFollower endpointFollower;
+
+	private final Map<EndpointId, Long> digests = new HashMap<>();
+
+	private final List<TopicRecord> toRelay = new ArrayList<>();
+
+	private @Nullable Configuration configuration;
+
+	private long configurationOffset = -1;
+
+	private @Nullable RelayedRecords relayed;
+
+	private @Nullable Long endpointsMissingSince;
+
+	private @Nullable Long configurationMissingSince;
+
+	/**
+	 * Creates the watch.
+	 * @param topics the store
+	 * @param eventLoop runs everything
+	 * @param clock the steady clock
+	 * @param reader reads records
+	 * @param endpoints the table that is kept up to date
+	 * @param leftToOthers whether other gateways read the store for this one
+	 * @param relay passes on what was read
+	 * @param configured hears of each configuration
+	 */
+	StateWatch(SharedTopics topics, EventLoop eventLoop, SteadyClock clock, StateReader reader, EndpointTable endpoints,
+			BooleanSupplier leftToOthers, Consumer<RelayedRecords> relay, Consumer<Configuration> configured) {
+		this.reader = reader;
+		this.endpoints = endpoints;
+		this.clock = clock;
+		this.leftToOthers = leftToOthers;
+		this.relay = relay;
+		this.configured = configured;
+		this.configurationFollower = new TopicFollower(Topic.CONFIGURATION, topics, eventLoop, clock,
+				() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, leftToOthers, this::configurationChanged);
+		this.endpointFollower = new TopicFollower(Topic.ENDPOINTS, topics, eventLoop, clock, () -> ENDPOINTS_INTERVAL,
+				Duration.ZERO, leftToOthers, new EndpointListener());
+	}
+
+	void start() {
+		this.configurationFollower.start();
+		this.endpointFollower.start();
+	}
+
+	/**
+	 * Returns whether the configuration and all endpoints were read once.
+	 * @return whether they were
+	 */
+	boolean complete() {
+		return this.configuration != null && this.endpointFollower.complete();
+	}
+
+	KnownState known() {
+		boolean reads = this.endpointFollower.readWithin(FRESH_ENDPOINTS)
+				&& this.configurationFollower.readWithin(FRESH_CONFIGURATION);
+		long digest = this.digests.values().stream().mapToLong(Long::longValue).sum();
+		return new KnownState(reads, this.endpointFollower.knownThrough(), digest, this.configurationOffset);
+	}
+
+	/**
+	 * Takes records that another gateway read.
+	 * @param records the records
+	 */
+	void relayed(RelayedRecords records) {
+		TopicFollower follower = switch (records.topic()) {
+			case CONFIGURATION -> this.configurationFollower;
+			case ENDPOINTS -> this.endpointFollower;
+			case GATEWAYS, LEASES -> throw new IllegalArgumentException("topic is not passed on: " + records.topic());
+		};
+		this.relayed = records;
+		try {
+			records.records().forEach(follower::relayed);
+		}
+		finally {
+			this.relayed = null;
+		}
+	}
+
+	/**
+	 * Compares what is known here with what a gateway that reads the store knows. What is
+	 * missing for longer than it takes to arrive was lost on the way, and is read.
+	 * @param furthest what the other one knows
+	 * @param now the present time
+	 */
+	void compare(KnownState furthest, long now) {
+		KnownState own = known();
+		boolean following = furthest.reads() && this.leftToOthers.getAsBoolean();
+		this.endpointsMissingSince = missingSince(following && own.missesEndpointsOf(furthest),
+				this.endpointsMissingSince, this.endpointFollower, now);
+		this.configurationMissingSince = missingSince(
+				following && furthest.configurationOffset() > own.configurationOffset(), this.configurationMissingSince,
+				this.configurationFollower, now);
+	}
+
+	private static @Nullable Long missingSince(boolean missing, @Nullable Long since, TopicFollower follower,
+			long now) {
+		if (!missing) {
+			return null;
+		}
+		if (since != null && now - since > LONGEST_MISSING.toNanos()) {
+			follower.readAnew();
+			return null;
+		}
+		return (since != null) ? since : Long.valueOf(now);
+	}
+
+	private void configurationChanged(TopicRecord entry) {
+		if (!this.reader.isConfiguration(entry.key()) || entry.value() == null) {
+			return;
+		}
+		Configuration newest;
+		try {
+			newest = this.reader.readConfiguration(entry.value());
+		}
+		catch (RuntimeException ex) {
+			log.atError()
+				.addKeyValue("offset", entry.offset())
+				.addKeyValue("cause", ex.toString())
+				.log("configuration unreadable");
+			return;
+		}
+		this.configurationOffset = entry.offset();
+		if (this.configuration != null && newest.version() <= this.configuration.version()) {
+			return;
+		}
+		this.configuration = newest;
+		log.atInfo()
+			.addKeyValue("version", newest.version())
+			.addKeyValue("routes", newest.routes().size())
+			.addKeyValue("accounts", newest.accounts().size())
+			.addKeyValue("passedOn", this.relayed != null)
+			.log("configuration taken");
+		this.configured.accept(newest);
+		if (this.relayed == null && this.configurationFollower.complete()
+				&& entry.value().length <= MOST_RELAYED_BYTES) {
+			this.relay.accept(new RelayedRecords(Topic.CONFIGURATION, List.of(entry), null));
+		}
+	}
+
+	// Deterministic over processes, unlike identity hashes; spread so that sums differ.
+	private static long digest(EndpointEntry entry) {
+		long mixed = Objects.hash(entry.id().value(), entry.service().value(), entry.address().toString(),
+				entry.zone().value(), entry.slots(), entry.draining(), entry.reclaimable(), entry.startedAt());
+		return mixed * 0x9e3779b97f4a7c15L;
+	}
+
+	/**
+	 * Hears of endpoints.
+	 */
+	private final class EndpointListener implements TopicFollower.Listener {
+
+		@Override
+		public void changed(TopicRecord entry) {
+			EndpointId id = new EndpointId(entry.key());
+			if (entry.value() == null) {
+				gone(id, entry);
+				return;
+			}
+			EndpointEntry read;
+			try {
+				read = StateWatch.this.reader.readEndpoint(id, entry.value());
+			}
+			catch (RuntimeException ex) {
+				log.atWarn().addKeyValue("endpoint", id).addKeyValue("cause", ex.toString()).log("endpoint unreadable");
+				StateWatch.this.endpoints.remove(id);
+				StateWatch.this.digests.remove(id);
+				return;
+			}
+			Long before = StateWatch.this.digests.put(id, digest(read));
+			if (before == null || before != digest(read)) {
+				log.atInfo()
+					.addKeyValue("endpoint", id)
+					.addKeyValue("service", read.service())
+					.addKeyValue("address", read.address())
+					.addKeyValue("zone", read.zone())
+					.addKeyValue("reclaimable", read.reclaimable())
+					.addKeyValue("draining", read.draining())
+					.addKeyValue("passedOn", StateWatch.this.relayed != null)
+					.log("endpoint listed");
+				passOn(entry);
+			}
+			StateWatch.this.endpoints.put(read);
+		}
+
+		private void gone(EndpointId id, @Nullable TopicRecord entry) {
+			if (StateWatch.this.digests.remove(id) == null) {
+				return;
+			}
+			Duration sinceOutage = sinceOutage();
+			log.atInfo()
+				.addKeyValue("endpoint", id)
+				.addKeyValue("sinceOutageMs", (sinceOutage != null) ? sinceOutage.toMillis() : null)
+				.addKeyValue("passedOn", StateWatch.this.relayed != null)
+				.log("endpoint no longer listed");
+			StateWatch.this.endpoints.unlisted(id, sinceOutage, StateWatch.this.clock.nanos());
+			if (entry != null) {
+				passOn(entry);
+			}
+		}
+
+		private @Nullable Duration sinceOutage() {
+			RelayedRecords passedOn = StateWatch.this.relayed;
+			if (passedOn == null) {
+				return StateWatch.this.endpointFollower.sinceFailure();
+			}
+			return (passedOn.outageMillis() != null) ? Duration.ofMillis(passedOn.outageMillis()) : null;
+		}
+
+		private void passOn(TopicRecord entry) {
+			if (StateWatch.this.relayed == null && StateWatch.this.endpointFollower.complete()) {
+				StateWatch.this.toRelay.add(entry);
+			}
+		}
+
+		@Override
+		public void missing(String key) {
+			gone(new EndpointId(key), null);
+		}
+
+		@Override
+		public void readThrough(long next) {
+			List<TopicRecord> all = StateWatch.this.toRelay;
+			Duration outage = StateWatch.this.endpointFollower.sinceFailure();
+			for (int from = 0; from < all.size(); from += MOST_RELAYED) {
+				StateWatch.this.relay.accept(new RelayedRecords(Topic.ENDPOINTS,
+						all.subList(from, Math.min(all.size(), from + MOST_RELAYED)),
+						(outage != null) ? outage.toMillis() : null));
+			}
+			all.clear();
+		}
+
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
@@ -22,7 +23,8 @@
  * Follows a topic: reads the newest of each key once, then what changed.
  * <p>
  * Each key's records are taken in the order of their offsets. A read that shows an older
- * state than is known changes nothing.
+ * state than is known changes nothing. Once the topic was read, reading may be left to
+ * others that pass on what they read.
  */
 final class TopicFollower {
 
@@ -33,6 +35,12 @@
 	 */
 	private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
 
+	/**
+	 * How often it looks whether reading is still left to others: a part of the half
+	 * second within which they are missed.
+	 */
+	private static final Duration LOOK_AGAIN = Duration.ofMillis(100);
+
 	private final Topic topic;
 
 	private final SharedTopics topics;
@@ -45,35 +53,52 @@
 
 	private final Duration wait;
 
+	private final BooleanSupplier leftToOthers;
+
 	private final Listener listener;
 
 	private final Map<String, Long> offsets = new HashMap<>();
 
 	private long next = -1;
 
+	private long highest = -1;
+
 	private long failedAt = Long.MIN_VALUE;
 
 	private boolean failing;
 
 	private boolean complete;
 
+	private long readAt = Long.MIN_VALUE;
+
+	private boolean readAnew;
+
 	private Set<String> listed = new HashSet<>();
 
 	private long listedEnd;
 
 	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Supplier<Duration> interval,
-			Duration wait, Listener listener) {
+			Duration wait, BooleanSupplier leftToOthers, Listener listener) {
 		this.topic = topic;
 		this.topics = topics;
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.interval = interval;
 		this.wait = wait;
+		this.leftToOthers = leftToOthers;
 		this.listener = listener;
 	}
 
 	void start() {
-		if (this.next < 0) {
+		if (this.complete && !this.readAnew && this.leftToOthers.getAsBoolean()) {
+			// What changes meanwhile is passed on, record by record. Its own place in the
+			// topic grows old, so that it lists all anew when it reads again.
+			this.next = -1;
+			again(LOOK_AGAIN);
+			return;
+		}
+		if (this.next < 0 || this.readAnew) {
+			this.readAnew = false;
 			this.listed = new HashSet<>();
 			this.listedEnd = -1;
 			readListed(null);
@@ -99,6 +124,38 @@
 		return (this.failedAt == Long.MIN_VALUE) ? null : Duration.ofNanos(this.clock.nanos() - this.failedAt);
 	}
 
+	/**
+	 * Takes a record that another gateway read.
+	 * @param entry the record
+	 */
+	void relayed(TopicRecord entry) {
+		if (this.complete) {
+			take(entry);
+		}
+	}
+
+	/** Lists the topic anew, since something that was passed on did not arrive. */
+	void readAnew() {
+		this.readAnew = true;
+	}
+
+	/**
+	 * Returns whether it reads the store and did so of late.
+	 * @param within how late
+	 * @return whether it did
+	 */
+	boolean readWithin(Duration within) {
+		return this.complete && !this.failing && this.clock.nanos() - this.readAt < within.toNanos();
+	}
+
+	/**
+	 * Returns up to where the topic is known, by its own reads or by others'.
+	 * @return the offset of the next record
+	 */
+	long knownThrough() {
+		return Math.max(this.next, this.highest + 1);
+	}
+
 	private void readListed(@Nullable String after) {
 		this.topics.newest(this.topic, after).whenComplete((page, failure) -> {
 			if (page == null) {
@@ -159,10 +216,12 @@
 			return;
 		}
 		this.offsets.put(entry.key(), entry.offset());
+		this.highest = Math.max(this.highest, entry.offset());
 		this.listener.changed(entry);
 	}
 
 	private void succeeded() {
+		this.readAt = this.clock.nanos();
 		if (this.failing) {
 			this.failing = false;
 			log.atInfo().addKeyValue("topic", this.topic).log("store answers again");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.duty;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -29,6 +30,12 @@
 	 */
 	private static final Duration GONE = Duration.ofSeconds(12);
 
+	/**
+	 * Gateways that read the store for all: with three, two may die at the same moment,
+	 * or be slow, and changes still arrive in time.
+	 */
+	private static final int READERS = 3;
+
 	/** Windows that are kept for the usage report. */
 	private static final int MOST_WINDOWS = 12;
 
@@ -120,6 +127,41 @@
 		return silent;
 	}
 
+	/**
+	 * Returns whether enough others read the store, so that this gateway need not.
+	 * <p>
+	 * The load that it answers: each gateway that polls costs calls, which are paid for
+	 * and bounded; at 810 gateways the store's bound would be spent on polling alone. A
+	 * few read and tell the rest. Those with the lowest identifiers read, as all can tell
+	 * alike; a gateway that hears too few of them reads for itself.
+	 * @param own this gateway's incarnation
+	 * @param silence after which a gateway counts as not heard
+	 * @param now the present time
+	 * @return whether reading is left to others
+	 */
+	public boolean readingIsLeftToOthers(long own, Duration silence, long now) {
+		return this.heard.values()
+			.stream()
+			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads()
+					&& entry.report().incarnation() < own)
+			.count() >= READERS;
+	}
+
+	/**
+	 * Returns what the reader knows that is furthest of those that are heard.
+	 * @param silence after which a gateway counts as not heard
+	 * @param now the present time
+	 * @return what it knows, {@link KnownState#NONE} if none is heard
+	 */
+	public KnownState furthestReader(Duration silence, long now) {
+		return this.heard.values()
+			.stream()
+			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads())
+			.map((entry) -> entry.report().known())
+			.max(Comparator.comparingLong(KnownState::endpointsNext))
+			.orElse(KnownState.NONE);
+	}
+
 	/**
 	 * Returns whether another gateway told of late that it does the shared duties.
 	 * @param now the present time
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
@@ -18,10 +18,11 @@
  * service
  * @param loads what it has at endpoints
  * @param holdsLease whether it does the shared duties
+ * @param known how far it knows shared state
  */
 public record GatewayReport(long incarnation, ZoneName zone, Map<Long, Map<AccountName, Long>> counts,
 		Map<AccountName, Double> used, Map<ServiceName, Double> work, Map<EndpointId, EndpointLoad> loads,
-		boolean holdsLease) {
+		boolean holdsLease, KnownState known) {
 
 	/**
 	 * Creates the report.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
@@ -28,8 +28,10 @@
 
 	private final List<String> heard = new ArrayList<>();
 
+	private boolean leftToOthers;
+
 	private final TopicFollower follower = new TopicFollower(Topic.ENDPOINTS, this.topics, this.channel.eventLoop(),
-			() -> 0, () -> Duration.ofMillis(10), Duration.ZERO, new TopicFollower.Listener() {
+			() -> 0, () -> Duration.ofMillis(10), Duration.ZERO, () -> this.leftToOthers, new TopicFollower.Listener() {
 				@Override
 				public void changed(TopicRecord entry) {
 					byte[] value = entry.value();
@@ -88,8 +90,46 @@
 		assertThat(this.follower.sinceFailure()).isNotNull();
 	}
 
+	// Another gateway reads the store and passes on that an endpoint is out. The follower
+	// asks the store nothing meanwhile. An older record of the endpoint arrives late and
+	// must not bring it back.
+	@Test
+	void takesWhatOthersReadAndAsksNothingItself() {
+		this.topics.newest.add(page(2, entry(0, "a", "1"), entry(1, "b", "1")));
+		this.leftToOthers = true;
+		play(1);
+		this.follower.relayed(entry(5, "b", null));
+		this.follower.relayed(entry(3, "b", "0"));
+		assertThat(this.heard).containsExactly("a=1", "b=1", "b out");
+		assertThat(this.topics.asked).isEmpty();
+		assertThat(this.follower.knownThrough()).isEqualTo(6);
+	}
+
+	// The gateways that read die, or something that they passed on was lost. All that was
+	// missed meanwhile shows in a new listing, also that an endpoint is gone.
+	@Test
+	void listsAnewWhenNobodyReadsForItAnyMoreOrSomethingWasLost() {
+		this.topics.newest.add(page(2, entry(0, "a", "1"), entry(1, "b", "1")));
+		this.leftToOthers = true;
+		play(1);
+		this.topics.newest.add(page(9, entry(8, "a", "2")));
+		this.leftToOthers = false;
+		advance(1);
+		assertThat(this.heard).containsExactly("a=1", "b=1", "a=2", "b missing");
+		this.leftToOthers = true;
+		advance(1);
+		this.topics.newest.add(page(12, entry(11, "a", "3")));
+		this.follower.readAnew();
+		advance(1);
+		assertThat(this.heard).contains("a=3");
+	}
+
 	private void play(int seconds) {
 		this.follower.start();
+		advance(seconds);
+	}
+
+	private void advance(int seconds) {
 		for (int i = 0; i < seconds * 100; i++) {
 			this.channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
 			this.channel.runScheduledPendingTasks();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/GatewayBoardTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/GatewayBoardTests.java
@@ -54,16 +54,48 @@
 		assertThat(silentZones(2 * SECOND)).extracting(ZoneName::value).containsExactly("far");
 	}
 
+	// Nine gateways run. All of them can tell which three read the store for the rest.
+	// One
+	// of these dies, and a fourth one takes its place without a word.
+	@Test
+	void aFewGatewaysReadForAllAndOthersStepInWhenTheyAreNotHeard() {
+		for (long incarnation = 1; incarnation <= 3; incarnation++) {
+			this.board.read(reading(incarnation), 0);
+		}
+		Duration silence = Duration.ofMillis(600);
+		assertThat(this.board.readingIsLeftToOthers(9, silence, 0)).isTrue();
+		assertThat(this.board.readingIsLeftToOthers(2, silence, 0)).isFalse();
+		this.board.read(reading(1), SECOND);
+		this.board.read(reading(2), SECOND);
+		assertThat(this.board.readingIsLeftToOthers(9, silence, SECOND)).isFalse();
+	}
+
+	// A gateway that reads cannot reach the store any more, but goes on reporting.
+	@Test
+	void aGatewayThatDoesNotReadDoesNotCount() {
+		this.board.read(reading(1), 0);
+		this.board.read(reading(2), 0);
+		this.board.read(report(3, "near"), 0);
+		assertThat(this.board.readingIsLeftToOthers(9, Duration.ofMillis(600), 0)).isFalse();
+	}
+
+	private static GatewayReport reading(long incarnation) {
+		return new GatewayReport(incarnation, new ZoneName("near"), Map.of(), Map.of(), Map.of(), Map.of(), false,
+				new KnownState(true, 5, 5, 5));
+	}
+
 	private Set<ZoneName> silentZones(long now) {
 		return this.board.silentZones(new ZoneName("near"), Duration.ofMillis(600), now);
 	}
 
 	private static GatewayReport report(long incarnation, String zone) {
-		return new GatewayReport(incarnation, new ZoneName(zone), Map.of(), Map.of(), Map.of(), Map.of(), false);
+		return new GatewayReport(incarnation, new ZoneName(zone), Map.of(), Map.of(), Map.of(), Map.of(), false,
+				KnownState.NONE);
 	}
 
 	private static GatewayReport report(double used) {
-		return new GatewayReport(7, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(), false);
+		return new GatewayReport(7, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(), false,
+				KnownState.NONE);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
@@ -46,11 +46,11 @@
 	void countsStayWhenTheProcessThatCountedIsGone() {
 		GatewayBoard board = new GatewayBoard();
 		board.read(new GatewayReport(1, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(), Map.of(),
-				Map.of(), false), 0);
+				Map.of(), false, KnownState.NONE), 0);
 		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(), Map.of(),
-				Map.of(), false), 0);
+				Map.of(), false, KnownState.NONE), 0);
 		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(), Map.of(),
-				Map.of(), false), 1);
+				Map.of(), false, KnownState.NONE), 1);
 		board.expire(Duration.ofMinutes(1).toNanos());
 		assertThat(board.others()).isZero();
 		assertThat(board.counted(200)).containsExactly(Map.entry(ACCOUNT, 9L));
@@ -66,7 +66,8 @@
 	}
 
 	private static GatewayReport used(double amount) {
-		return new GatewayReport(1, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), false);
+		return new GatewayReport(1, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), false,
+				KnownState.NONE);
 	}
 
 	private List<UsageReport> toName(List<UsageReport> named, long second, long count) {
