--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -71,12 +71,12 @@
 	private static final Duration ADDRESS_INTERVAL = Duration.ofSeconds(2);
 
 	/**
-	 * Reports that all gateways of a data centre must miss until it counts as cut off:
-	 * one is lost now and then, two of each of several hardly ever.
+	 * Reports that a gateway must miss until it counts as not heard; a data centre none
+	 * of whose gateways is heard counts as cut off. One report is lost now and then.
 	 */
 	private static final int MISSED_REPORTS = 2;
 
-	/** The same as a time: above two ticks, so that a slow VM is not taken for a cut. */
+	/** The same as a time: three ticks, so that a slow VM is not taken for a cut. */
 	private static final Duration SHORTEST_SILENCE = Duration.ofMillis(600);
 
 	private static final Duration TICK = Duration.ofMillis(200);
