--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
@@ -1,7 +1,6 @@
 package org.banyancove.gateway.daemon;
 
 import org.banyancove.gateway.duty.GatewayReport;
-import org.banyancove.gateway.duty.RelayedRecords;
 
 /**
  * What gateways send each other as datagrams.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/RelayedRecords.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RelayedRecords.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.duty;
+package org.banyancove.gateway.daemon;
 
 import java.util.List;
 
@@ -14,12 +14,12 @@
  * @param outageMillis how long ago the store failed its reader last, in ms, or
  * {@code null} if it never did
  */
-public record RelayedRecords(Topic topic, List<TopicRecord> records, @Nullable Long outageMillis) {
+record RelayedRecords(Topic topic, List<TopicRecord> records, @Nullable Long outageMillis) {
 
 	/**
 	 * Creates the message.
 	 */
-	public RelayedRecords {
+	RelayedRecords {
 		records = List.copyOf(records);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -19,7 +19,6 @@
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.KnownState;
 import org.banyancove.gateway.duty.LeaseRecord;
-import org.banyancove.gateway.duty.RelayedRecords;
 import org.banyancove.gateway.duty.UsageReport;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicRecord;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -13,7 +13,6 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.KnownState;
-import org.banyancove.gateway.duty.RelayedRecords;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.shared.SharedTopics;
