Estimate the fixed part of a first token apart from prefill

Cause: the time to a first token was divided by the prompt's tokens. Orders, predictions and rejections all rest on it.

Ruled out: queues (the lower quartile was followed already), slow engines (first tokens took 73 ms at the median).

Change: PrefillLatency estimates both parts for a service, following the lower quartile; each engine has a slowdown against it that fades, so that an engine which gets nothing is not taken for slow for good. The tokens ahead hold other gateways' too.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -27,20 +27,20 @@
 	 */
 	private static final double OUTCOME_LIFE_NANOS = 3e9;
 
-	/** First guess of the time to read a prompt token, in ms; corrected by answers. */
-	private static final double FIRST_MILLIS_PER_TOKEN = 0.02;
+	/** Least and most that a sample may claim of an engine's slowdown. */
+	private static final double MINIMUM_SLOWDOWN = 0.2;
 
-	/** Least and most time to read a token that a sample may claim, in ms. */
-	private static final double LEAST_MILLIS_PER_TOKEN = 0.005;
+	private static final double MAXIMUM_SLOWDOWN = 20;
 
-	private static final double MOST_MILLIS_PER_TOKEN = 0.5;
+	/**
+	 * How fast a learned slowdown fades, in ns. An engine that is avoided, or whose
+	 * requests are all rejected, gets none that would show that it is fast again.
+	 */
+	private static final double SLOWDOWN_LIFE_NANOS = 5e9;
 
 	/** First guess of the time of a plain request, in ms; corrected by answers. */
 	private static final double FIRST_PLAIN_MILLIS = 30;
 
-	/** Time to a first token that is due to no prompt, in ms: the hop and one step. */
-	private static final double BASE_MILLIS = 15;
-
 	/**
 	 * How much each running request delays a first token, in ms: a step of a full batch
 	 * takes some 10 ms longer than of an empty one, and a prompt shares a few steps.
@@ -83,9 +83,11 @@
 
 	private long reportedAt = Long.MIN_VALUE;
 
-	private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
+	private final PrefillLatency prefill;
+
+	private double slowdown = 1;
 
-	private final ReadingSpeed readingSpeed = new ReadingSpeed();
+	private long slowdownAt;
 
 	private double plainMillis = FIRST_PLAIN_MILLIS;
 
@@ -99,8 +101,9 @@
 
 	private @Nullable Long goneAt;
 
-	Endpoint(EndpointEntry entry, boolean generatesTokens, long memoryTokens) {
+	Endpoint(EndpointEntry entry, boolean generatesTokens, long memoryTokens, PrefillLatency prefill) {
 		this.entry = entry;
+		this.prefill = prefill;
 		this.generatesTokens = generatesTokens;
 		this.memoryTokens = memoryTokens;
 		this.cache = new PromptCache(memoryTokens);
@@ -246,16 +249,19 @@
 	/**
 	 * Learns from the time to a first token.
 	 * @param elapsed from sending to the token
-	 * @param tokens the tokens that were to be read before it
+	 * @param tokens the tokens that were to be prefilled before it
+	 * @param now the present time
 	 */
-	public void firstToken(Duration elapsed, long tokens) {
-		if (tokens < 200) {
-			return;
-		}
-		double sample = Math.clamp((millis(elapsed) - BASE_MILLIS) / tokens, LEAST_MILLIS_PER_TOKEN,
-				MOST_MILLIS_PER_TOKEN);
-		this.millisPerToken += NEWEST * (sample - this.millisPerToken);
-		this.readingSpeed.learn(sample);
+	public void firstToken(Duration elapsed, long tokens, long now) {
+		double sample = Math.clamp(millis(elapsed) / this.prefill.millis(tokens), MINIMUM_SLOWDOWN, MAXIMUM_SLOWDOWN);
+		double before = slowdown(now);
+		this.slowdown = before + NEWEST * (sample - before);
+		this.slowdownAt = now;
+		this.prefill.learn(millis(elapsed), tokens);
+	}
+
+	private double slowdown(long now) {
+		return 1 + (this.slowdown - 1) * Math.exp((double) (this.slowdownAt - now) / SLOWDOWN_LIFE_NANOS);
 	}
 
 	/**
@@ -274,6 +280,14 @@
 		return this.unreadTokens;
 	}
 
+	/**
+	 * Returns the tokens that wait to be prefilled, of all gateways' requests.
+	 * @return the tokens
+	 */
+	public long queuedTokens() {
+		return this.unreadTokens + this.othersUnreadTokens;
+	}
+
 	/**
 	 * Takes in what the other gateways have here.
 	 * @param requests their requests
@@ -285,12 +299,12 @@
 	}
 
 	/**
-	 * Returns the engine time that reading a prompt takes here, without any wait.
+	 * Returns the engine time that prefilling a prompt takes, without any wait.
 	 * @param prompt the prompt
 	 * @return the time in ms
 	 */
 	public double workMillis(Prompt prompt) {
-		return this.generatesTokens ? unreadTokens(prompt) * this.readingSpeed.millisPerToken() : this.plainMillis;
+		return this.generatesTokens ? unreadTokens(prompt) * this.prefill.millisPerToken() : this.plainMillis;
 	}
 
 	boolean paused(long now) {
@@ -323,11 +337,11 @@
 			double full = Math.max(1, (running + 1) / this.entry.slots());
 			return this.plainMillis * full;
 		}
-		double known = this.unreadTokens + this.othersUnreadTokens;
-		double ahead = Math.max(known, this.waitingAtReport * reportWeight * meanPrompt(prompt));
-		double slotsFull = Math.max(0, running + 1 - this.entry.slots());
-		return BASE_MILLIS + this.millisPerToken * (ahead + unreadTokens(prompt)) + MILLIS_PER_RUNNING * running
-				+ slotsFull * this.millisPerToken * meanPrompt(prompt);
+		double reported = this.waitingAtReport * reportWeight * meanPrompt(prompt);
+		double ahead = Math.max((double) queuedTokens(), reported);
+		double waitingForSlot = Math.max(0, running + 1 - this.entry.slots()) * meanPrompt(prompt);
+		long tokens = Math.round(ahead + waitingForSlot) + unreadTokens(prompt);
+		return slowdown(now) * this.prefill.millis(tokens) + MILLIS_PER_RUNNING * running;
 	}
 
 	// What waits at the endpoint is taken to be like what is to be placed.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -34,6 +34,8 @@
 
 	private final Map<ServiceName, List<Endpoint>> taking = new HashMap<>();
 
+	private final Map<ServiceName, PrefillLatency> prefills = new HashMap<>();
+
 	private @Nullable Configuration configuration;
 
 	/**
@@ -65,7 +67,8 @@
 			known.update(entry);
 		}
 		else {
-			Endpoint listed = new Endpoint(entry, false, 0);
+			Endpoint listed = new Endpoint(entry, false, 0,
+					this.prefills.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()));
 			describe(listed);
 			this.endpoints.put(entry.id(), listed);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -51,7 +51,7 @@
 		this.predictedMillis = placement.predictedMillis();
 		this.number = number;
 		this.sentAt = sentAt;
-		this.tokensAhead = this.endpoint.waitingTokens();
+		this.tokensAhead = this.endpoint.queuedTokens();
 		this.unread = this.endpoint.sent(exchange.prompt());
 	}
 
@@ -100,7 +100,7 @@
 	void firstEvent() {
 		if (!this.promptRead) {
 			readPrompt();
-			this.endpoint.firstToken(elapsed(), this.tokensAhead + this.unread);
+			this.endpoint.firstToken(elapsed(), this.tokensAhead + this.unread, this.exchange.now());
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -78,7 +78,7 @@
 		List<Endpoint> endpoints = endpoints(1);
 		EndpointEntry near = endpoints.getFirst().entry();
 		endpoints.add(new Endpoint(new EndpointEntry(new EndpointId("far"), SERVICE, near.address(),
-				new ZoneName("far"), 64, false, false, 1), true, 600_000));
+				new ZoneName("far"), 64, false, false, 1), true, 600_000, new PrefillLatency()));
 		endpoints.getFirst().others(5, 40_000);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 		this.rule.unreachable(Set.of(new ZoneName("far")));
@@ -105,8 +105,8 @@
 	void aSlowEndpointGetsLess() {
 		List<Endpoint> endpoints = endpoints(2);
 		for (int i = 0; i < 20; i++) {
-			endpoints.getFirst().firstToken(Duration.ofMillis(600), 10_000);
-			endpoints.getLast().firstToken(Duration.ofMillis(200), 10_000);
+			endpoints.getFirst().firstToken(Duration.ofMillis(600), 10_000, 0);
+			endpoints.getLast().firstToken(Duration.ofMillis(200), 10_000, 0);
 		}
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 	}
@@ -139,7 +139,7 @@
 		for (int i = 0; i < count; i++) {
 			EndpointEntry entry = new EndpointEntry(new EndpointId("e" + i), SERVICE,
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1);
-			endpoints.add(new Endpoint(entry, true, 600_000));
+			endpoints.add(new Endpoint(entry, true, 600_000, new PrefillLatency()));
 		}
 		return endpoints;
 	}
