Order on-demand endpoints only for what reclaimable ones leave uncovered

Change: no standing on-demand endpoints; a loss of the fullest data centre is covered up to 0.9 of engine time, which lasts until what is ordered then has started; the present need is still covered at 0.6.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -17,36 +17,43 @@
 /**
  * Decides how many endpoints of a service are ordered, of which kind and where.
  * <p>
- * The load that it answers: a wave of traffic under which all reclaimable endpoints of a
- * data centre are taken away at once, and no more are to be had for a while. Reclaimable
- * ones cost a fraction, so they are ordered for what is needed and once more over all
- * data centres; a few lasting ones in the cheapest data centre carry what matters when
- * the rest are taken. Orders grow at once and shrink after a while, since a start takes
- * seconds. Lasting ones that stood in fill the places of the data centres; once
- * reclaimable ones are to be had again they make room for them step by step, as many as
- * have started.
+ * Under a wave of traffic, all reclaimable endpoints of a data centre are taken away at
+ * once and no more are available for a while. Reclaimable ones cost a fraction, so they
+ * are ordered for what is needed and once more over all data centres. On-demand ones are
+ * ordered only for what the reclaimable ones that are left do not cover. Orders grow at
+ * once and shrink after a while, since a start takes seconds. On-demand ones that stood
+ * in fill the places of the data centres; once reclaimable ones are available again they
+ * make room for them step by step, as many as have started.
  * <p>
  * Times are nanoseconds of the steady clock.
  */
 public final class EndpointOrders {
 
 	/**
-	 * Part of an engine's time that reading prompts takes where reclaimable endpoints are
-	 * enough: beyond it, prompts wait for each other longer than short targets allow.
+	 * Part of an engine's time that prefill takes where reclaimable endpoints are enough:
+	 * beyond it, prompts wait for each other longer than short targets allow.
 	 */
-	private static final double READING_SHARE = 0.25;
+	private static final double COMFORTABLE_UTILIZATION = 0.25;
 
 	/**
-	 * The same where lasting endpoints have to stand in: they cost several times as much,
-	 * so that a fuller engine is worth less than another.
+	 * The same where on-demand endpoints have to stand in: they cost several times as
+	 * much, so that a fuller engine is worth less than another.
 	 */
-	private static final double READING_SHARE_MOST = 0.6;
+	private static final double DENSE_UTILIZATION = 0.6;
 
-	/** Requests at once by which an engine's steps become half as long again. */
-	private static final double REQUESTS_AN_ENGINE = 16;
+	/**
+	 * The same for the seconds from a loss until what is ordered then has started: queues
+	 * form, but do not grow.
+	 */
+	private static final double HIGHEST_UTILIZATION = 0.9;
+
+	/**
+	 * Part of an engine's slots that are taken where reclaimable endpoints are enough.
+	 */
+	private static final double COMFORTABLE_SLOT_SHARE = 1;
 
-	/** Of the endpoints that are needed at least, the part that is always lasting. */
-	private static final double LASTING_SHARE = 0.25;
+	/** The same where on-demand endpoints have to stand in. */
+	private static final double DENSE_SLOT_SHARE = 2;
 
 	/**
 	 * How long a need for reclaimable ones is remembered: longer than between two bursts.
@@ -68,6 +75,8 @@
 
 	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
 
+	private final RecentPeak needsAfterLoss = new RecentPeak(LEAST_MEMORY);
+
 	private Map<ZoneName, Integer> lastingOrdered = Map.of();
 
 	/**
@@ -92,21 +101,28 @@
 			return List.of();
 		}
 		double engines = work / 1000;
-		double crowd = inFlight / REQUESTS_AN_ENGINE;
-		double comfortable = this.needs.add(Math.max(engines / READING_SHARE, crowd), now);
-		double leastNow = Math.max(1, Math.ceil(Math.max(engines / READING_SHARE_MOST, crowd / 2)));
-		int least = (int) this.leastNeeds.add(leastNow, now);
+		double engineSlots = inFlight / 16.0;
+		double comfortable = this.needs
+			.add(Math.max(engines / COMFORTABLE_UTILIZATION, engineSlots / COMFORTABLE_SLOT_SHARE), now);
+		int least = (int) this.leastNeeds
+			.add(atLeastOne(Math.max(engines / DENSE_UTILIZATION, engineSlots / DENSE_SLOT_SHARE)), now);
 		if (limits.reclaimablePrice() >= 1) {
 			return orders(zones, fill(least, zones, limits, listed), null, limits);
 		}
+		int afterLoss = (int) this.needsAfterLoss
+			.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots / 3)), now);
 		Map<ZoneName, Integer> reclaimable = spread(
 				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
-		int uncovered = reclaimableToBeHad ? Math.max(least - leftAfterLoss(reclaimable), least - running(listed, true))
-				: least - leftAfterLoss(runningByZone(listed, zones));
-		int lasting = Math.max((int) Math.ceil(least * LASTING_SHARE), uncovered);
+		int left = leftAfterLoss(reclaimableToBeHad ? reclaimable : runningByZone(listed, zones));
+		int uncovered = Math.max(least - running(listed, true), afterLoss - left);
+		int lasting = Math.max(0, uncovered);
 		return orders(zones, fill(lasting, zones, limits, listed), reclaimable, limits);
 	}
 
+	private static double atLeastOne(double endpoints) {
+		return Math.max(1, Math.ceil(endpoints));
+	}
+
 	private List<Order> orders(List<ZoneName> zones, Map<ZoneName, Integer> lasting,
 			@Nullable Map<ZoneName, Integer> reclaimable, ScalingLimits limits) {
 		this.lastingOrdered = lasting;
