Count requests at once against the engines' slots

Cause: 16 requests at once counted as an engine's fill whatever its slots; with 64 slots an on-demand engine stood a quarter full. An engine with 8 slots would have been taken for one with twice as many as it has.

Change: shares of the slots that the endpoints state, 0.3 where reclaimable ones are enough, 0.7 where on-demand ones stand in.

The new test fails before it (7 endpoints for 200 streams on 64 slots).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -50,10 +50,10 @@
 	/**
 	 * Part of an engine's slots that are taken where reclaimable endpoints are enough.
 	 */
-	private static final double COMFORTABLE_SLOT_SHARE = 1;
+	private static final double COMFORTABLE_SLOT_SHARE = 0.3;
 
 	/** The same where on-demand endpoints have to stand in. */
-	private static final double DENSE_SLOT_SHARE = 2;
+	private static final double DENSE_SLOT_SHARE = 0.7;
 
 	/**
 	 * How long a need for reclaimable ones is remembered: longer than between two bursts.
@@ -101,7 +101,7 @@
 			return List.of();
 		}
 		double engines = work / 1000;
-		double engineSlots = inFlight / 16.0;
+		double engineSlots = inFlight / (double) slots(listed);
 		double comfortable = this.needs
 			.add(Math.max(engines / COMFORTABLE_UTILIZATION, engineSlots / COMFORTABLE_SLOT_SHARE), now);
 		int least = (int) this.leastNeeds
@@ -109,8 +109,8 @@
 		if (limits.reclaimablePrice() >= 1) {
 			return orders(zones, fill(least, zones, limits, listed), null, limits);
 		}
-		int afterLoss = (int) this.needsAfterLoss
-			.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots / 3)), now);
+		int afterLoss = (int) this.needsAfterLoss.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots)),
+				now);
 		Map<ZoneName, Integer> reclaimable = spread(
 				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
 		int left = leftAfterLoss(reclaimableToBeHad ? reclaimable : runningByZone(listed, zones));
@@ -123,6 +123,10 @@
 		return Math.max(1, Math.ceil(endpoints));
 	}
 
+	private static int slots(Collection<EndpointEntry> listed) {
+		return listed.stream().mapToInt(EndpointEntry::slots).min().orElse(1);
+	}
+
 	private List<Order> orders(List<ZoneName> zones, Map<ZoneName, Integer> lasting,
 			@Nullable Map<ZoneName, Integer> reclaimable, ScalingLimits limits) {
 		this.lastingOrdered = lasting;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -152,6 +152,14 @@
 		assertThat(decide(left, 4700, true, 1)).anyMatch((order) -> order.zone().equals(DEAR));
 	}
 
+	// Two hundred streams run at once on engines with 64 slots each, and their prompts
+	// need little time. On-demand engines that are billed in full would run a fifth full.
+	@Test
+	void onDemandEndpointsAreFilledToMostOfTheirSlots() {
+		List<EndpointOrders.Order> orders = this.orders.decide(LIMITS, listed(2, 0), 1000, 200, false, 0);
+		assertThat(total(orders, false)).isBetween(200 / 64, 2 * 200 / 64);
+	}
+
 	@Test
 	void lastingEndpointsStayWhileNoReclaimableOnesAreToBeHad() {
 		for (int second = 0; second < 12; second++) {
