Copy a prompt's shared parts from the engine that holds them

Change: such a request names the highest ranked other endpoint, also one that is leaving, as the source of its prefix, if copying takes less time than prefill by what the configuration says of memory and links. A placement away from the owner costs what it did.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Service.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Service.java
@@ -8,11 +8,10 @@
  *
  * @param name its name
  * @param maxConnections the connections that one endpoint accepts from all gateways
- * @param generatesTokens whether its endpoints are model engines
- * @param cacheTokens the tokens that an engine's memory holds, 0 for a plain service
+ * @param memory the memory of its engines, or {@code null} for a plain service
  * @param scaling what may be ordered, or {@code null} for a fixed service
  */
-public record Service(ServiceName name, int maxConnections, boolean generatesTokens, long cacheTokens,
+public record Service(ServiceName name, int maxConnections, @Nullable EngineMemory memory,
 		@Nullable ScalingLimits scaling) {
 
 	/**
@@ -25,4 +24,12 @@
 		}
 	}
 
+	/**
+	 * Returns whether its endpoints are model engines.
+	 * @return whether they are
+	 */
+	public boolean generatesTokens() {
+		return this.memory != null;
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -1,8 +1,10 @@
 package org.banyancove.gateway.endpoint;
 
 import java.time.Duration;
+import java.util.Objects;
 
 import org.banyancove.core.EndpointId;
+import org.banyancove.gateway.configuration.EngineMemory;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -65,9 +67,7 @@
 
 	private PromptCache cache;
 
-	private long memoryTokens;
-
-	private boolean generatesTokens;
+	private @Nullable EngineMemory memory;
 
 	private int inFlight;
 
@@ -101,12 +101,15 @@
 
 	private @Nullable Long goneAt;
 
-	Endpoint(EndpointEntry entry, boolean generatesTokens, long memoryTokens, PrefillLatency prefill) {
+	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefill) {
 		this.entry = entry;
 		this.prefill = prefill;
-		this.generatesTokens = generatesTokens;
-		this.memoryTokens = memoryTokens;
-		this.cache = new PromptCache(memoryTokens);
+		this.memory = memory;
+		this.cache = emptyCache();
+	}
+
+	private PromptCache emptyCache() {
+		return new PromptCache((this.memory != null) ? this.memory.tokens() : 0);
 	}
 
 	/**
@@ -135,20 +138,18 @@
 
 	/**
 	 * Takes in what the configuration says of the endpoint's service.
-	 * @param generates whether it is a model engine
-	 * @param tokens what an engine's memory holds
+	 * @param described its engines' memory, or {@code null} for a plain service
 	 */
-	void describe(boolean generates, long tokens) {
-		if (generates != this.generatesTokens || tokens != this.memoryTokens) {
-			this.generatesTokens = generates;
-			this.memoryTokens = tokens;
-			this.cache = new PromptCache(tokens);
+	void describe(@Nullable EngineMemory described) {
+		if (!Objects.equals(described, this.memory)) {
+			this.memory = described;
+			this.cache = emptyCache();
 		}
 	}
 
 	void update(EndpointEntry newer) {
 		if (!newer.sameStart(this.entry)) {
-			this.cache = new PromptCache(this.memoryTokens);
+			this.cache = emptyCache();
 			this.failuresInRow = 0;
 			this.failureRate = 0;
 			this.pausedUntil = Long.MIN_VALUE;
@@ -170,10 +171,11 @@
 	/**
 	 * Notes that a request was sent.
 	 * @param prompt its prompt
-	 * @return the tokens of it that have to be read
+	 * @param copiesPrefix whether the shared parts are copied from another endpoint
+	 * @return the tokens of it that have to be prefilled
 	 */
-	public int sent(Prompt prompt) {
-		int unread = unreadTokens(prompt);
+	public int sent(Prompt prompt, boolean copiesPrefix) {
+		int unread = unreadTokens(prompt) - (copiesPrefix ? missingPrefix(prompt) : 0);
 		this.inFlight++;
 		this.unreadTokens += unread;
 		this.cache.add(prompt);
@@ -304,7 +306,7 @@
 	 * @return the time in ms
 	 */
 	public double workMillis(Prompt prompt) {
-		return this.generatesTokens ? unreadTokens(prompt) * this.prefill.millisPerToken() : this.plainMillis;
+		return (this.memory != null) ? unreadTokens(prompt) * this.prefill.millisPerToken() : this.plainMillis;
 	}
 
 	boolean paused(long now) {
@@ -319,8 +321,21 @@
 		return Math.max(0, prompt.tokensIn() - this.cache.heldTokens(prompt));
 	}
 
-	int heldTokens(Prompt prompt) {
-		return this.cache.heldTokens(prompt);
+	/**
+	 * Returns the shared tokens at the start of a prompt that are not held here.
+	 * @param prompt the prompt
+	 * @return the tokens
+	 */
+	int missingPrefix(Prompt prompt) {
+		return Math.max(0, prompt.sharedTokens() - this.cache.heldTokens(prompt));
+	}
+
+	double prefillMillis(int tokens) {
+		return this.prefill.millisPerToken() * tokens;
+	}
+
+	double transferMillis(int tokens) {
+		return (this.memory != null) ? this.memory.transferMillisPerToken() * tokens : Double.POSITIVE_INFINITY;
 	}
 
 	/**
@@ -330,17 +345,33 @@
 	 * @return the time in ms
 	 */
 	double predictedMillis(Prompt prompt, long now) {
+		return predictedMillis(prompt, unreadTokens(prompt), now);
+	}
+
+	/**
+	 * Predicts the same where the shared parts that are not held are copied from another
+	 * endpoint.
+	 * @param prompt the prompt
+	 * @param now the present time
+	 * @return the time in ms
+	 */
+	double predictedMillisWithCopy(Prompt prompt, long now) {
+		int missing = missingPrefix(prompt);
+		return transferMillis(missing) + predictedMillis(prompt, unreadTokens(prompt) - missing, now);
+	}
+
+	private double predictedMillis(Prompt prompt, int unread, long now) {
 		double reportWeight = (this.reportedAt == Long.MIN_VALUE) ? 0
 				: Math.exp((this.reportedAt - now) / REPORT_LIFE_NANOS);
 		double running = this.inFlight + this.othersInFlight + this.unknownAtReport * reportWeight;
-		if (!this.generatesTokens) {
+		if (this.memory == null) {
 			double full = Math.max(1, (running + 1) / this.entry.slots());
 			return this.plainMillis * full;
 		}
 		double reported = this.waitingAtReport * reportWeight * meanPrompt(prompt);
 		double ahead = Math.max((double) queuedTokens(), reported);
 		double waitingForSlot = Math.max(0, running + 1 - this.entry.slots()) * meanPrompt(prompt);
-		long tokens = Math.round(ahead + waitingForSlot) + unreadTokens(prompt);
+		long tokens = Math.round(ahead + waitingForSlot) + unread;
 		return slowdown(now) * this.prefill.millis(tokens) + MILLIS_PER_RUNNING * running;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -32,7 +32,7 @@
 
 	private final Map<EndpointId, Endpoint> endpoints = new LinkedHashMap<>();
 
-	private final Map<ServiceName, List<Endpoint>> taking = new HashMap<>();
+	private final Map<ServiceName, List<Endpoint>> byService = new HashMap<>();
 
 	private final Map<ServiceName, PrefillLatency> prefills = new HashMap<>();
 
@@ -45,14 +45,14 @@
 	 */
 	public void configure(Configuration newest) {
 		this.configuration = newest;
-		this.taking.clear();
+		this.byService.clear();
 		this.endpoints.values().forEach(this::describe);
 	}
 
 	private void describe(Endpoint endpoint) {
 		Service service = (this.configuration != null) ? this.configuration.service(endpoint.entry().service()) : null;
 		if (service != null) {
-			endpoint.describe(service.generatesTokens(), service.cacheTokens());
+			endpoint.describe(service.memory());
 		}
 	}
 
@@ -67,13 +67,13 @@
 			known.update(entry);
 		}
 		else {
-			Endpoint listed = new Endpoint(entry, false, 0,
+			Endpoint listed = new Endpoint(entry, null,
 					this.prefills.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()));
 			describe(listed);
 			this.endpoints.put(entry.id(), listed);
 		}
 		if (changed) {
-			this.taking.clear();
+			this.byService.clear();
 		}
 	}
 
@@ -83,7 +83,7 @@
 	 */
 	public void remove(EndpointId id) {
 		if (this.endpoints.remove(id) != null) {
-			this.taking.clear();
+			this.byService.clear();
 		}
 	}
 
@@ -125,18 +125,18 @@
 	}
 
 	/**
-	 * Returns the endpoints of a service that take requests.
+	 * Returns the endpoints of a service.
 	 * @param service the service
-	 * @return the endpoints that are not leaving
+	 * @return its endpoints, those that are leaving included
 	 */
-	public List<Endpoint> taking(ServiceName service) {
-		return this.taking.computeIfAbsent(service, this::findTaking);
+	public List<Endpoint> listed(ServiceName service) {
+		return this.byService.computeIfAbsent(service, this::find);
 	}
 
-	private List<Endpoint> findTaking(ServiceName service) {
+	private List<Endpoint> find(ServiceName service) {
 		return this.endpoints.values()
 			.stream()
-			.filter((endpoint) -> endpoint.entry().service().equals(service) && !endpoint.entry().draining())
+			.filter((endpoint) -> endpoint.entry().service().equals(service))
 			.toList();
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
@@ -1,12 +1,16 @@
 package org.banyancove.gateway.endpoint;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The endpoint that a request goes to.
  *
  * @param endpoint the endpoint
  * @param predictedMillis the time to its answer or first event, in ms
+ * @param prefixSource the endpoint from which it is to copy the shared parts of the
+ * prompt, or {@code null} if it holds or prefills them
  */
-public record Placement(Endpoint endpoint, double predictedMillis) {
+public record Placement(Endpoint endpoint, double predictedMillis, @Nullable Endpoint prefixSource) {
 
 	/**
 	 * Creates the placement.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ZoneName;
@@ -9,21 +10,31 @@
 
 /**
  * Chooses an endpoint: the one that is predicted to answer soonest, weighed by how often
- * it fails and by the prompt parts that would be read twice.
+ * it fails and by the prompt parts that it would prefill although another holds them.
  * <p>
- * The load that it answers: sessions that come back with a long shared prompt, to several
- * gateways that don't tell each other what they sent. All of them order the endpoints of
- * a session alike (rendezvous hashing of the last shared part), so a session's parts are
- * read at one endpoint, and at the second only when the first is busy.
+ * Sessions come back with a long shared prompt, to several gateways that don't tell each
+ * other what they sent. All of them rank the endpoints of a session alike (rendezvous
+ * hashing of the last shared part), so its parts are prefilled at the owner. Where the
+ * owner is busy, or has just started, the endpoint that gets the request copies the parts
+ * from the one that ranks highest of the others.
  */
 public final class PlacementRule {
 
 	/**
-	 * What reading a shared token again costs beside the time until the answer, in ms: it
-	 * holds up the batch, and is paid for. Some 250 ms for a shared part of 5,000 tokens,
-	 * which leaves an answer within its target.
+	 * What a shared token costs that is not held, beside the time until the answer, in
+	 * ms: prefilled again it delays the other requests of the batch, copied it takes
+	 * memory from other prefixes, and both are paid for.
 	 */
-	private static final double REREAD_MILLIS = 0.05;
+	private static final double PREFIX_MISS_PENALTY = 0.05;
+
+	/** What starting a copy takes, in ms; shorter prefixes are prefilled sooner. */
+	private static final double COPY_SETUP_MILLIS = 3;
+
+	/**
+	 * Share of failures above which an endpoint is not copied from: a request that waits
+	 * for an endpoint that is gone is late.
+	 */
+	private static final double UNRELIABLE_FAILURE_RATE = 0.3;
 
 	/**
 	 * The time that a failure costs, in ms: a client comes back or gives up after about
@@ -63,56 +74,76 @@
 
 	/**
 	 * Chooses an endpoint for a request.
-	 * @param candidates the service's endpoints that take requests
+	 * @param endpoints the service's endpoints
 	 * @param prompt the request's prompt
 	 * @param tried the endpoints that it has been sent to
 	 * @param now the present time
 	 * @return the choice, or {@code null} if there is none
 	 */
-	public @Nullable Placement choose(Collection<Endpoint> candidates, Prompt prompt, Set<EndpointId> tried, long now) {
-		Endpoint home = home(candidates, prompt);
-		Endpoint best = null;
-		double bestCost = Double.POSITIVE_INFINITY;
-		double bestPredicted = 0;
-		for (Endpoint candidate : candidates) {
-			if (tried.contains(candidate.id()) || candidate.paused(now)) {
+	public @Nullable Placement choose(Collection<Endpoint> endpoints, Prompt prompt, Set<EndpointId> tried, long now) {
+		Endpoint owner = highestRanked(endpoints, prompt, (endpoint) -> !endpoint.entry().draining());
+		Endpoint holder = highestRanked(endpoints, prompt, (endpoint) -> copiable(endpoint, now));
+		Endpoint nextHolder = highestRanked(endpoints, prompt,
+				(endpoint) -> endpoint != holder && copiable(endpoint, now));
+		Choice best = null;
+		for (Endpoint candidate : endpoints) {
+			if (tried.contains(candidate.id()) || candidate.entry().draining() || candidate.paused(now)) {
 				continue;
 			}
-			double predicted = candidate.predictedMillis(prompt, now);
-			double cost = predicted + FAILURE_MILLIS * candidate.failureRate(now);
-			if (candidate != home) {
-				cost += REREAD_MILLIS * Math.max(0, prompt.sharedTokens() - candidate.heldTokens(prompt));
-			}
-			if (!candidate.entry().zone().equals(this.zone)) {
-				cost += FAR_MILLIS;
-			}
-			if (this.unreachable.contains(candidate.entry().zone())) {
-				cost += SILENT_ZONE_MILLIS;
-			}
-			if (cost < bestCost) {
-				best = candidate;
-				bestCost = cost;
-				bestPredicted = predicted;
+			Endpoint source = (candidate != holder) ? holder : nextHolder;
+			Choice choice = weigh(candidate, owner, source, prompt, now);
+			if (best == null || choice.cost() < best.cost()) {
+				best = choice;
 			}
 		}
-		return (best != null) ? new Placement(best, bestPredicted) : null;
+		return (best != null) ? best.placement() : null;
+	}
+
+	private Choice weigh(Endpoint candidate, @Nullable Endpoint owner, @Nullable Endpoint source, Prompt prompt,
+			long now) {
+		int missing = candidate.missingPrefix(prompt);
+		boolean copies = source != null && copyPays(candidate, missing);
+		double predicted = copies ? candidate.predictedMillisWithCopy(prompt, now) + COPY_SETUP_MILLIS
+				: candidate.predictedMillis(prompt, now);
+		double cost = predicted + FAILURE_MILLIS * candidate.failureRate(now);
+		if (candidate != owner) {
+			cost += missing * PREFIX_MISS_PENALTY;
+		}
+		if (!candidate.entry().zone().equals(this.zone)) {
+			cost += FAR_MILLIS;
+		}
+		if (this.unreachable.contains(candidate.entry().zone())) {
+			cost += SILENT_ZONE_MILLIS;
+		}
+		return new Choice(new Placement(candidate, predicted, copies ? source : null), cost);
+	}
+
+	private static boolean copyPays(Endpoint candidate, int tokens) {
+		return candidate.transferMillis(tokens) + COPY_SETUP_MILLIS < candidate.prefillMillis(tokens);
 	}
 
-	private static @Nullable Endpoint home(Collection<Endpoint> candidates, Prompt prompt) {
+	private boolean copiable(Endpoint endpoint, long now) {
+		return !endpoint.paused(now) && endpoint.failureRate(now) < UNRELIABLE_FAILURE_RATE
+				&& !this.unreachable.contains(endpoint.entry().zone());
+	}
+
+	// The highest of the random weights that all gateways compute alike.
+	private static @Nullable Endpoint highestRanked(Collection<Endpoint> endpoints, Prompt prompt,
+			Predicate<Endpoint> eligible) {
 		long key = prompt.sharedKey();
 		if (key == 0) {
 			return null;
 		}
-		Endpoint home = null;
-		long highest = Long.MIN_VALUE;
-		for (Endpoint candidate : candidates) {
-			long hash = mix(key ^ mix(candidate.id().value().hashCode()));
-			if (home == null || hash > highest) {
-				home = candidate;
-				highest = hash;
+		Endpoint highest = null;
+		long highestWeight = Long.MIN_VALUE;
+		for (Endpoint endpoint : endpoints) {
+			long weight = mix(key ^ mix(endpoint.id().value().hashCode()));
+			if ((highest == null || weight > highestWeight) && eligible.test(endpoint)) {
+				highest = endpoint;
+				highestWeight = weight;
 			}
 		}
-		return home;
+		return highest;
 	}
 
 	// The finalizer of SplitMix64, which spreads neighbouring keys evenly.
@@ -122,4 +153,7 @@
 		return mixed ^ (mixed >>> 31);
 	}
 
+	private record Choice(Placement placement, double cost) {
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -52,7 +52,7 @@
 		this.number = number;
 		this.sentAt = sentAt;
 		this.tokensAhead = this.endpoint.queuedTokens();
-		this.unread = this.endpoint.sent(exchange.prompt());
+		this.unread = this.endpoint.sent(exchange.prompt(), placement.prefixSource() != null);
 	}
 
 	void started(PendingCall started) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -130,7 +130,7 @@
 			return;
 		}
 		Placement placement = this.flow.placement()
-			.choose(this.flow.endpoints().taking(this.service.name()), prompt(), this.tried, now());
+			.choose(this.flow.endpoints().listed(this.service.name()), prompt(), this.tried, now());
 		if (placement == null) {
 			waitForEndpoint();
 			return;
@@ -182,8 +182,10 @@
 		if (body.isReadable() || this.request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
-		words().writeCall(headers, new EndpointCall(placement.endpoint().id(), remaining(),
-				(this.account != null) ? this.account.name() : null, urgency(), this.events.lastEvent()));
+		words().writeCall(headers,
+				new EndpointCall(placement.endpoint().id(), remaining(),
+						(this.account != null) ? this.account.name() : null, urgency(), this.events.lastEvent(),
+						(placement.prefixSource() != null) ? placement.prefixSource().entry().address() : null));
 		return copy;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.shared;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 
 import org.banyancove.core.AccountName;
@@ -15,9 +16,11 @@
  * @param urgency from 0, the most urgent, to 9; {@code null} where the service ranks
  * nothing
  * @param lastEvent the event after which a stream is to go on, or {@code null}
+ * @param prefixSource where the endpoint is to copy the shared parts of the prompt from,
+ * or {@code null}
  */
 public record EndpointCall(EndpointId endpoint, @Nullable Duration remaining, @Nullable AccountName account,
-		@Nullable Integer urgency, @Nullable String lastEvent) {
+		@Nullable Integer urgency, @Nullable String lastEvent, @Nullable InetSocketAddress prefixSource) {
 
 	/**
 	 * Creates the call.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -4,12 +4,14 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.EngineMemory;
 import org.banyancove.gateway.configuration.Service;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,16 +30,17 @@
 
 	@BeforeEach
 	void configure() {
-		this.table.configure(new Configuration(1, List.of(), List.of(new Service(SERVICE, 10, false, 0, null)),
-				List.of(), CallerLimits.DEFAULT));
+		this.table.configure(new Configuration(1, List.of(), List.of(new Service(SERVICE, 10, null, null)), List.of(),
+				CallerLimits.DEFAULT));
 		this.table.put(entry(false));
 	}
 
 	@Test
 	void anEndpointThatIsLeavingTakesNothing() {
-		assertThat(this.table.taking(SERVICE)).hasSize(1);
+		PlacementRule placement = new PlacementRule(new ZoneName("a"));
+		assertThat(placement.choose(this.table.listed(SERVICE), Prompt.NONE, Set.of(), 0)).isNotNull();
 		this.table.put(entry(true));
-		assertThat(this.table.taking(SERVICE)).isEmpty();
+		assertThat(placement.choose(this.table.listed(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
 	}
 
 	@Test
@@ -51,7 +54,7 @@
 	@Test
 	void anEndpointWhoseEntryLapsedInAnOutageIsKeptUntilItIsBack() {
 		this.table.unlisted(ID, Duration.ofSeconds(1), 0);
-		assertThat(this.table.taking(SERVICE)).hasSize(1);
+		assertThat(this.table.listed(SERVICE)).hasSize(1);
 		this.table.put(entry(false));
 		assertThat(this.table.expire(5000 * MILLISECOND)).isEmpty();
 	}
@@ -60,7 +63,7 @@
 	void oneThatDoesNotComeBackIsGone() {
 		this.table.unlisted(ID, Duration.ofSeconds(1), 0);
 		assertThat(this.table.expire(1000 * MILLISECOND)).containsExactly(ID);
-		assertThat(this.table.taking(SERVICE)).isEmpty();
+		assertThat(this.table.listed(SERVICE)).isEmpty();
 	}
 
 	// The store has been back for three seconds, so what lapsed in its absence is listed
@@ -69,7 +72,7 @@
 	@Test
 	void anEndpointThatLeavesLongAfterAnOutageIsNotTakenForALapse() {
 		this.table.unlisted(ID, Duration.ofSeconds(3), 0);
-		assertThat(this.table.taking(SERVICE)).isEmpty();
+		assertThat(this.table.listed(SERVICE)).isEmpty();
 	}
 
 	@Test
@@ -85,11 +88,12 @@
 	void anEndpointThatIsListedBeforeTheConfigurationIsReadCountsAsWhatItIs() {
 		EndpointTable early = new EndpointTable();
 		early.put(entry(false));
-		Endpoint endpoint = early.taking(SERVICE).getFirst();
+		Endpoint endpoint = early.listed(SERVICE).getFirst();
 		Prompt prompt = new Prompt(List.of(), 10_000, 100);
 		double asPlain = endpoint.workMillis(prompt);
-		early.configure(new Configuration(1, List.of(), List.of(new Service(SERVICE, 10, true, 600_000, null)),
-				List.of(), CallerLimits.DEFAULT));
+		early.configure(new Configuration(1, List.of(),
+				List.of(new Service(SERVICE, 10, new EngineMemory(600_000, 0.001), null)), List.of(),
+				CallerLimits.DEFAULT));
 		assertThat(endpoint.workMillis(prompt)).isGreaterThan(asPlain);
 		assertThat(endpoint.workMillis(new Prompt(List.of(), 20_000, 100))).isEqualTo(2 * endpoint.workMillis(prompt));
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -13,6 +13,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.configuration.EngineMemory;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -46,13 +47,58 @@
 		for (int i = 0; i < 60; i++) {
 			Prompt prompt = prompt(7, 5000);
 			Endpoint chosen = choose(endpoints, prompt);
-			chosen.sent(prompt);
+			chosen.sent(prompt, false);
 			sent.merge(chosen.id(), 1, Integer::sum);
 		}
 		assertThat(sent).hasSizeGreaterThanOrEqualTo(3);
 		assertThat(sent.values()).allSatisfy((count) -> assertThat(count).isLessThan(25));
 	}
 
+	// The endpoint that holds a session's long prompt is busy. The next one must copy the
+	// prompt from it: prefilled once more, it would delay all that runs there.
+	@Test
+	void aSessionThatSpillsOverCopiesItsPromptFromItsOwner() {
+		List<Endpoint> endpoints = endpoints(6);
+		Endpoint owner = choose(endpoints, prompt(7, 5000));
+		owner.others(20, 200_000);
+		Placement spilled = place(endpoints, prompt(7, 5000));
+		assertThat(spilled.endpoint()).isNotEqualTo(owner);
+		assertThat(spilled.prefixSource()).isEqualTo(owner);
+		assertThat(spilled.endpoint().sent(prompt(7, 5000), true)).isEqualTo(1500);
+	}
+
+	// The endpoint that holds a session's prompt is taken away in two seconds. Its
+	// sessions go to their next owners, which copy from it while it still runs.
+	@Test
+	void theNextOwnerCopiesFromAnEndpointThatIsLeaving() {
+		List<Endpoint> endpoints = endpoints(6);
+		Endpoint owner = choose(endpoints, prompt(7, 5000));
+		EndpointEntry entry = owner.entry();
+		owner.update(new EndpointEntry(entry.id(), entry.service(), entry.address(), entry.zone(), entry.slots(), true,
+				true, entry.startedAt()));
+		Placement next = place(endpoints, prompt(7, 5000));
+		assertThat(next.endpoint()).isNotEqualTo(owner);
+		assertThat(next.prefixSource()).isEqualTo(owner);
+	}
+
+	// A session's owner was cut off and fails. A request that waited for a copy from it
+	// would be late.
+	@Test
+	void nothingIsCopiedFromAnEndpointThatFails() {
+		List<Endpoint> endpoints = endpoints(6);
+		Endpoint owner = choose(endpoints, prompt(7, 5000));
+		owner.failed(0);
+		owner.failed(0);
+		assertThat(place(endpoints, prompt(7, 5000)).prefixSource()).isNotEqualTo(owner);
+	}
+
+	@Test
+	void aPromptWithoutLongSharedPartsIsNotCopied() {
+		List<Endpoint> endpoints = endpoints(6);
+		Prompt brief = new Prompt(List.of(new PromptPart(1, 100), new PromptPart(2, 1500)), 1600, 400);
+		assertThat(place(endpoints, brief).prefixSource()).isNull();
+	}
+
 	@Test
 	void whatOtherGatewaysSentCounts() {
 		List<Endpoint> endpoints = endpoints(2);
@@ -78,7 +124,7 @@
 		List<Endpoint> endpoints = endpoints(1);
 		EndpointEntry near = endpoints.getFirst().entry();
 		endpoints.add(new Endpoint(new EndpointEntry(new EndpointId("far"), SERVICE, near.address(),
-				new ZoneName("far"), 64, false, false, 1), true, 600_000, new PrefillLatency()));
+				new ZoneName("far"), 64, false, false, 1), new EngineMemory(600_000, 0.0005), new PrefillLatency()));
 		endpoints.getFirst().others(5, 40_000);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 		this.rule.unreachable(Set.of(new ZoneName("far")));
@@ -115,7 +161,7 @@
 	void anEndpointThatStartedAgainHoldsNothing() {
 		Endpoint endpoint = endpoints(1).getFirst();
 		Prompt prompt = prompt(3, 5000);
-		endpoint.sent(prompt);
+		endpoint.sent(prompt, false);
 		assertThat(endpoint.unreadTokens(prompt)).isZero();
 		EndpointEntry entry = endpoint.entry();
 		endpoint.update(new EndpointEntry(entry.id(), entry.service(), entry.address(), entry.zone(), entry.slots(),
@@ -124,7 +170,11 @@
 	}
 
 	private Endpoint choose(List<Endpoint> endpoints, Prompt prompt) {
-		return Objects.requireNonNull(this.rule.choose(endpoints, prompt, Set.of(), 0)).endpoint();
+		return place(endpoints, prompt).endpoint();
+	}
+
+	private Placement place(List<Endpoint> endpoints, Prompt prompt) {
+		return Objects.requireNonNull(this.rule.choose(endpoints, prompt, Set.of(), 0));
 	}
 
 	// The last part is a request's own.
@@ -139,7 +189,7 @@
 		for (int i = 0; i < count; i++) {
 			EndpointEntry entry = new EndpointEntry(new EndpointId("e" + i), SERVICE,
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1);
-			endpoints.add(new Endpoint(entry, true, 600_000, new PrefillLatency()));
+			endpoints.add(new Endpoint(entry, new EngineMemory(600_000, 0.0005), new PrefillLatency()));
 		}
 		return endpoints;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -90,7 +90,7 @@
 	void start() throws Exception {
 		this.configuration = new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
 				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
-				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 100, false, 0, null)),
+				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 100, null, null)),
 				List.of(), CallerLimits.DEFAULT);
 		configure(this.flow);
 		this.listening = this.callers
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
@@ -25,7 +25,7 @@
 	private static final Configuration CONFIGURATION = new Configuration(1,
 			List.of(route("/plain/", RouteKind.NON_IDEMPOTENT, false), route("/open/", RouteKind.IDEMPOTENT, true),
 					route("/stream/", RouteKind.STREAMING, false)),
-			List.of(new Service(new ServiceName("service"), 10, false, 0, null)),
+			List.of(new Service(new ServiceName("service"), 10, null, null)),
 			List.of(new ClientAccount(new AccountName("account"), List.of("key"), null, null)), CallerLimits.DEFAULT);
 
 	private static Route route(String prefix, RouteKind kind, boolean anonymous) {
