Go on from what is left when a client account's quota changes

Cause: a changed limit began with an empty bucket at every gateway.

Change: the limiter of the changed quota takes over what is left, up to the new burst.

The new test asks for what did not exist before: a limiter that goes on from another.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
@@ -55,6 +55,22 @@
 		return this.allowance;
 	}
 
+	/**
+	 * Returns a meter of a changed allowance that goes on from what is left. One that
+	 * began empty would refuse what the account is owed each time its limit is changed.
+	 * @param changed the allowance
+	 * @param now the present time
+	 * @return the meter
+	 */
+	public AllowanceMeter changedTo(TokenAllowance changed, long now) {
+		advance(now);
+		AllowanceMeter successor = new AllowanceMeter(changed, now);
+		successor.level = Math.min(this.level, changed.burst());
+		successor.share = this.share;
+		successor.used = this.used;
+		return successor;
+	}
+
 	/**
 	 * Takes in how much of the fleet is heard.
 	 * @param newShare the gateways that are heard, this one included, as a part of all
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -126,10 +126,14 @@
 		this.configuration = newest;
 		for (AccountName name : Set.copyOf(this.meters.keySet())) {
 			AllowanceMeter meter = Objects.requireNonNull(this.meters.get(name));
-			if (!meter.allowance().equals(allowance(name, newest))) {
+			TokenAllowance allowance = allowance(name, newest);
+			if (allowance == null) {
 				this.meters.remove(name);
 				this.usedBefore.merge(name, meter.used(), Double::sum);
 			}
+			else if (!meter.allowance().equals(allowance)) {
+				this.meters.put(name, meter.changedTo(allowance, this.clock.nanos()));
+			}
 		}
 		newest.accounts().forEach((account) -> meter(account.name()));
 		this.held.forEach(HeldRequest::release);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AllowanceMeterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AllowanceMeterTests.java
@@ -36,6 +36,22 @@
 		assertThat(meter.timeToNext()).isBetween(Duration.ofSeconds(1), Duration.ofSeconds(4));
 	}
 
+	// An operator lowers the limit of an account that has saved its burst. Callers are
+	// owed
+	// what the new limit lets in from a full bucket; one that began empty would refuse
+	// it.
+	@Test
+	void aChangedLimitGoesOnFromWhatIsLeft() {
+		AllowanceMeter meter = new AllowanceMeter(ALLOWANCE, 0);
+		TokenAllowance lower = new TokenAllowance(true, 30_000, 30_000, 200);
+		AllowanceMeter lowered = meter.changedTo(lower, SECOND);
+		assertThat(lowered.left()).isEqualTo(30_000);
+		lowered.tryTake(50_000, SECOND);
+		AllowanceMeter raised = lowered.changedTo(ALLOWANCE, SECOND);
+		assertThat(raised.left()).isEqualTo(-20_000);
+		assertThat(raised.used()).isEqualTo(50_000);
+	}
+
 	// One account sends eight times its rate to nine gateways, half of it to one of them.
 	// Each hears what the others let in a quarter of a second late. In no window of 8 s
 	// may all of them together let in more than rate, burst and what is tolerated beyond.
