Take a prompt's shared parts to be held at their owner, whoever sent them

Change: the owner, and an endpoint that copies, count with the request's own tokens only; the placement says how many tokens are to be prefilled, which the queue, the demand and the prediction use alike.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -171,23 +171,20 @@
 	/**
 	 * Notes that a request was sent.
 	 * @param prompt its prompt
-	 * @param copiesPrefix whether the shared parts are copied from another endpoint
-	 * @return the tokens of it that have to be prefilled
+	 * @param prefillTokens the tokens of it that have to be prefilled
 	 */
-	public int sent(Prompt prompt, boolean copiesPrefix) {
-		int unread = unreadTokens(prompt) - (copiesPrefix ? missingPrefix(prompt) : 0);
+	public void sent(Prompt prompt, int prefillTokens) {
 		this.inFlight++;
-		this.unreadTokens += unread;
+		this.unreadTokens += prefillTokens;
 		this.cache.add(prompt);
-		return unread;
 	}
 
 	/**
 	 * Notes that a request's prompt has been read, or will not be.
-	 * @param unread what {@link #sent} returned
+	 * @param prefillTokens the tokens of it that had to be prefilled
 	 */
-	public void promptRead(int unread) {
-		this.unreadTokens = Math.max(0, this.unreadTokens - unread);
+	public void promptRead(int prefillTokens) {
+		this.unreadTokens = Math.max(0, this.unreadTokens - prefillTokens);
 	}
 
 	/**
@@ -301,12 +298,12 @@
 	}
 
 	/**
-	 * Returns the engine time that prefilling a prompt takes, without any wait.
-	 * @param prompt the prompt
+	 * Returns the engine time that a request takes, without any wait.
+	 * @param prefillTokens the tokens of it that have to be prefilled
 	 * @return the time in ms
 	 */
-	public double workMillis(Prompt prompt) {
-		return (this.memory != null) ? unreadTokens(prompt) * this.prefill.millisPerToken() : this.plainMillis;
+	public double workMillis(int prefillTokens) {
+		return (this.memory != null) ? prefillMillis(prefillTokens) : this.plainMillis;
 	}
 
 	boolean paused(long now) {
@@ -341,26 +338,11 @@
 	/**
 	 * Predicts the time to an answer, or to a stream's first event, in ms.
 	 * @param prompt the prompt
+	 * @param prefillTokens the tokens of it that have to be prefilled
 	 * @param now the present time
 	 * @return the time in ms
 	 */
-	double predictedMillis(Prompt prompt, long now) {
-		return predictedMillis(prompt, unreadTokens(prompt), now);
-	}
-
-	/**
-	 * Predicts the same where the shared parts that are not held are copied from another
-	 * endpoint.
-	 * @param prompt the prompt
-	 * @param now the present time
-	 * @return the time in ms
-	 */
-	double predictedMillisWithCopy(Prompt prompt, long now) {
-		int missing = missingPrefix(prompt);
-		return transferMillis(missing) + predictedMillis(prompt, unreadTokens(prompt) - missing, now);
-	}
-
-	private double predictedMillis(Prompt prompt, int unread, long now) {
+	double predictedMillis(Prompt prompt, int prefillTokens, long now) {
 		double reportWeight = (this.reportedAt == Long.MIN_VALUE) ? 0
 				: Math.exp((this.reportedAt - now) / REPORT_LIFE_NANOS);
 		double running = this.inFlight + this.othersInFlight + this.unknownAtReport * reportWeight;
@@ -371,7 +353,7 @@
 		double reported = this.waitingAtReport * reportWeight * meanPrompt(prompt);
 		double ahead = Math.max((double) queuedTokens(), reported);
 		double waitingForSlot = Math.max(0, running + 1 - this.entry.slots()) * meanPrompt(prompt);
-		long tokens = Math.round(ahead + waitingForSlot) + unread;
+		long tokens = Math.round(ahead + waitingForSlot) + prefillTokens;
 		return slowdown(now) * this.prefill.millis(tokens) + MILLIS_PER_RUNNING * running;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
@@ -7,10 +7,11 @@
  *
  * @param endpoint the endpoint
  * @param predictedMillis the time to its answer or first event, in ms
+ * @param prefillTokens the tokens of its prompt that have to be prefilled
  * @param prefixSource the endpoint from which it is to copy the shared parts of the
  * prompt, or {@code null} if it holds or prefills them
  */
-public record Placement(Endpoint endpoint, double predictedMillis, @Nullable Endpoint prefixSource) {
+public record Placement(Endpoint endpoint, double predictedMillis, int prefillTokens, @Nullable Endpoint prefixSource) {
 
 	/**
 	 * Creates the placement.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -103,8 +103,14 @@
 			long now) {
 		int missing = candidate.missingPrefix(prompt);
 		boolean copies = source != null && copyPays(candidate, missing);
-		double predicted = copies ? candidate.predictedMillisWithCopy(prompt, now) + COPY_SETUP_MILLIS
-				: candidate.predictedMillis(prompt, now);
+		// The other gateways send a session's requests to its owner as well, so that it
+		// holds the prefix though this one may not have sent it yet.
+		boolean held = copies || candidate == owner;
+		int prefillTokens = candidate.unreadTokens(prompt) - (held ? missing : 0);
+		double predicted = candidate.predictedMillis(prompt, prefillTokens, now);
+		if (copies && candidate != owner) {
+			predicted += candidate.transferMillis(missing) + COPY_SETUP_MILLIS;
+		}
 		double cost = predicted + FAILURE_MILLIS * candidate.failureRate(now);
 		if (candidate != owner) {
 			cost += missing * PREFIX_MISS_PENALTY;
@@ -115,7 +121,7 @@
 		if (this.unreachable.contains(candidate.entry().zone())) {
 			cost += SILENT_ZONE_MILLIS;
 		}
-		return new Choice(new Placement(candidate, predicted, copies ? source : null), cost);
+		return new Choice(new Placement(candidate, predicted, prefillTokens, copies ? source : null), cost);
 	}
 
 	private static boolean copyPays(Endpoint candidate, int tokens) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -29,7 +29,7 @@
 
 	private final long sentAt;
 
-	private final int unread;
+	private final int prefillTokens;
 
 	private final long tokensAhead;
 
@@ -52,7 +52,8 @@
 		this.number = number;
 		this.sentAt = sentAt;
 		this.tokensAhead = this.endpoint.queuedTokens();
-		this.unread = this.endpoint.sent(exchange.prompt(), placement.prefixSource() != null);
+		this.prefillTokens = placement.prefillTokens();
+		this.endpoint.sent(exchange.prompt(), this.prefillTokens);
 	}
 
 	void started(PendingCall started) {
@@ -100,14 +101,14 @@
 	void firstEvent() {
 		if (!this.promptRead) {
 			readPrompt();
-			this.endpoint.firstToken(elapsed(), this.tokensAhead + this.unread, this.exchange.now());
+			this.endpoint.firstToken(elapsed(), this.tokensAhead + this.prefillTokens, this.exchange.now());
 		}
 	}
 
 	private void readPrompt() {
 		if (!this.promptRead) {
 			this.promptRead = true;
-			this.endpoint.promptRead(this.unread);
+			this.endpoint.promptRead(this.prefillTokens);
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -136,7 +136,9 @@
 			return;
 		}
 		if (this.attempts == 0) {
-			this.flow.meteredBy().work().add(this.service.name(), placement.endpoint().workMillis(prompt()), now());
+			this.flow.meteredBy()
+				.work()
+				.add(this.service.name(), placement.endpoint().workMillis(placement.prefillTokens()), now());
 			Duration comeBack = this.flow.admission()
 				.timeToComeBack(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
 						remaining());
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -90,12 +90,12 @@
 		early.put(entry(false));
 		Endpoint endpoint = early.listed(SERVICE).getFirst();
 		Prompt prompt = new Prompt(List.of(), 10_000, 100);
-		double asPlain = endpoint.workMillis(prompt);
+		double asPlain = endpoint.workMillis(prompt.tokensIn());
 		early.configure(new Configuration(1, List.of(),
 				List.of(new Service(SERVICE, 10, new EngineMemory(600_000, 0.001), null)), List.of(),
 				CallerLimits.DEFAULT));
-		assertThat(endpoint.workMillis(prompt)).isGreaterThan(asPlain);
-		assertThat(endpoint.workMillis(new Prompt(List.of(), 20_000, 100))).isEqualTo(2 * endpoint.workMillis(prompt));
+		assertThat(endpoint.workMillis(prompt.tokensIn())).isGreaterThan(asPlain);
+		assertThat(endpoint.workMillis(20_000)).isEqualTo(2 * endpoint.workMillis(prompt.tokensIn()));
 	}
 
 	private static EndpointEntry entry(boolean draining) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -46,9 +46,9 @@
 		Map<EndpointId, Integer> sent = new HashMap<>();
 		for (int i = 0; i < 60; i++) {
 			Prompt prompt = prompt(7, 5000);
-			Endpoint chosen = choose(endpoints, prompt);
-			chosen.sent(prompt, false);
-			sent.merge(chosen.id(), 1, Integer::sum);
+			Placement placement = place(endpoints, prompt);
+			placement.endpoint().sent(prompt, placement.prefillTokens());
+			sent.merge(placement.endpoint().id(), 1, Integer::sum);
 		}
 		assertThat(sent).hasSizeGreaterThanOrEqualTo(3);
 		assertThat(sent.values()).allSatisfy((count) -> assertThat(count).isLessThan(25));
@@ -64,7 +64,16 @@
 		Placement spilled = place(endpoints, prompt(7, 5000));
 		assertThat(spilled.endpoint()).isNotEqualTo(owner);
 		assertThat(spilled.prefixSource()).isEqualTo(owner);
-		assertThat(spilled.endpoint().sent(prompt(7, 5000), true)).isEqualTo(1500);
+		assertThat(spilled.prefillTokens()).isEqualTo(1500);
+	}
+
+	// Nine gateways send a session's requests to its owner, and each sees one in nine.
+	// Its
+	// long prompt is prefilled once; counted at each gateway's first request, it would
+	// order several times the engines that are needed.
+	@Test
+	void aSessionsOwnerIsTakenToHoldItsPromptAtAGatewaysFirstRequest() {
+		assertThat(place(endpoints(6), prompt(7, 5000)).prefillTokens()).isEqualTo(1500);
 	}
 
 	// The endpoint that holds a session's prompt is taken away in two seconds. Its
@@ -161,7 +170,7 @@
 	void anEndpointThatStartedAgainHoldsNothing() {
 		Endpoint endpoint = endpoints(1).getFirst();
 		Prompt prompt = prompt(3, 5000);
-		endpoint.sent(prompt, false);
+		endpoint.sent(prompt, prompt.tokensIn());
 		assertThat(endpoint.unreadTokens(prompt)).isZero();
 		EndpointEntry entry = endpoint.entry();
 		endpoint.update(new EndpointEntry(entry.id(), entry.service(), entry.address(), entry.zone(), entry.slots(),
