Send a rejected order of reclaimable endpoints again each second

Change: a rejected order is due again after one second.

The new test fails before it (four seconds between two tries).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
@@ -42,9 +42,15 @@
 	 */
 	private static final Duration FIRST_LOOK = Duration.ofSeconds(3);
 
-	/** Until an order that was not filled, or not taken, is sent again. */
+	/** Until an order that was not filled is sent again. */
 	private static final Duration AGAIN = Duration.ofSeconds(4);
 
+	/**
+	 * The same for one that was rejected. On-demand endpoints stand in meanwhile, a
+	 * second of which costs more than many calls.
+	 */
+	private static final Duration AGAIN_REJECTED = Duration.ofSeconds(1);
+
 	private final Duties duties;
 
 	private final GatewayBoard board;
@@ -119,14 +125,17 @@
 		boolean changed = before == null || before.count() != count;
 		int running = EndpointOrders.running(listed, subject.zone(), subject.reclaimable());
 		boolean unfilled = running != count;
-		boolean due = before == null || now - before.at() > AGAIN.toNanos();
+		boolean due = before == null || now - before.at() >= before.interval().toNanos();
 		if (!(changed || (unfilled && due)) || !this.sending.add(subject)) {
 			return;
 		}
-		this.sent.put(subject, new Sent(count, now));
+		this.sent.put(subject, new Sent(count, now, AGAIN));
 		this.duties.orderEndpoints(this.fence, subject.service(), subject.zone(), subject.reclaimable(), count)
 			.whenComplete((taken, failure) -> {
 				this.sending.remove(subject);
+				if (Boolean.FALSE.equals(taken)) {
+					this.sent.replace(subject, new Sent(count, now, AGAIN_REJECTED));
+				}
 				if (subject.reclaimable()) {
 					noteWhetherToBeHad(subject.service(), Boolean.TRUE.equals(taken));
 				}
@@ -152,7 +161,7 @@
 		}
 	}
 
-	private record Sent(int count, long at) {
+	private record Sent(int count, long at, Duration interval) {
 	}
 
 	private record Subject(ServiceName service, ZoneName zone, boolean reclaimable) {
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/OrderWorkTests.java
@@ -0,0 +1,90 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.banyancove.core.AccountName;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.ZoneName;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.EngineMemory;
+import org.banyancove.gateway.configuration.ScalingLimits;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.duty.GatewayBoard;
+import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.shared.Duties;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class OrderWorkTests {
+
+	private static final ServiceName SERVICE = new ServiceName("engines");
+
+	private static final ZoneName ZONE = new ZoneName("a");
+
+	private static final long TICK = Duration.ofMillis(200).toNanos();
+
+	private final ScriptedDuties duties = new ScriptedDuties();
+
+	private final OrderWork orders = new OrderWork(this.duties, new GatewayBoard(), new WorkMeter(),
+			new EndpointTable());
+
+	// No reclaimable endpoints are available for some seconds, and on-demand ones stand
+	// in
+	// at several times the price. Each second that the first successful order comes late
+	// is paid for by all of them.
+	@Test
+	void aRejectedOrderIsSentAgainEachSecond() {
+		this.duties.available = false;
+		play(10);
+		assertThat(this.duties.reclaimableOrdersAt).hasSizeBetween(6, 8);
+	}
+
+	@Test
+	void anOrderThatWasTakenIsNotSentAgainWhileItsEndpointsStart() {
+		play(6);
+		assertThat(this.duties.reclaimableOrdersAt).hasSize(1);
+	}
+
+	private void play(int seconds) {
+		ScalingLimits limits = new ScalingLimits(1, 6, Duration.ofSeconds(4), 0.2, Map.of(ZONE, 1.0));
+		this.orders.configure(new Configuration(1, List.of(),
+				List.of(new Service(SERVICE, 100, new EngineMemory(600_000, 0.001), limits)), List.of(),
+				CallerLimits.DEFAULT));
+		for (long now = 0; now < Duration.ofSeconds(seconds).toNanos(); now += TICK) {
+			this.duties.now = now;
+			this.orders.tick(1, now);
+		}
+	}
+
+	private static final class ScriptedDuties implements Duties {
+
+		private final List<Long> reclaimableOrdersAt = new ArrayList<>();
+
+		private boolean available = true;
+
+		private long now;
+
+		@Override
+		public CompletableFuture<Boolean> reportUsage(long fence, long window, Map<AccountName, Long> counts) {
+			return CompletableFuture.completedFuture(true);
+		}
+
+		@Override
+		public CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, ZoneName zone,
+				boolean reclaimable, int count) {
+			if (reclaimable) {
+				this.reclaimableOrdersAt.add(this.now);
+			}
+			return CompletableFuture.completedFuture(!reclaimable || this.available);
+		}
+
+	}
+
+}
