Keep reclaimable endpoints while no more are available

Cause: a gateway that takes over the orders remembers no load.

Change: while the last order was rejected, or none was sent yet, no fewer are ordered than run.

The test of orders that grow and shrink now says that reclaimable endpoints are available, as its story does; a new test fails before the change (3 kept of 5).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
@@ -111,9 +111,14 @@
 		}
 		int afterLoss = (int) this.needsAfterLoss.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots)),
 				now);
+		Map<ZoneName, Integer> running = runningByZone(listed, zones);
 		Map<ZoneName, Integer> reclaimable = spread(
 				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
-		int left = leftAfterLoss(reclaimableToBeHad ? reclaimable : runningByZone(listed, zones));
+		if (!reclaimableToBeHad) {
+			// What is given back now cannot be had again when the load returns.
+			running.forEach((zone, count) -> reclaimable.merge(zone, count, Math::max));
+		}
+		int left = leftAfterLoss(reclaimableToBeHad ? reclaimable : running);
 		int uncovered = Math.max(least - running(listed, true), afterLoss - left);
 		int lasting = Math.max(0, uncovered);
 		return orders(zones, fill(lasting, zones, limits, listed), reclaimable, limits);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
@@ -74,6 +74,18 @@
 		assertThat(total(decide(left, 1900, 1), false)).isGreaterThanOrEqualTo(3);
 	}
 
+	// No reclaimable endpoints are available, and the one that orders has just taken over
+	// and remembers no load. Those it gave back in a calm second would be missing for as
+	// long as none are available, and on-demand ones be ordered in their place.
+	@Test
+	void nothingReclaimableIsGivenBackWhileNoMoreAreAvailable() {
+		List<EndpointEntry> left = new ArrayList<>();
+		add(left, CHEAP, 5, true);
+		assertThat(decide(left, 100, false, 0)).filteredOn((order) -> order.zone().equals(CHEAP) && order.reclaimable())
+			.singleElement()
+			.satisfies((order) -> assertThat(order.count()).isEqualTo(5));
+	}
+
 	@Test
 	void nothingLastingIsOrderedForALossThatTheOtherDataCentresCover() {
 		assertThat(total(decide(listed(0, 3), 1900, 0), false)).isZero();
@@ -84,11 +96,11 @@
 	@Test
 	void ordersGrowAtOnceAndShrinkLater() {
 		List<EndpointEntry> listed = listed(1, 4);
-		int calm = total(decide(listed, 1000, 0), true);
-		int burst = total(decide(listed, 3000, 1), true);
+		int calm = total(decide(listed, 1000, true, 0), true);
+		int burst = total(decide(listed, 3000, true, 1), true);
 		assertThat(burst).isGreaterThan(calm);
-		assertThat(total(decide(listed, 1000, 20), true)).isEqualTo(burst);
-		assertThat(total(decide(listed, 1000, 60), true)).isEqualTo(calm);
+		assertThat(total(decide(listed, 1000, true, 20), true)).isEqualTo(burst);
+		assertThat(total(decide(listed, 1000, true, 60), true)).isEqualTo(calm);
 	}
 
 	// While no reclaimable endpoints were to be had, lasting ones filled all places of
