Learn prefill from the newest samples again and again

The need for engines was counted double.

Ruled out: a larger step at the start (27 samples: 0.0144 for a true 0.007).

The new test fails with the step of before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PrefillLatency.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PrefillLatency.java
@@ -1,5 +1,8 @@
 package org.banyancove.gateway.endpoint;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Estimates the time to a first token on an idle engine: a fixed part, and a part for
  * each prompt token.
@@ -17,8 +20,18 @@
 	/** The part of the samples that is taken to have found no queue. */
 	private static final double QUARTILE = 0.25;
 
-	/** How far one sample moves the estimate, as a part of it. */
-	private static final double STEP = 0.05;
+	/** How far one sample moves the estimate in one pass, as a part of it. */
+	private static final double STEP = 0.02;
+
+	/**
+	 * The newest samples, all of which move the estimate again at each new one. A process
+	 * that has just started gets a few samples a second, and orders for slow engines
+	 * until it knows better.
+	 */
+	private static final int SAMPLES = 64;
+
+	/** How often all of them move the estimate at a new one. */
+	private static final int PASSES = 5;
 
 	/** First guess of the fixed part, in ms. */
 	private static final double INITIAL_FIXED_MILLIS = 15;
@@ -30,6 +43,8 @@
 
 	private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
 
+	private final Deque<Sample> samples = new ArrayDeque<>(SAMPLES);
+
 	/**
 	 * Learns from a first token. The part of the estimate that contributes more is moved
 	 * more, so that short prompts teach the fixed part and long ones the other.
@@ -37,8 +52,18 @@
 	 * @param tokens the tokens that were prefilled before it
 	 */
 	void learn(double millis, long tokens) {
-		double expected = millis(tokens);
-		double step = STEP * ((millis < expected) ? QUARTILE - 1 : QUARTILE);
+		if (this.samples.size() == SAMPLES) {
+			this.samples.removeFirst();
+		}
+		this.samples.addLast(new Sample(millis, tokens));
+		for (int pass = 0; pass < PASSES; pass++) {
+			this.samples.forEach(this::move);
+		}
+	}
+
+	private void move(Sample sample) {
+		double expected = millis(sample.tokens());
+		double step = STEP * ((sample.millis() < expected) ? QUARTILE - 1 : QUARTILE);
 		double fixedShare = this.fixedMillis / expected;
 		this.fixedMillis *= Math.exp(step * fixedShare);
 		this.millisPerToken *= Math.exp(step * (1 - fixedShare));
@@ -61,4 +86,7 @@
 		return this.millisPerToken;
 	}
 
+	private record Sample(double millis, long tokens) {
+	}
+
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PrefillLatencyTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PrefillLatencyTests.java
@@ -43,6 +43,22 @@
 		assertThat(engine.estimate.millis(0)).isBetween(55 / MOST_OVER, 55 * MOST_OVER);
 	}
 
+	// A gateway starts and gets three prompts a second. Until it knows how fast its
+	// engines
+	// are, it orders for engines half as fast, so it must know within ten seconds.
+	@Test
+	void thirtyPromptsTellAProcessThatHasJustStarted() {
+		double fast = 0.007;
+		Engine engine = new Engine(52, fast, 0.3 / 3000);
+		for (int i = 0; i < 60; i++) {
+			engine.play(3, 200, 3000);
+			engine.play(1, 4000, 14_000);
+		}
+		assertThat(engine.samples).isLessThan(30);
+		assertThat(engine.estimate.millisPerToken()).isBetween(fast / MOST_OVER, fast * MOST_OVER);
+		assertThat(engine.estimate.millis(0)).isBetween(52 / MOST_OVER, 52 * MOST_OVER);
+	}
+
 	@Test
 	void anEngineThatTurnsSlowIsNoticedWithinAFewSeconds() {
 		PrefillLatency estimate = new PrefillLatency();
