--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -6,12 +6,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides whether a request is sent on or turned away at once.
+ * Decides whether a request is sent on or rejected at once.
  * <p>
- * The load that it answers: more prompts than the engines can read. Without a limit each
- * engine's queue grows until every first event is late, and all that was read is read for
- * callers who have left. A request whose answer is predicted past its target is worth a
- * tenth; turning it away before it is sent keeps those in time that are already there.
+ * More prompts than the engines can read. Without a limit each engine's queue grows until
+ * every first event is late, and all that was read is read for callers who have left. A
+ * request whose answer is predicted past its target is worth a tenth; rejecting it before
+ * it is sent keeps those in time that are already there.
  */
 public final class AdmissionRule {
 
@@ -25,12 +25,12 @@
 	private static final double SHARE_OF_REMAINING = 0.7;
 
 	/**
-	 * Shortest and longest time to come back: below, nothing has changed; above, callers
-	 * give up.
+	 * Bounds of the time told to callers: below, nothing has changed; above, callers give
+	 * up.
 	 */
-	private static final Duration SHORTEST_RETURN = Duration.ofMillis(200);
+	private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(200);
 
-	private static final Duration LONGEST_RETURN = Duration.ofSeconds(4);
+	private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(4);
 
 	/**
 	 * Of a request's target, the part that a connection may take: then there is time for
@@ -64,9 +64,9 @@
 	 * 100 ms after a start. Refused at once, it would come back only once, to a gateway
 	 * that may have started no sooner; held for longer, it would be late anyway.
 	 */
-	private static final Duration LONGEST_AT_START = Duration.ofMillis(800);
+	private static final Duration MAXIMUM_STARTUP_WAIT = Duration.ofMillis(800);
 
-	/** A caller that is refused after a quarter of its time can still go elsewhere. */
+	/** A caller that is rejected after a quarter of its time can still go elsewhere. */
 	private static final int PARTS_OF_DEADLINE = 4;
 
 	/**
@@ -77,7 +77,7 @@
 	 * @param remaining until its caller gives up
 	 * @return how long the caller is to stay away, or zero if the request is sent
 	 */
-	public Duration timeToComeBack(Route route, Duration predicted, Duration elapsed, Duration remaining) {
+	public Duration retryAfter(Route route, Duration predicted, Duration elapsed, Duration remaining) {
 		Duration total = predicted.plus(elapsed);
 		Duration allowed = scaled(route.latencyTarget(), SHARE_OF_TARGET);
 		boolean late = total.compareTo(allowed) > 0;
@@ -85,7 +85,7 @@
 		if (!late && !tooLate) {
 			return Duration.ZERO;
 		}
-		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), SHORTEST_RETURN, LONGEST_RETURN);
+		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
 	}
 
 	/**
@@ -94,7 +94,7 @@
 	 * @param remaining until its caller gives up
 	 * @return the time
 	 */
-	public Duration patience(Route route, Duration remaining) {
+	public Duration maximumWait(Route route, Duration remaining) {
 		Duration half = route.latencyTarget().dividedBy(2);
 		Duration quarter = remaining.dividedBy(4);
 		return (half.compareTo(quarter) < 0) ? half : quarter;
@@ -105,11 +105,11 @@
 	 * @param deadline how long its caller waits, or {@code null} if it doesn't say
 	 * @return the time
 	 */
-	public Duration patienceAtStart(@Nullable Duration deadline) {
+	public Duration maximumStartupWait(@Nullable Duration deadline) {
 		if (deadline == null) {
-			return LONGEST_AT_START;
+			return MAXIMUM_STARTUP_WAIT;
 		}
-		return clamp(deadline.dividedBy(PARTS_OF_DEADLINE), Duration.ZERO, LONGEST_AT_START);
+		return clamp(deadline.dividedBy(PARTS_OF_DEADLINE), Duration.ZERO, MAXIMUM_STARTUP_WAIT);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AllowanceMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/QuotaLimiter.java
@@ -2,22 +2,20 @@
 
 import java.time.Duration;
 
-import org.banyancove.gateway.configuration.TokenAllowance;
+import org.banyancove.gateway.configuration.TokenQuota;
 
 /**
- * A gateway's view of what is left of a client account's allowance, which all gateways
- * share.
+ * A gateway's view of what is left of a client account's quota, which all gateways share.
  * <p>
- * The load that it answers: one account sends many times its usual, unevenly over the
- * gateways. Each gateway keeps the whole bucket and takes out of it what it lets in and
- * what the others tell that they let in, a quarter of a second later. What is let in
- * twice in that time makes the bucket negative and is paid back before anything else is
- * let in. A gateway that is not heard may be letting in its part, so its part of the rate
- * is left to it.
+ * One account sends many times its usual, unevenly over the gateways. Each gateway keeps
+ * the whole bucket and takes out of it what it lets in and what the others tell that they
+ * let in, a quarter of a second later. What is let in twice in that time makes the bucket
+ * negative and is paid back before anything else is let in. A gateway that is unreachable
+ * may be letting in its part, so its part of the rate is left to it.
  * <p>
  * Times are nanoseconds of the steady clock.
  */
-public final class AllowanceMeter {
+public final class QuotaLimiter {
 
 	/**
 	 * The most that the bucket can be overdrawn, in seconds of its rate: more can only be
@@ -25,7 +23,7 @@
 	 */
 	private static final double MOST_OVERDRAWN_SECONDS = 4;
 
-	private final TokenAllowance allowance;
+	private final TokenQuota quota;
 
 	private double level;
 
@@ -38,33 +36,33 @@
 	/**
 	 * Creates the meter, empty: a process that starts anew doesn't know what the others
 	 * let in, and a fleet that starts anew together must not let the burst in twice.
-	 * @param allowance the account's allowance
+	 * @param quota the account's quota
 	 * @param now the present time
 	 */
-	public AllowanceMeter(TokenAllowance allowance, long now) {
-		this.allowance = allowance;
+	public QuotaLimiter(TokenQuota quota, long now) {
+		this.quota = quota;
 		this.updatedAt = now;
 		this.level = 0;
 	}
 
 	/**
-	 * Returns the allowance that is metered.
-	 * @return the allowance
+	 * Returns the quota that is metered.
+	 * @return the quota
 	 */
-	public TokenAllowance allowance() {
-		return this.allowance;
+	public TokenQuota quota() {
+		return this.quota;
 	}
 
 	/**
-	 * Returns a meter of a changed allowance that goes on from what is left. One that
-	 * began empty would refuse what the account is owed each time its limit is changed.
-	 * @param changed the allowance
+	 * Returns a meter of a changed quota that goes on from what is left. One that began
+	 * empty would reject what the account is owed each time its limit is changed.
+	 * @param changed the quota
 	 * @param now the present time
 	 * @return the meter
 	 */
-	public AllowanceMeter changedTo(TokenAllowance changed, long now) {
+	public QuotaLimiter changedTo(TokenQuota changed, long now) {
 		advance(now);
-		AllowanceMeter successor = new AllowanceMeter(changed, now);
+		QuotaLimiter successor = new QuotaLimiter(changed, now);
 		successor.level = Math.min(this.level, changed.burst());
 		successor.share = this.share;
 		successor.used = this.used;
@@ -72,10 +70,11 @@
 	}
 
 	/**
-	 * Takes in how much of the fleet is heard.
-	 * @param newShare the gateways that are heard, this one included, as a part of all
+	 * Takes in how much of the fleet is reachable.
+	 * @param newShare the gateways that are reachable, this one included, as a part of
+	 * all
 	 */
-	public void heard(double newShare) {
+	public void reachable(double newShare) {
 		this.share = Math.clamp(newShare, 0, 1);
 	}
 
@@ -86,7 +85,7 @@
 	 */
 	public void usedElsewhere(double amount, long now) {
 		advance(now);
-		this.level = Math.max(this.level - amount, -MOST_OVERDRAWN_SECONDS * this.allowance.ratePerSecond());
+		this.level = Math.max(this.level - amount, -MOST_OVERDRAWN_SECONDS * this.quota.ratePerSecond());
 	}
 
 	/**
@@ -96,7 +95,7 @@
 	 * @param now the present time
 	 * @return whether it is let in
 	 */
-	public boolean tryTake(double cost, long now) {
+	public boolean tryAcquire(double cost, long now) {
 		advance(now);
 		if (this.level <= 0) {
 			return false;
@@ -110,9 +109,9 @@
 	 * Returns how long it takes until a request can be let in.
 	 * @return the time
 	 */
-	public Duration timeToNext() {
+	public Duration retryAfter() {
 		double missing = Math.max(0, -this.level) + 1;
-		return Duration.ofNanos((long) (1e9 * missing / (this.allowance.ratePerSecond() * Math.max(this.share, 0.05))));
+		return Duration.ofNanos((long) (1e9 * missing / (this.quota.ratePerSecond() * Math.max(this.share, 0.05))));
 	}
 
 	/**
@@ -134,8 +133,7 @@
 	private void advance(long now) {
 		double seconds = Math.max(0, (now - this.updatedAt) / 1e9);
 		this.updatedAt = now;
-		this.level = Math.min(this.allowance.burst(),
-				this.level + this.allowance.ratePerSecond() * this.share * seconds);
+		this.level = Math.min(this.quota.burst(), this.level + this.quota.ratePerSecond() * this.share * seconds);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/package-info.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Who is let in, who waits, who is turned away at once, and what may be sent again.
+ * Who is let in, who waits, who is rejected at once, and what may be sent again.
  * <p>
  * Pure decisions; times are passed in.
  */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/ClientAccount.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/ClientAccount.java
@@ -11,10 +11,10 @@
  * @param name its name
  * @param keys the keys that are valid now
  * @param priority the rank of its requests, or {@code null} for the route's
- * @param allowance what it may use, or {@code null} for no limit
+ * @param quota what it may use, or {@code null} for no limit
  */
 public record ClientAccount(AccountName name, List<String> keys, @Nullable Integer priority,
-		@Nullable TokenAllowance allowance) {
+		@Nullable TokenQuota quota) {
 
 	/**
 	 * Creates the account.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/ScalingLimits.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/ScalingLimits.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 
-import org.banyancove.core.ZoneName;
+import org.banyancove.core.DataCenterName;
 
 /**
  * How many endpoints of a service may be ordered, and at what price.
@@ -15,7 +15,7 @@
  * @param zonePrices the price of a second of an endpoint, by data centre
  */
 public record ScalingLimits(int fewest, int most, Duration startTime, double reclaimablePrice,
-		Map<ZoneName, Double> zonePrices) {
+		Map<DataCenterName, Double> zonePrices) {
 
 	/**
 	 * Creates the limits.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/TokenAllowance.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/TokenQuota.java
@@ -8,13 +8,13 @@
  * @param burst the most that is saved up
  * @param tokensWithoutUsage what a request counts that does not tell its tokens
  */
-public record TokenAllowance(boolean countsTokens, double ratePerSecond, double burst, long tokensWithoutUsage) {
+public record TokenQuota(boolean countsTokens, double ratePerSecond, double burst, long tokensWithoutUsage) {
 
 	/**
-	 * Creates the allowance.
+	 * Creates the quota.
 	 * @throws IllegalArgumentException if {@code ratePerSecond} is not positive
 	 */
-	public TokenAllowance {
+	public TokenQuota {
 		if (!(ratePerSecond > 0)) {
 			throw new IllegalArgumentException("ratePerSecond must be positive: " + ratePerSecond);
 		}
@@ -23,7 +23,7 @@
 	/**
 	 * Returns what a request counts.
 	 * @param tokens its tokens in and out, or 0 if it tells none
-	 * @return the cost, in this allowance's unit
+	 * @return the cost, in this quota's unit
 	 */
 	public double costOf(long tokens) {
 		if (!this.countsTokens) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -8,13 +8,13 @@
 import java.util.Set;
 
 import org.banyancove.gateway.configuration.Configuration;
-import org.banyancove.gateway.duty.GatewayBoard;
+import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.LeaseKeeper;
 import org.banyancove.gateway.duty.LeaseRecord;
+import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.duty.UsagePlan;
 import org.banyancove.gateway.duty.UsageReport;
-import org.banyancove.gateway.duty.WorkMeter;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.shared.AppendOutcome;
 import org.banyancove.gateway.shared.Duties;
@@ -54,9 +54,9 @@
 
 	private final UsagePlan plan;
 
-	private final GatewayBoard board;
+	private final PeerTable peerTable;
 
-	private final OrderWork orders;
+	private final EndpointScaling orders;
 
 	private final Set<Long> taken = new HashSet<>();
 
@@ -71,14 +71,14 @@
 	private boolean holding;
 
 	DutyWork(SharedTopics topics, Duties duties, SteadyClock clock, InstantSource wallClock, LeaseKeeper keeper,
-			UsageCounter usage, GatewayBoard board, WorkMeter work, EndpointTable endpoints) {
+			UsageCounter usage, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints) {
 		this.topics = topics;
 		this.duties = duties;
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.keeper = keeper;
-		this.board = board;
-		this.orders = new OrderWork(duties, board, work, endpoints);
+		this.peerTable = peerTable;
+		this.orders = new EndpointScaling(duties, peerTable, work, endpoints);
 		this.plan = new UsagePlan(usage, wallClock.instant());
 		this.lastWall = wallClock.instant();
 		this.lastSteady = clock.nanos();
@@ -146,7 +146,7 @@
 	private void renew(long now, boolean holds) {
 		List<UsageReport> named = this.keeper.reports();
 		List<UsageReport> next = holds ? this.plan.toName(named, this.wallClock.instant(),
-				(window) -> new UsageReport(window, this.board.counted(window))) : named;
+				(window) -> new UsageReport(window, this.peerTable.counted(window))) : named;
 		LeaseRecord appending = this.keeper.toAppend(next, !next.equals(named), now);
 		if (appending == null) {
 			return;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
@@ -7,16 +7,16 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.EndpointLoad;
-import org.banyancove.gateway.duty.EndpointOrders;
-import org.banyancove.gateway.duty.GatewayBoard;
-import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.ScalingPolicy;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
@@ -28,9 +28,9 @@
 /**
  * Orders endpoints while the lease is held.
  */
-final class OrderWork {
+final class EndpointScaling {
 
-	private static final Logger log = LoggerFactory.getLogger(OrderWork.class);
+	private static final Logger log = LoggerFactory.getLogger(EndpointScaling.class);
 
 	/** Between two decisions: a start takes seconds, and calls are paid for. */
 	private static final Duration INTERVAL = Duration.ofSeconds(1);
@@ -53,19 +53,19 @@
 
 	private final Duties duties;
 
-	private final GatewayBoard board;
+	private final PeerTable peerTable;
 
-	private final WorkMeter work;
+	private final DemandEstimator work;
 
 	private final EndpointTable endpoints;
 
-	private final Map<ServiceName, EndpointOrders> deciders = new HashMap<>();
+	private final Map<ServiceName, ScalingPolicy> deciders = new HashMap<>();
 
 	private final Map<Subject, Sent> sent = new HashMap<>();
 
 	private final Set<Subject> sending = new HashSet<>();
 
-	private final Set<ServiceName> reclaimableToBeHad = new HashSet<>();
+	private final Set<ServiceName> reclaimableAvailable = new HashSet<>();
 
 	private @Nullable Configuration configuration;
 
@@ -73,9 +73,9 @@
 
 	private long nextAt;
 
-	OrderWork(Duties duties, GatewayBoard board, WorkMeter work, EndpointTable endpoints) {
+	EndpointScaling(Duties duties, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints) {
 		this.duties = duties;
-		this.board = board;
+		this.peerTable = peerTable;
 		this.work = work;
 		this.endpoints = endpoints;
 	}
@@ -107,15 +107,15 @@
 			.stream()
 			.filter((endpoint) -> endpoint.entry().service().equals(service))
 			.toList();
-		Map<EndpointId, EndpointLoad> others = this.board.loads(now);
+		Map<EndpointId, EndpointLoad> others = this.peerTable.loads(now);
 		int inFlight = listed.stream()
 			.mapToInt((endpoint) -> endpoint.inFlight()
 					+ others.getOrDefault(endpoint.id(), EndpointLoad.NONE).inFlight())
 			.sum();
-		double needed = this.work.perService(now).getOrDefault(service, 0.0) + this.board.work(service, now);
+		double needed = this.work.perService(now).getOrDefault(service, 0.0) + this.peerTable.work(service, now);
 		List<EndpointEntry> entries = listed.stream().map(Endpoint::entry).toList();
-		this.deciders.computeIfAbsent(service, (name) -> new EndpointOrders())
-			.decide(limits, entries, needed, inFlight, this.reclaimableToBeHad.contains(service), now)
+		this.deciders.computeIfAbsent(service, (name) -> new ScalingPolicy())
+			.decide(limits, entries, needed, inFlight, this.reclaimableAvailable.contains(service), now)
 			.forEach((order) -> send(new Subject(service, order.zone(), order.reclaimable()), order.count(), entries,
 					needed, now));
 	}
@@ -123,7 +123,7 @@
 	private void send(Subject subject, int count, List<EndpointEntry> listed, double needed, long now) {
 		Sent before = this.sent.get(subject);
 		boolean changed = before == null || before.count() != count;
-		int running = EndpointOrders.running(listed, subject.zone(), subject.reclaimable());
+		int running = ScalingPolicy.running(listed, subject.zone(), subject.reclaimable());
 		boolean unfilled = running != count;
 		boolean due = before == null || now - before.at() >= before.interval().toNanos();
 		if (!(changed || (unfilled && due)) || !this.sending.add(subject)) {
@@ -137,7 +137,7 @@
 					this.sent.replace(subject, new Sent(count, now, AGAIN_REJECTED));
 				}
 				if (subject.reclaimable()) {
-					noteWhetherToBeHad(subject.service(), Boolean.TRUE.equals(taken));
+					noteAvailability(subject.service(), Boolean.TRUE.equals(taken));
 				}
 				log.atInfo()
 					.addKeyValue("service", subject.service().value())
@@ -152,19 +152,19 @@
 			});
 	}
 
-	private void noteWhetherToBeHad(ServiceName service, boolean taken) {
+	private void noteAvailability(ServiceName service, boolean taken) {
 		if (taken) {
-			this.reclaimableToBeHad.add(service);
+			this.reclaimableAvailable.add(service);
 		}
 		else {
-			this.reclaimableToBeHad.remove(service);
+			this.reclaimableAvailable.remove(service);
 		}
 	}
 
 	private record Sent(int count, long at, Duration interval) {
 	}
 
-	private record Subject(ServiceName service, ZoneName zone, boolean reclaimable) {
+	private record Subject(ServiceName service, DataCenterName zone, boolean reclaimable) {
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -16,22 +16,22 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.EndpointLoad;
-import org.banyancove.gateway.duty.GatewayBoard;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseKeeper;
+import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.duty.UsageCounter;
-import org.banyancove.gateway.duty.WorkMeter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ClientConnections;
+import org.banyancove.gateway.exchange.DrainPhase;
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestFlow;
-import org.banyancove.gateway.exchange.TakingPhase;
 import org.banyancove.gateway.shared.Duties;
-import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.SharedTopics;
 import org.banyancove.gateway.shared.StateReader;
 import org.banyancove.gateway.shared.SteadyClock;
@@ -109,7 +109,7 @@
 
 	private final EndpointTable endpoints = new EndpointTable();
 
-	private final GatewayBoard board = new GatewayBoard();
+	private final PeerTable peerTable = new PeerTable();
 
 	private final ReportCodec codec = new ReportCodec();
 
@@ -129,7 +129,7 @@
 
 	private final PeerExchange peers;
 
-	private final WorkMeter work = new WorkMeter();
+	private final DemandEstimator work = new DemandEstimator();
 
 	private final StateWatch state;
 
@@ -145,13 +145,13 @@
 	 * @param eventLoops a group of one loop, on which everything runs
 	 * @param clocks the clocks
 	 * @param random the random numbers
-	 * @param words the words of headers
+	 * @param headerCodec the words of headers
 	 * @param reader reads the records that others write
 	 * @param ports the platform's store and duties
 	 * @param connections the connections to endpoints
 	 */
 	public Gateway(GatewaySettings settings, EventLoopGroup eventLoops, Clocks clocks, RandomGenerator random,
-			HeaderWords words, StateReader reader, Ports ports, ClientConnections connections) {
+			HeaderCodec headerCodec, StateReader reader, Ports ports, ClientConnections connections) {
 		this.settings = settings;
 		this.eventLoop = eventLoops.next();
 		this.clock = clocks.steady();
@@ -161,23 +161,23 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.placement = new PlacementRule(settings.zone());
-		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, words, connections,
+		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, headerCodec, connections,
 				this.endpoints, this.placement, new Meters(this.usage, this.work), this.metrics,
 				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
-		this.peers = new PeerExchange(settings.name(), this::peerTold);
+		this.peers = new PeerExchange(settings.name(), this::peerReported);
 		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
 				this.clock.nanos());
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
-				this.board, this.work, this.endpoints);
+				this.peerTable, this.work, this.endpoints);
 		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints, this::leftToOthers,
 				(records) -> this.peers.send(this.codec.write(records)), this::configure);
 	}
 
 	private boolean leftToOthers() {
-		return this.board.readingIsLeftToOthers(this.incarnation, silence(), this.clock.nanos());
+		return this.peerTable.readingIsLeftToOthers(this.incarnation, silence(), this.clock.nanos());
 	}
 
 	/**
@@ -215,7 +215,7 @@
 
 	private TopicFollower leaseFollower() {
 		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock,
-				() -> this.board.hearsHolder(this.clock.nanos()) ? LEASES_INTERVAL : LEASES_INTERVAL_UNHEARD,
+				() -> this.peerTable.hasLeaseHolder(this.clock.nanos()) ? LEASES_INTERVAL : LEASES_INTERVAL_UNHEARD,
 				Duration.ZERO, () -> false, this.duties);
 	}
 
@@ -236,11 +236,11 @@
 		this.flow.configure(newest);
 	}
 
-	private void peerTold(byte[] datagram) {
+	private void peerReported(byte[] datagram) {
 		try {
 			switch (this.codec.readMessage(datagram)) {
 				case PeerMessage.Report told ->
-					this.flow.usedElsewhere(this.board.read(told.report(), this.clock.nanos()));
+					this.flow.usedElsewhere(this.peerTable.read(told.report(), this.clock.nanos()));
 				case PeerMessage.Relay told -> this.state.relayed(told.relayed());
 			}
 		}
@@ -256,7 +256,7 @@
 			GatewayReport told = new GatewayReport(this.incarnation, this.settings.zone(), this.usage.counts(),
 					this.flow.used(), this.work.perService(this.clock.nanos()), loads(), this.duties.holds(),
 					this.state.known());
-			this.board.readCounts(told);
+			this.peerTable.readCounts(told);
 			this.peers.send(this.codec.write(told));
 		}
 		catch (RuntimeException ex) {
@@ -277,7 +277,7 @@
 	}
 
 	private void readPeersLoads(long now) {
-		Map<EndpointId, EndpointLoad> loads = this.board.loads(now);
+		Map<EndpointId, EndpointLoad> loads = this.peerTable.loads(now);
 		for (Endpoint endpoint : this.endpoints.all()) {
 			EndpointLoad others = loads.getOrDefault(endpoint.id(), EndpointLoad.NONE);
 			endpoint.others(others.inFlight(), others.unreadTokens());
@@ -305,11 +305,11 @@
 		try {
 			long now = this.clock.nanos();
 			this.endpoints.expire(now).forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
-			this.board.expire(now);
-			this.flow.fleet(this.board.others() + 1, this.board.heardShare(now));
+			this.peerTable.expire(now);
+			this.flow.fleet(this.peerTable.others() + 1, this.peerTable.reachableShare(now));
 			readPeersLoads(now);
-			this.state.compare(this.board.furthestReader(silence(), now), now);
-			this.placement.unreachable(this.board.silentZones(this.settings.zone(), silence(), now));
+			this.state.compare(this.peerTable.furthestReader(silence(), now), now);
+			this.placement.unreachable(this.peerTable.unreachableDataCenters(this.settings.zone(), silence(), now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
@@ -340,12 +340,12 @@
 			this.callers.stop();
 		});
 		TimeUnit.MILLISECONDS.sleep(STOP_IDLE_AFTER.toMillis());
-		this.eventLoop.execute(() -> this.flow.take(TakingPhase.SHORT_ONES));
+		this.eventLoop.execute(() -> this.flow.take(DrainPhase.SHORT_ONES));
 		long end = began + this.settings.stopTime().minus(STOP_MARGIN).toNanos();
 		long lastTaken = end - STOP_TAKES_NONE_FOR.toNanos();
 		while (this.clock.nanos() < end && connectionsLeft() > 0) {
 			if (this.clock.nanos() > lastTaken) {
-				this.eventLoop.execute(() -> this.flow.take(TakingPhase.NONE));
+				this.eventLoop.execute(() -> this.flow.take(DrainPhase.NONE));
 			}
 			TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -91,18 +91,18 @@
 	}
 
 	@Override
-	public void refused(RefusalFacts facts) {
+	public void rejected(RejectionFacts facts) {
 		this.requests.labelValues(facts.kind().code()).inc();
 		if (mayLog()) {
 			log.atInfo()
 				.addKeyValue("requestId", facts.requestId())
 				.addKeyValue("error", facts.kind().code())
 				.addKeyValue("status", facts.kind().status())
-				.addKeyValue("comeBackMs", (facts.comeBack() != null) ? facts.comeBack().toMillis() : null)
+				.addKeyValue("retryAfterMs", (facts.retryAfter() != null) ? facts.retryAfter().toMillis() : null)
 				.addKeyValue("account", facts.account())
-				.addKeyValue("allowanceLeft", facts.allowanceLeft())
+				.addKeyValue("quotaAvailable", facts.quotaAvailable())
 				.addKeyValue("configuration", facts.version())
-				.log("request refused");
+				.log("request rejected");
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
-import org.banyancove.core.ZoneName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.gateway.exchange.RetryLimits;
 import org.jspecify.annotations.Nullable;
 
@@ -23,7 +23,7 @@
  * @param ordersEndpoints whether endpoints are to be ordered
  * @param stopTime from being told to stop to being killed
  */
-public record GatewaySettings(String name, ZoneName zone, InetSocketAddress callers, InetSocketAddress readiness,
+public record GatewaySettings(String name, DataCenterName zone, InetSocketAddress callers, InetSocketAddress readiness,
 		@Nullable InetSocketAddress metrics, InetSocketAddress peers, RetryLimits retryLimits, Duration lease,
 		Duration usageWindow, boolean reportsUsage, boolean ordersEndpoints, Duration stopTime) {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
@@ -10,9 +10,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.core.error.BanyancoveException;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.duty.EndpointLoad;
@@ -72,8 +72,8 @@
 			.properties()
 			.forEach((entry) -> loads.put(new EndpointId(entry.getKey()),
 					new EndpointLoad(entry.getValue().path(0).asInt(), entry.getValue().path(1).asLong())));
-		return new GatewayReport(root.path("incarnation").asLong(), new ZoneName(root.path("zone").asText()), counts,
-				used, work, loads, root.path("holdsLease").asBoolean(), knownState(root.path("known")));
+		return new GatewayReport(root.path("incarnation").asLong(), new DataCenterName(root.path("zone").asText()),
+				counts, used, work, loads, root.path("holdsLease").asBoolean(), knownState(root.path("known")));
 	}
 
 	private static KnownState knownState(JsonNode node) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -39,7 +39,7 @@
 	 * How often it looks whether reading is still left to others: a part of the half
 	 * second within which they are missed.
 	 */
-	private static final Duration LOOK_AGAIN = Duration.ofMillis(100);
+	private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
 	private final Topic topic;
 
@@ -94,7 +94,7 @@
 			// What changes meanwhile is passed on, record by record. Its own place in the
 			// topic grows old, so that it lists all anew when it reads again.
 			this.next = -1;
-			again(LOOK_AGAIN);
+			again(POLL_INTERVAL);
 			return;
 		}
 		if (this.next < 0 || this.readAnew) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/SilentZones.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/DataCenterFailureDetector.java
@@ -8,19 +8,18 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.banyancove.core.ZoneName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 
 /**
  * The data centres whose endpoints all fell out of the list without having said that they
  * leave.
  * <p>
- * The load that it answers: a data centre is cut off for some seconds, and its endpoints
- * cannot write their entries. They run on and are back when the cut ends. Endpoints that
- * were ordered there meanwhile would be as unreachable, and orders of fewer would take
- * away those that run.
+ * A data centre is cut off for some seconds, and its endpoints cannot write their
+ * entries. They run on and are back when the cut ends. Endpoints that were ordered there
+ * meanwhile would be as unreachable, and orders of fewer would take away those that run.
  */
-final class SilentZones {
+final class DataCenterFailureDetector {
 
 	/**
 	 * How long a silence is taken for a cut: longer than cuts usually last. Endpoints
@@ -28,9 +27,9 @@
 	 */
 	private static final Duration LONGEST_CUT = Duration.ofSeconds(10);
 
-	private final Set<ZoneName> serving = new HashSet<>();
+	private final Set<DataCenterName> serving = new HashSet<>();
 
-	private final Map<ZoneName, Long> silentSince = new HashMap<>();
+	private final Map<DataCenterName, Long> silentSince = new HashMap<>();
 
 	/**
 	 * Takes in the list of endpoints.
@@ -39,9 +38,9 @@
 	 * @param now the present time
 	 * @return the data centres that are silent
 	 */
-	Set<ZoneName> update(Collection<EndpointEntry> listed, List<ZoneName> zones, long now) {
-		Set<ZoneName> silent = new HashSet<>();
-		for (ZoneName zone : zones) {
+	Set<DataCenterName> update(Collection<EndpointEntry> listed, List<DataCenterName> zones, long now) {
+		Set<DataCenterName> silent = new HashSet<>();
+		for (DataCenterName zone : zones) {
 			List<EndpointEntry> here = listed.stream().filter((entry) -> entry.zone().equals(zone)).toList();
 			if (here.stream().anyMatch((entry) -> !entry.draining())) {
 				this.serving.add(zone);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/WorkMeter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/DemandEstimator.java
@@ -8,10 +8,9 @@
 /**
  * The engine time that this gateway's requests need, a second, by service.
  * <p>
- * Requests that were turned away for want of endpoints count too: they show what is
- * missing.
+ * Requests that were rejected for want of endpoints count too: they show what is missing.
  */
-public final class WorkMeter {
+public final class DemandEstimator {
 
 	/**
 	 * How fast past work loses weight, in s: short enough to show the start of a burst.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayBoard.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
@@ -9,9 +9,9 @@
 import java.util.TreeMap;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 
 /**
  * What the other gateways told of themselves.
@@ -20,7 +20,7 @@
  * forgotten after a short silence, and a gateway counts as one of the fleet for longer:
  * it may be cut off from here and go on working.
  */
-public final class GatewayBoard {
+public final class PeerTable {
 
 	/** Silence after which a gateway's loads count no more: a few missed reports. */
 	private static final Duration SILENCE = Duration.ofMillis(1500);
@@ -39,7 +39,7 @@
 	/** Windows that are kept for the usage report. */
 	private static final int MOST_WINDOWS = 12;
 
-	private final Map<Long, Heard> heard = new HashMap<>();
+	private final Map<Long, Peer> peers = new HashMap<>();
 
 	private final TreeMap<Long, Map<Long, Map<AccountName, Long>>> counts = new TreeMap<>();
 
@@ -48,10 +48,10 @@
 	 * @param report the report
 	 * @param now when it was read, on the steady clock
 	 * @return what the gateway let in since its last report and was not left to it while
-	 * it was silent, by client account; nothing for its first one
+	 * it was unreachable, by client account; nothing for its first one
 	 */
 	public Map<AccountName, Double> read(GatewayReport report, long now) {
-		Heard before = this.heard.put(report.incarnation(), new Heard(report, now));
+		Peer before = this.peers.put(report.incarnation(), new Peer(report, now));
 		readCounts(report);
 		Map<AccountName, Double> since = new HashMap<>();
 		if (before != null) {
@@ -63,7 +63,7 @@
 		return since;
 	}
 
-	// A gateway that is silent has its part of each allowance left to it. What it let in
+	// A gateway that is unreachable has its part of each quota left to it. What it let in
 	// meanwhile was earned by that part: charged once more when a cut ends, the sum of
 	// several seconds would lock its accounts out at all gateways.
 	private static double chargedPart(long silentNanos) {
@@ -88,7 +88,7 @@
 	 * @param now the present time
 	 */
 	public void expire(long now) {
-		this.heard.values().removeIf((entry) -> now - entry.at() > GONE.toNanos());
+		this.peers.values().removeIf((entry) -> now - entry.at() > GONE.toNanos());
 	}
 
 	/**
@@ -96,51 +96,51 @@
 	 * @return the number
 	 */
 	public int others() {
-		return this.heard.size();
+		return this.peers.size();
 	}
 
 	/**
-	 * Returns the part of the fleet that is heard now, this gateway included.
+	 * Returns the part of the fleet that is reachable now, this gateway included.
 	 * @param now the present time
 	 * @return the part, from 0 to 1
 	 */
-	public double heardShare(long now) {
-		long fresh = this.heard.values().stream().filter((entry) -> entry.fresh(now)).count();
-		return (fresh + 1.0) / (this.heard.size() + 1);
+	public double reachableShare(long now) {
+		long fresh = this.peers.values().stream().filter((entry) -> entry.fresh(now)).count();
+		return (fresh + 1.0) / (this.peers.size() + 1);
 	}
 
 	/**
-	 * Returns the data centres all of whose gateways have been silent for a while.
+	 * Returns the data centres all of whose gateways have been unreachable for a while.
 	 * @param own this gateway's data centre, which is none of them
 	 * @param silence for how long
 	 * @param now the present time
 	 * @return the data centres
 	 */
-	public Set<ZoneName> silentZones(ZoneName own, Duration silence, long now) {
-		Set<ZoneName> silent = new HashSet<>();
-		Set<ZoneName> audible = new HashSet<>(Set.of(own));
-		for (Heard entry : this.heard.values()) {
-			boolean heardOfLate = now - entry.at() < silence.toNanos();
-			(heardOfLate ? audible : silent).add(entry.report().zone());
+	public Set<DataCenterName> unreachableDataCenters(DataCenterName own, Duration silence, long now) {
+		Set<DataCenterName> unreachable = new HashSet<>();
+		Set<DataCenterName> reachable = new HashSet<>(Set.of(own));
+		for (Peer entry : this.peers.values()) {
+			boolean recentlyReported = now - entry.at() < silence.toNanos();
+			(recentlyReported ? reachable : unreachable).add(entry.report().zone());
 		}
-		silent.removeAll(audible);
-		return silent;
+		unreachable.removeAll(reachable);
+		return unreachable;
 	}
 
 	/**
 	 * Returns whether enough others read the store, so that this gateway need not.
 	 * <p>
-	 * The load that it answers: each gateway that polls costs calls, which are paid for
-	 * and bounded; at 810 gateways the store's bound would be spent on polling alone. A
-	 * few read and tell the rest. Those with the lowest identifiers read, as all can tell
-	 * alike; a gateway that hears too few of them reads for itself.
+	 * Each gateway that polls costs calls, which are paid for and bounded; at 810
+	 * gateways the store's bound would be spent on polling alone. A few read and tell the
+	 * rest. Those with the lowest identifiers read, as all can tell alike; a gateway that
+	 * hears too few of them reads for itself.
 	 * @param own this gateway's incarnation
-	 * @param silence after which a gateway counts as not heard
+	 * @param silence after which a gateway counts as unreachable
 	 * @param now the present time
 	 * @return whether reading is left to others
 	 */
 	public boolean readingIsLeftToOthers(long own, Duration silence, long now) {
-		return this.heard.values()
+		return this.peers.values()
 			.stream()
 			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads()
 					&& entry.report().incarnation() < own)
@@ -148,13 +148,13 @@
 	}
 
 	/**
-	 * Returns what the reader knows that is furthest of those that are heard.
-	 * @param silence after which a gateway counts as not heard
+	 * Returns what the reader knows that is furthest of those that are reachable.
+	 * @param silence after which a gateway counts as unreachable
 	 * @param now the present time
-	 * @return what it knows, {@link KnownState#NONE} if none is heard
+	 * @return what it knows, {@link KnownState#NONE} if none is reachable
 	 */
 	public KnownState furthestReader(Duration silence, long now) {
-		return this.heard.values()
+		return this.peers.values()
 			.stream()
 			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads())
 			.map((entry) -> entry.report().known())
@@ -167,8 +167,8 @@
 	 * @param now the present time
 	 * @return whether one did
 	 */
-	public boolean hearsHolder(long now) {
-		return this.heard.values().stream().anyMatch((entry) -> entry.fresh(now) && entry.report().holdsLease());
+	public boolean hasLeaseHolder(long now) {
+		return this.peers.values().stream().anyMatch((entry) -> entry.fresh(now) && entry.report().holdsLease());
 	}
 
 	/**
@@ -178,7 +178,7 @@
 	 */
 	public Map<EndpointId, EndpointLoad> loads(long now) {
 		Map<EndpointId, EndpointLoad> total = new HashMap<>();
-		for (Heard entry : this.heard.values()) {
+		for (Peer entry : this.peers.values()) {
 			if (entry.fresh(now)) {
 				entry.report().loads().forEach((endpoint, load) -> total.merge(endpoint, load, EndpointLoad::plus));
 			}
@@ -193,7 +193,7 @@
 	 * @return milliseconds a second
 	 */
 	public double work(ServiceName service, long now) {
-		return this.heard.values()
+		return this.peers.values()
 			.stream()
 			.filter((entry) -> entry.fresh(now))
 			.mapToDouble((entry) -> entry.report().work().getOrDefault(service, 0.0))
@@ -213,7 +213,7 @@
 		return total;
 	}
 
-	private record Heard(GatewayReport report, long at) {
+	private record Peer(GatewayReport report, long at) {
 
 		boolean fresh(long now) {
 			return now - this.at < SILENCE.toNanos();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointOrders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.banyancove.core.ZoneName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.jspecify.annotations.Nullable;
@@ -27,7 +27,7 @@
  * <p>
  * Times are nanoseconds of the steady clock.
  */
-public final class EndpointOrders {
+public final class ScalingPolicy {
 
 	/**
 	 * Part of an engine's time that prefill takes where reclaimable endpoints are enough:
@@ -69,7 +69,7 @@
 	 */
 	private static final int LEAST_IN_ZONE = 3;
 
-	private final SilentZones silentZones = new SilentZones();
+	private final DataCenterFailureDetector unreachableDataCenters = new DataCenterFailureDetector();
 
 	private final RecentPeak needs = new RecentPeak(MEMORY);
 
@@ -77,7 +77,7 @@
 
 	private final RecentPeak needsAfterLoss = new RecentPeak(LEAST_MEMORY);
 
-	private Map<ZoneName, Integer> lastingOrdered = Map.of();
+	private Map<DataCenterName, Integer> onDemandOrdered = Map.of();
 
 	/**
 	 * Decides the orders.
@@ -85,18 +85,19 @@
 	 * @param listed the service's endpoints
 	 * @param work the engine time that is needed, in ms a second
 	 * @param inFlight the requests at the endpoints
-	 * @param reclaimableToBeHad whether the last order of reclaimable endpoints was taken
+	 * @param reclaimableAvailable whether the last order of reclaimable endpoints was
+	 * taken
 	 * @param now the present time
 	 * @return the orders; none for a data centre that is cut off, where what was ordered
 	 * stays
 	 */
 	public List<Order> decide(ScalingLimits limits, Collection<EndpointEntry> listed, double work, int inFlight,
-			boolean reclaimableToBeHad, long now) {
-		List<ZoneName> all = new ArrayList<>(limits.zonePrices().keySet());
-		all.sort(Comparator.comparingDouble((ZoneName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
-			.thenComparing(ZoneName::value));
-		Set<ZoneName> silent = this.silentZones.update(listed, all, now);
-		List<ZoneName> zones = all.stream().filter((zone) -> !silent.contains(zone)).toList();
+			boolean reclaimableAvailable, long now) {
+		List<DataCenterName> all = new ArrayList<>(limits.zonePrices().keySet());
+		all.sort(Comparator.comparingDouble((DataCenterName zone) -> limits.zonePrices().getOrDefault(zone, 1.0))
+			.thenComparing(DataCenterName::value));
+		Set<DataCenterName> silent = this.unreachableDataCenters.update(listed, all, now);
+		List<DataCenterName> zones = all.stream().filter((zone) -> !silent.contains(zone)).toList();
 		if (zones.isEmpty()) {
 			return List.of();
 		}
@@ -111,17 +112,17 @@
 		}
 		int afterLoss = (int) this.needsAfterLoss.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots)),
 				now);
-		Map<ZoneName, Integer> running = runningByZone(listed, zones);
-		Map<ZoneName, Integer> reclaimable = spread(
+		Map<DataCenterName, Integer> running = runningByZone(listed, zones);
+		Map<DataCenterName, Integer> reclaimable = spread(
 				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
-		if (!reclaimableToBeHad) {
+		if (!reclaimableAvailable) {
 			// What is given back now cannot be had again when the load returns.
 			running.forEach((zone, count) -> reclaimable.merge(zone, count, Math::max));
 		}
-		int left = leftAfterLoss(reclaimableToBeHad ? reclaimable : running);
+		int left = leftAfterLoss(reclaimableAvailable ? reclaimable : running);
 		int uncovered = Math.max(least - running(listed, true), afterLoss - left);
-		int lasting = Math.max(0, uncovered);
-		return orders(zones, fill(lasting, zones, limits, listed), reclaimable, limits);
+		int onDemand = Math.max(0, uncovered);
+		return orders(zones, fill(onDemand, zones, limits, listed), reclaimable, limits);
 	}
 
 	private static double atLeastOne(double endpoints) {
@@ -132,15 +133,15 @@
 		return listed.stream().mapToInt(EndpointEntry::slots).min().orElse(1);
 	}
 
-	private List<Order> orders(List<ZoneName> zones, Map<ZoneName, Integer> lasting,
-			@Nullable Map<ZoneName, Integer> reclaimable, ScalingLimits limits) {
-		this.lastingOrdered = lasting;
+	private List<Order> orders(List<DataCenterName> zones, Map<DataCenterName, Integer> onDemand,
+			@Nullable Map<DataCenterName, Integer> reclaimable, ScalingLimits limits) {
+		this.onDemandOrdered = onDemand;
 		List<Order> orders = new ArrayList<>();
-		for (ZoneName zone : zones) {
-			int lastingHere = lasting.getOrDefault(zone, 0);
+		for (DataCenterName zone : zones) {
+			int onDemandHere = onDemand.getOrDefault(zone, 0);
 			int wanted = (reclaimable != null) ? reclaimable.getOrDefault(zone, 0) : 0;
-			int reclaimableHere = Math.min(wanted, limits.most() - lastingHere);
-			orders.add(new Order(zone, false, Math.max(lastingHere, limits.fewest() - reclaimableHere)));
+			int reclaimableHere = Math.min(wanted, limits.most() - onDemandHere);
+			orders.add(new Order(zone, false, Math.max(onDemandHere, limits.fewest() - reclaimableHere)));
 			if (reclaimable != null) {
 				orders.add(new Order(zone, true, reclaimableHere));
 			}
@@ -155,7 +156,7 @@
 	 * @param reclaimable the kind
 	 * @return the number
 	 */
-	public static int running(Collection<EndpointEntry> listed, ZoneName zone, boolean reclaimable) {
+	public static int running(Collection<EndpointEntry> listed, DataCenterName zone, boolean reclaimable) {
 		return (int) listed.stream()
 			.filter((entry) -> entry.zone().equals(zone) && entry.reclaimable() == reclaimable && !entry.draining())
 			.count();
@@ -165,25 +166,26 @@
 		return (int) listed.stream().filter((entry) -> entry.reclaimable() == reclaimable && !entry.draining()).count();
 	}
 
-	private static Map<ZoneName, Integer> runningByZone(Collection<EndpointEntry> listed, List<ZoneName> zones) {
-		Map<ZoneName, Integer> running = new HashMap<>();
+	private static Map<DataCenterName, Integer> runningByZone(Collection<EndpointEntry> listed,
+			List<DataCenterName> zones) {
+		Map<DataCenterName, Integer> running = new HashMap<>();
 		zones.forEach((zone) -> running.put(zone, running(listed, zone, true)));
 		return running;
 	}
 
 	// The reclaimable endpoints that are left when the data centre with the most of them
-	// loses all at one blow. Counting those too would order lasting ones only once they
+	// loses all at one blow. Counting those too would order on-demand ones only once they
 	// are
 	// leaving: callers would wait for a start, four seconds, at whatever is left.
-	private static int leftAfterLoss(Map<ZoneName, Integer> reclaimable) {
+	private static int leftAfterLoss(Map<DataCenterName, Integer> reclaimable) {
 		int all = reclaimable.values().stream().mapToInt(Integer::intValue).sum();
 		int most = reclaimable.values().stream().mapToInt(Integer::intValue).max().orElse(0);
 		return all - most;
 	}
 
 	// Spreads evenly, the cheaper data centres first.
-	private static Map<ZoneName, Integer> spread(int total, List<ZoneName> zones, int most) {
-		Map<ZoneName, Integer> spread = new HashMap<>();
+	private static Map<DataCenterName, Integer> spread(int total, List<DataCenterName> zones, int most) {
+		Map<DataCenterName, Integer> spread = new HashMap<>();
 		for (int i = 0; i < total; i++) {
 			spread.merge(zones.get(i % zones.size()), 1, (left, right) -> Math.min(most, left + right));
 		}
@@ -194,17 +196,17 @@
 	// missing where there is room beside the reclaimable ones: an endpoint that starts is
 	// empty, one that leaves breaks streams off, and an order that moves while its
 	// endpoint starts costs a start, four seconds, once more.
-	private Map<ZoneName, Integer> fill(int total, List<ZoneName> zones, ScalingLimits limits,
+	private Map<DataCenterName, Integer> fill(int total, List<DataCenterName> zones, ScalingLimits limits,
 			Collection<EndpointEntry> listed) {
-		Map<ZoneName, Integer> filled = new HashMap<>();
+		Map<DataCenterName, Integer> filled = new HashMap<>();
 		int left = total;
-		for (ZoneName zone : zones) {
-			int there = Math.max(running(listed, zone, false), this.lastingOrdered.getOrDefault(zone, 0));
+		for (DataCenterName zone : zones) {
+			int there = Math.max(running(listed, zone, false), this.onDemandOrdered.getOrDefault(zone, 0));
 			int here = Math.min(left, Math.min(there, limits.most()));
 			filled.put(zone, here);
 			left -= here;
 		}
-		for (ZoneName zone : zones) {
+		for (DataCenterName zone : zones) {
 			int room = limits.most() - running(listed, zone, true) - filled.getOrDefault(zone, 0);
 			int here = Math.clamp(room, 0, left);
 			filled.merge(zone, here, Integer::sum);
@@ -220,7 +222,7 @@
 	 * @param reclaimable the kind
 	 * @param count the number
 	 */
-	public record Order(ZoneName zone, boolean reclaimable, int count) {
+	public record Order(DataCenterName zone, boolean reclaimable, int count) {
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -212,7 +212,7 @@
 	}
 
 	/**
-	 * Notes that no answer came: refused, reset, silent or unreadable.
+	 * Notes that no answer came: rejected, reset, silent or unreadable.
 	 * @param now the present time
 	 */
 	public void failed(long now) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointEntry.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointEntry.java
@@ -2,9 +2,9 @@
 
 import java.net.InetSocketAddress;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 
 /**
  * What an endpoint says of itself in the list of endpoints.
@@ -18,8 +18,8 @@
  * @param reclaimable whether its VM may be taken away
  * @param startedAt when it started, in Unix milliseconds; 0 if it doesn't say
  */
-public record EndpointEntry(EndpointId id, ServiceName service, InetSocketAddress address, ZoneName zone, int slots,
-		boolean draining, boolean reclaimable, long startedAt) {
+public record EndpointEntry(EndpointId id, ServiceName service, InetSocketAddress address, DataCenterName zone,
+		int slots, boolean draining, boolean reclaimable, long startedAt) {
 
 	/**
 	 * Creates the entry.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
-import org.banyancove.core.ZoneName;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -46,21 +46,21 @@
 	private static final double FAR_MILLIS = 3;
 
 	/**
-	 * The time that an endpoint in a data centre costs whose gateways fell silent, in ms.
-	 * The data centre may be cut off, and a request sent there would wait until its end;
-	 * as long as a failure, so that it is used where nothing else is left.
+	 * The time that an endpoint in a data centre costs whose gateways became unreachable,
+	 * in ms. The data centre may be cut off, and a request sent there would wait until
+	 * its end; as long as a failure, so that it is used where nothing else is left.
 	 */
 	private static final double SILENT_ZONE_MILLIS = FAILURE_MILLIS;
 
-	private final ZoneName zone;
+	private final DataCenterName zone;
 
-	private Set<ZoneName> unreachable = Set.of();
+	private Set<DataCenterName> unreachable = Set.of();
 
 	/**
 	 * Creates the rule.
 	 * @param zone the gateway's own data centre
 	 */
-	public PlacementRule(ZoneName zone) {
+	public PlacementRule(DataCenterName zone) {
 		this.zone = zone;
 	}
 
@@ -68,7 +68,7 @@
 	 * Takes in which data centres may be cut off from here.
 	 * @param zones the data centres
 	 */
-	public void unreachable(Set<ZoneName> zones) {
+	public void unreachable(Set<DataCenterName> zones) {
 		this.unreachable = Set.copyOf(zones);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/AnswerListener.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/AnswerListener.java
@@ -24,7 +24,7 @@
 	/**
 	 * Hears that the answer is whole.
 	 */
-	void whole();
+	void completed();
 
 	/**
 	 * Hears that there will be no whole answer.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -37,11 +37,11 @@
 
 	private boolean left;
 
-	private @Nullable PendingCall call;
+	private @Nullable ClientCall call;
 
 	private @Nullable HttpResponse head;
 
-	private @Nullable EndpointHeaders said;
+	private @Nullable EndpointHeaders responseHeaders;
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
@@ -56,7 +56,7 @@
 		this.endpoint.sent(exchange.prompt(), this.prefillTokens);
 	}
 
-	void started(PendingCall started) {
+	void started(ClientCall started) {
 		this.call = started;
 	}
 
@@ -68,8 +68,8 @@
 		return Objects.requireNonNull(this.head, "no answer has begun");
 	}
 
-	EndpointHeaders said() {
-		return Objects.requireNonNull(this.said, "no answer has begun");
+	EndpointHeaders responseHeaders() {
+		return Objects.requireNonNull(this.responseHeaders, "no answer has begun");
 	}
 
 	boolean silent() {
@@ -122,12 +122,12 @@
 
 	@Override
 	public boolean head(HttpResponse answer) {
-		EndpointHeaders headers = this.exchange.words().readEndpoint(answer.headers());
+		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(answer.headers());
 		if (headers.requestId() != null && !headers.requestId().equals(this.exchange.requestId())) {
 			return false;
 		}
 		this.head = answer;
-		this.said = headers;
+		this.responseHeaders = headers;
 		if (headers.load() != null) {
 			this.endpoint.reported(headers.load(), this.exchange.now());
 		}
@@ -152,9 +152,9 @@
 	}
 
 	@Override
-	public void whole() {
+	public void completed() {
 		leave();
-		this.exchange.whole(this);
+		this.exchange.completed(this);
 	}
 
 	@Override
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -50,7 +50,7 @@
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-	private @Nullable CallerAnswering answering;
+	private @Nullable ResponseSubscription answering;
 
 	private boolean answerKeepsOpen;
 
@@ -96,16 +96,16 @@
 					Unpooled.EMPTY_BUFFER));
 		}
 		if (HttpUtil.getContentLength(request, 0L) > this.server.limits().maxBodyBytes()) {
-			refuse(ErrorKind.BODY_TOO_LARGE);
+			reject(ErrorKind.BODY_TOO_LARGE);
 			return;
 		}
-		startTimer(this.server.limits().idleTimeout(), () -> refuse(ErrorKind.REQUEST_TOO_SLOW));
+		startTimer(this.server.limits().idleTimeout(), () -> reject(ErrorKind.REQUEST_TOO_SLOW));
 	}
 
 	private void readBody(HttpContent content) {
 		int added = content.content().readableBytes();
 		if (this.body.readableBytes() + added > this.server.limits().maxBodyBytes()) {
-			refuse(ErrorKind.BODY_TOO_LARGE);
+			reject(ErrorKind.BODY_TOO_LARGE);
 			return;
 		}
 		if (added > 0) {
@@ -140,9 +140,9 @@
 			return;
 		}
 		this.answerKeepsOpen = HttpUtil.isKeepAlive(request.head());
-		this.answering = CallerAnswering.BEGUN;
-		CallerAnswering begun = this.server.begin(this, request);
-		if (CallerAnswering.BEGUN.equals(this.answering)) {
+		this.answering = ResponseSubscription.BEGUN;
+		ResponseSubscription begun = this.server.begin(this, request);
+		if (ResponseSubscription.BEGUN.equals(this.answering)) {
 			this.answering = begun;
 		}
 	}
@@ -234,15 +234,15 @@
 
 	private void refuseUnreadable(Throwable cause) {
 		if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
-			refuse(ErrorKind.HEADERS_TOO_LARGE);
+			reject(ErrorKind.HEADERS_TOO_LARGE);
 		}
 		else {
-			refuse(ErrorKind.MALFORMED_REQUEST);
+			reject(ErrorKind.MALFORMED_REQUEST);
 		}
 	}
 
 	// Answers what cannot be read any further, after the answers before it, and closes.
-	private void refuse(ErrorKind kind) {
+	private void reject(ErrorKind kind) {
 		stopTimer();
 		this.head = null;
 		Channel open = this.channel;
@@ -255,7 +255,7 @@
 		HttpUtil.setContentLength(answer, answer.content().readableBytes());
 		setConnection(answer, false);
 		open.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
-		this.server.refusedUnread(kind);
+		this.server.rejectedUnread(kind);
 	}
 
 	private void awaitRequest() {
@@ -289,7 +289,7 @@
 		this.closing = true;
 		this.channel = null;
 		this.ahead.clear();
-		CallerAnswering current = this.answering;
+		ResponseSubscription current = this.answering;
 		this.answering = null;
 		this.server.closed(this);
 		if (current != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -108,7 +108,7 @@
 		return this.clock;
 	}
 
-	CallerAnswering begin(CallerConnection connection, CallerRequest request) {
+	ResponseSubscription begin(CallerConnection connection, CallerRequest request) {
 		return this.flow.begin(connection, request);
 	}
 
@@ -120,8 +120,8 @@
 		this.connections.remove(connection);
 	}
 
-	void refusedUnread(ErrorKind kind) {
-		this.flow.refusedUnread(kind);
+	void rejectedUnread(ErrorKind kind) {
+		this.flow.rejectedUnread(kind);
 	}
 
 	void connectionFailed(Throwable cause) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/PendingCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -8,7 +8,7 @@
 /**
  * A call that has been made and may be given up.
  */
-public final class PendingCall {
+public final class ClientCall {
 
 	private final FullHttpRequest request;
 
@@ -18,7 +18,7 @@
 
 	private boolean ended;
 
-	PendingCall(FullHttpRequest request, AnswerListener listener) {
+	ClientCall(FullHttpRequest request, AnswerListener listener) {
 		this.request = request;
 		this.listener = listener;
 	}
@@ -56,10 +56,10 @@
 		}
 	}
 
-	void whole() {
+	void completed() {
 		if (!this.ended) {
 			end();
-			this.listener.whole();
+			this.listener.completed();
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -44,7 +44,7 @@
 
 	private final Channel channel;
 
-	private @Nullable PendingCall call;
+	private @Nullable ClientCall call;
 
 	private @Nullable ChannelFuture writing;
 
@@ -77,7 +77,7 @@
 		return this.channel.isActive() && idle <= longestIdleNanos && idle < this.keepAlive.toNanos();
 	}
 
-	void begin(PendingCall next) {
+	void begin(ClientCall next) {
 		this.call = next;
 		this.headSeen = false;
 		this.passingOver = false;
@@ -100,7 +100,7 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-		PendingCall current = this.call;
+		ClientCall current = this.call;
 		if (current == null) {
 			// Bytes that nobody asked for: a second answer. On this connection the next
 			// call would take them for its own answer.
@@ -119,7 +119,7 @@
 		}
 	}
 
-	private void readHead(PendingCall current, HttpResponse head) {
+	private void readHead(ClientCall current, HttpResponse head) {
 		this.passingOver = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !current.head(head);
 		if (this.passingOver) {
 			return;
@@ -130,7 +130,7 @@
 		this.keepAlive = readKeepAlive(head);
 	}
 
-	private void readContent(PendingCall current, HttpContent content) {
+	private void readContent(ClientCall current, HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.passingOver) {
 			return;
@@ -143,7 +143,7 @@
 		}
 	}
 
-	private void finish(PendingCall current) {
+	private void finish(ClientCall current) {
 		this.call = null;
 		ChannelFuture written = this.writing;
 		// An answer may come before the whole request was read. What is still to be
@@ -154,7 +154,7 @@
 		else {
 			close();
 		}
-		current.whole();
+		current.completed();
 	}
 
 	private static Duration readKeepAlive(HttpResponse head) {
@@ -174,7 +174,7 @@
 	}
 
 	private void fail(CallFailure failure) {
-		PendingCall current = this.call;
+		ClientCall current = this.call;
 		this.call = null;
 		close();
 		if (current != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -69,9 +69,9 @@
 	 * @param listener hears of the answer
 	 * @return the call
 	 */
-	public PendingCall call(InetSocketAddress address, FullHttpRequest request, CallOptions options,
+	public ClientCall call(InetSocketAddress address, FullHttpRequest request, CallOptions options,
 			AnswerListener listener) {
-		PendingCall call = new PendingCall(request, listener);
+		ClientCall call = new ClientCall(request, listener);
 		ClientConnection kept = takeIdle(address, options);
 		if (kept != null) {
 			kept.begin(call);
@@ -108,7 +108,7 @@
 		return null;
 	}
 
-	private void connect(InetSocketAddress address, CallOptions options, PendingCall call) {
+	private void connect(InetSocketAddress address, CallOptions options, ClientCall call) {
 		this.open.merge(address, 1, Integer::sum);
 		Bootstrap bootstrap = new Bootstrap().group(this.eventLoop)
 			.channel(NioSocketChannel.class)
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/TakingPhase.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/DrainPhase.java
@@ -3,7 +3,7 @@
 /**
  * Which requests a gateway takes, from its start to the end of its stop.
  */
-public enum TakingPhase {
+public enum DrainPhase {
 
 	/** All. */
 	ALL,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -27,7 +27,7 @@
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.EndpointCall;
-import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.HeaderCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,15 +37,15 @@
  * is answered "not run" only if no endpoint ever had a byte of it, or each that had it
  * stated so.
  */
-final class Exchange implements CallerAnswering {
+final class Exchange implements ResponseSubscription {
 
 	/** How often a request looks again while there is no endpoint. */
-	private static final Duration LOOK_AGAIN = Duration.ofMillis(40);
+	private static final Duration POLL_INTERVAL = Duration.ofMillis(40);
 
 	/**
 	 * From an answer's deadline to giving it up: an endpoint's last word is on its way.
 	 */
-	private static final Duration LAST_WORD = Duration.ofMillis(120);
+	private static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
 
 	/** A kept connection that has been idle for longer may have gone silent. */
 	private static final Duration LONGEST_IDLE = Duration.ofSeconds(10);
@@ -53,8 +53,8 @@
 	/** The same for a request that cannot be sent again if the connection was dead. */
 	private static final Duration LONGEST_IDLE_ONCE = Duration.ofSeconds(2);
 
-	/** When to come back after an endpoint turned a request away unrun. */
-	private static final Duration COME_BACK = Duration.ofMillis(400);
+	/** The time after which a request is retried that an endpoint rejected unrun. */
+	private static final Duration RETRY_AFTER = Duration.ofMillis(400);
 
 	private final RequestFlow flow;
 
@@ -62,7 +62,7 @@
 
 	private final CallerRequest request;
 
-	private final CallerHeaders said;
+	private final CallerHeaders requestHeaders;
 
 	private final Route route;
 
@@ -98,27 +98,27 @@
 
 	private @Nullable ScheduledFuture<?> waitTimer;
 
-	Exchange(RequestFlow flow, CallerConnection caller, CallerRequest request, CallerHeaders said,
-			IntakeDecision.Taken taken) {
+	Exchange(RequestFlow flow, CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
+			RoutingDecision.Accepted accepted) {
 		this.flow = flow;
 		this.caller = caller;
 		this.request = request;
-		this.said = said;
-		this.route = taken.route();
-		this.service = taken.service();
-		this.account = taken.account();
-		this.requestId = String.valueOf(said.requestId());
+		this.requestHeaders = requestHeaders;
+		this.route = accepted.route();
+		this.service = accepted.service();
+		this.account = accepted.account();
+		this.requestId = String.valueOf(requestHeaders.requestId());
 		this.version = flow.version();
 		Duration wait = this.route.timeout();
-		if (said.deadline() != null && said.deadline().compareTo(wait) < 0) {
-			wait = said.deadline();
+		if (requestHeaders.deadline() != null && requestHeaders.deadline().compareTo(wait) < 0) {
+			wait = requestHeaders.deadline();
 		}
 		this.deadlineAt = request.arrivedAt() + wait.toNanos();
-		this.events = new EventSplitter(said.lastEvent());
+		this.events = new EventSplitter(requestHeaders.lastEvent());
 	}
 
 	void begin() {
-		long left = this.deadlineAt - now() + LAST_WORD.toNanos();
+		long left = this.deadlineAt - now() + RESPONSE_GRACE.toNanos();
 		this.deadlineTimer = schedule(this::deadlinePassed, left);
 		place();
 	}
@@ -139,11 +139,11 @@
 			this.flow.meteredBy()
 				.work()
 				.add(this.service.name(), placement.endpoint().workMillis(placement.prefillTokens()), now());
-			Duration comeBack = this.flow.admission()
-				.timeToComeBack(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
+			Duration retryAfter = this.flow.admission()
+				.retryAfter(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
 						remaining());
-			if (!comeBack.isZero()) {
-				refuse(ErrorKind.OVERLOADED, comeBack);
+			if (!retryAfter.isZero()) {
+				reject(ErrorKind.OVERLOADED, retryAfter);
 				return;
 			}
 		}
@@ -151,10 +151,10 @@
 	}
 
 	private void waitForEndpoint() {
-		boolean patient = elapsed().compareTo(this.flow.admission().patience(this.route, remaining())) < 0;
-		if (patient && this.attempts == 0) {
+		boolean mayWait = elapsed().compareTo(this.flow.admission().maximumWait(this.route, remaining())) < 0;
+		if (mayWait && this.attempts == 0) {
 			this.tried.clear();
-			this.waitTimer = schedule(this::place, LOOK_AGAIN.toNanos());
+			this.waitTimer = schedule(this::place, POLL_INTERVAL.toNanos());
 		}
 		else {
 			endWithout(ErrorKind.NO_ENDPOINT);
@@ -180,11 +180,11 @@
 				this.request.head().uri(), body);
 		HttpHeaders headers = copy.headers();
 		AnswerHeaders.copy(this.request.head().headers(), headers);
-		headers.names().stream().filter((name) -> !words().passesOn(name)).toList().forEach(headers::remove);
+		headers.names().stream().filter((name) -> !headerCodec().passesOn(name)).toList().forEach(headers::remove);
 		if (body.isReadable() || this.request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
-		words().writeCall(headers,
+		headerCodec().writeCall(headers,
 				new EndpointCall(placement.endpoint().id(), remaining(),
 						(this.account != null) ? this.account.name() : null, urgency(), this.events.lastEvent(),
 						(placement.prefixSource() != null) ? placement.prefixSource().entry().address() : null));
@@ -202,7 +202,7 @@
 	// ---- what attempts bring
 
 	boolean streams(Attempt from) {
-		return this.route.kind() == RouteKind.STREAMING && from.said().sealed()
+		return this.route.kind() == RouteKind.STREAMING && from.responseHeaders().sealed()
 				&& from.answerHead().status().equals(HttpResponseStatus.OK);
 	}
 
@@ -236,7 +236,7 @@
 		this.caller.beginStream(start);
 	}
 
-	void whole(Attempt from) {
+	void completed(Attempt from) {
 		if (this.ended) {
 			return;
 		}
@@ -256,14 +256,14 @@
 
 	private void judge(Attempt from) {
 		HttpResponseStatus status = from.answerHead().status();
-		if (from.said().notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-			turnedAway(from, status);
+		if (from.responseHeaders().notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+			rejectedUnrun(from, status);
 			return;
 		}
 		this.mayHaveRun = true;
 		countBegun();
 		boolean success = status.code() >= 200 && status.code() < 300;
-		boolean sound = success ? from.said().sealed() : status.code() < 500;
+		boolean sound = success ? from.responseHeaders().sealed() : status.code() < 500;
 		from.endpoint().answered(sound, now());
 		if (sound && success) {
 			from.endpoint().plainAnswer(from.elapsed());
@@ -273,7 +273,7 @@
 			return;
 		}
 		this.flow.requestLog()
-			.attemptFailed(from.facts(), "status " + status.code() + " sealed " + from.said().sealed());
+			.attemptFailed(from.facts(), "status " + status.code() + " sealed " + from.responseHeaders().sealed());
 		if (trySendAgain()) {
 			return;
 		}
@@ -293,7 +293,7 @@
 		};
 	}
 
-	private void turnedAway(Attempt from, HttpResponseStatus status) {
+	private void rejectedUnrun(Attempt from, HttpResponseStatus status) {
 		this.flow.requestLog().attemptFailed(from.facts(), "not run, status " + status.code());
 		if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			// Another endpoint has the address; the one that was meant is gone.
@@ -429,13 +429,13 @@
 			this.caller.answer(FailureAnswer.of(told, null));
 		}
 		else {
-			refuse((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, COME_BACK);
+			reject((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, RETRY_AFTER);
 		}
 	}
 
-	private void refuse(ErrorKind kind, Duration comeBack) {
+	private void reject(ErrorKind kind, Duration retryAfter) {
 		end(kind.code(), kind.status());
-		this.caller.answer(FailureAnswer.of(kind, comeBack));
+		this.caller.answer(FailureAnswer.of(kind, retryAfter));
 	}
 
 	private void end(String outcome, int status) {
@@ -458,12 +458,12 @@
 		return this.requestId;
 	}
 
-	HeaderWords words() {
-		return this.flow.words();
+	HeaderCodec headerCodec() {
+		return this.flow.headerCodec();
 	}
 
 	Prompt prompt() {
-		return this.said.prompt();
+		return this.requestHeaders.prompt();
 	}
 
 	long now() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FailureAnswer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FailureAnswer.java
@@ -21,14 +21,14 @@
 	private FailureAnswer() {
 	}
 
-	static FullHttpResponse of(ErrorKind kind, @Nullable Duration comeBack) {
+	static FullHttpResponse of(ErrorKind kind, @Nullable Duration retryAfter) {
 		byte[] body = ("{\"error\":\"" + kind.code() + "\"}").getBytes(StandardCharsets.US_ASCII);
 		FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(kind.status()), Unpooled.wrappedBuffer(body));
 		answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-		if (comeBack != null) {
+		if (retryAfter != null) {
 			answer.headers()
-				.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", comeBack.toMillis() / 1e3));
+				.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / 1e3));
 		}
 		return answer;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeldRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeldRequest.java
@@ -7,11 +7,11 @@
 /**
  * A request that waits until the gateway knows the configuration.
  */
-final class HeldRequest implements CallerAnswering {
+final class HeldRequest implements ResponseSubscription {
 
-	private final Supplier<CallerAnswering> beginning;
+	private final Supplier<ResponseSubscription> beginning;
 
-	private @Nullable CallerAnswering begun;
+	private @Nullable ResponseSubscription begun;
 
 	private boolean released;
 
@@ -19,7 +19,7 @@
 	 * Holds a request.
 	 * @param beginning begins to answer it
 	 */
-	HeldRequest(Supplier<CallerAnswering> beginning) {
+	HeldRequest(Supplier<ResponseSubscription> beginning) {
 		this.beginning = beginning;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Meters.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Meters.java
@@ -1,7 +1,7 @@
 package org.banyancove.gateway.exchange;
 
+import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.UsageCounter;
-import org.banyancove.gateway.duty.WorkMeter;
 
 /**
  * What is counted of requests, beside logs and metrics.
@@ -9,5 +9,5 @@
  * @param usage the requests that began to run
  * @param work the engine time that requests need
  */
-public record Meters(UsageCounter usage, WorkMeter work) {
+public record Meters(UsageCounter usage, DemandEstimator work) {
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -17,15 +17,15 @@
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.core.retry.RetryBudget;
 import org.banyancove.gateway.admission.AdmissionRule;
-import org.banyancove.gateway.admission.AllowanceMeter;
+import org.banyancove.gateway.admission.QuotaLimiter;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Service;
-import org.banyancove.gateway.configuration.TokenAllowance;
+import org.banyancove.gateway.configuration.TokenQuota;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.shared.CallerHeaders;
-import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.SteadyClock;
 import org.jspecify.annotations.Nullable;
 
@@ -44,7 +44,7 @@
 	 * Requests that wait for the first configuration at most: a second's worth at a
 	 * gateway's greatest load.
 	 */
-	private static final int MOST_HELD = 256;
+	private static final int MAXIMUM_HELD_REQUESTS = 256;
 
 	private final EventLoop eventLoop;
 
@@ -54,7 +54,7 @@
 
 	private final RandomGenerator random;
 
-	private final HeaderWords words;
+	private final HeaderCodec headerCodec;
 
 	private final ClientConnections connections;
 
@@ -70,7 +70,7 @@
 
 	private final AdmissionRule admission = new AdmissionRule();
 
-	private final Map<AccountName, AllowanceMeter> meters = new HashMap<>();
+	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
 
 	private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
 
@@ -82,9 +82,9 @@
 
 	private int gateways = 1;
 
-	private double heardShare = 1;
+	private double reachableShare = 1;
 
-	private TakingPhase phase = TakingPhase.ALL;
+	private DrainPhase phase = DrainPhase.ALL;
 
 	private int inProgress;
 
@@ -94,7 +94,7 @@
 	 * @param clock the steady clock
 	 * @param wallClock the time of day
 	 * @param random chooses among a route's services
-	 * @param words the headers' words
+	 * @param headerCodec the headers' words
 	 * @param connections the connections to endpoints
 	 * @param endpoints the endpoints
 	 * @param placement chooses among them
@@ -103,13 +103,13 @@
 	 * @param retryLimits the fleet's retry budget
 	 */
 	public RequestFlow(EventLoop eventLoop, SteadyClock clock, InstantSource wallClock, RandomGenerator random,
-			HeaderWords words, ClientConnections connections, EndpointTable endpoints, PlacementRule placement,
+			HeaderCodec headerCodec, ClientConnections connections, EndpointTable endpoints, PlacementRule placement,
 			Meters meteredBy, RequestLog requestLog, RetryLimits retryLimits) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.random = random;
-		this.words = words;
+		this.headerCodec = headerCodec;
 		this.connections = connections;
 		this.endpoints = endpoints;
 		this.placement = placement;
@@ -124,26 +124,26 @@
 	 */
 	public void configure(Configuration newest) {
 		this.configuration = newest;
-		for (AccountName name : Set.copyOf(this.meters.keySet())) {
-			AllowanceMeter meter = Objects.requireNonNull(this.meters.get(name));
-			TokenAllowance allowance = allowance(name, newest);
-			if (allowance == null) {
-				this.meters.remove(name);
-				this.usedBefore.merge(name, meter.used(), Double::sum);
+		for (AccountName name : Set.copyOf(this.quotaLimiters.keySet())) {
+			QuotaLimiter limiter = Objects.requireNonNull(this.quotaLimiters.get(name));
+			TokenQuota quota = quota(name, newest);
+			if (quota == null) {
+				this.quotaLimiters.remove(name);
+				this.usedBefore.merge(name, limiter.used(), Double::sum);
 			}
-			else if (!meter.allowance().equals(allowance)) {
-				this.meters.put(name, meter.changedTo(allowance, this.clock.nanos()));
+			else if (!limiter.quota().equals(quota)) {
+				this.quotaLimiters.put(name, limiter.changedTo(quota, this.clock.nanos()));
 			}
 		}
-		newest.accounts().forEach((account) -> meter(account.name()));
+		newest.accounts().forEach((account) -> limiter(account.name()));
 		this.held.forEach(HeldRequest::release);
 		this.held.clear();
 	}
 
-	private static @Nullable TokenAllowance allowance(AccountName name, Configuration configuration) {
+	private static @Nullable TokenQuota quota(AccountName name, Configuration configuration) {
 		for (ClientAccount account : configuration.accounts()) {
 			if (account.name().equals(name)) {
-				return account.allowance();
+				return account.quota();
 			}
 		}
 		return null;
@@ -152,12 +152,12 @@
 	/**
 	 * Takes in how much of the fleet there is.
 	 * @param newGateways the gateways, this one included
-	 * @param newHeardShare the part of them that is heard now
+	 * @param newReachableShare the part of them that is heard now
 	 */
-	public void fleet(int newGateways, double newHeardShare) {
+	public void fleet(int newGateways, double newReachableShare) {
 		this.gateways = newGateways;
-		this.heardShare = newHeardShare;
-		this.meters.values().forEach((meter) -> meter.heard(newHeardShare));
+		this.reachableShare = newReachableShare;
+		this.quotaLimiters.values().forEach((limiter) -> limiter.reachable(newReachableShare));
 		this.budgets.values().forEach((budget) -> budget.changeMostSaved(mostSavedRetries()));
 	}
 
@@ -167,9 +167,9 @@
 	 */
 	public void usedElsewhere(Map<AccountName, Double> used) {
 		used.forEach((name, amount) -> {
-			AllowanceMeter meter = meter(name);
-			if (meter != null) {
-				meter.usedElsewhere(amount, this.clock.nanos());
+			QuotaLimiter limiter = limiter(name);
+			if (limiter != null) {
+				limiter.usedElsewhere(amount, this.clock.nanos());
 			}
 		});
 	}
@@ -180,30 +180,30 @@
 	 */
 	public Map<AccountName, Double> used() {
 		Map<AccountName, Double> sums = new HashMap<>(this.usedBefore);
-		this.meters.forEach((name, meter) -> sums.merge(name, meter.used(), Double::sum));
+		this.quotaLimiters.forEach((name, limiter) -> sums.merge(name, limiter.used(), Double::sum));
 		return sums;
 	}
 
-	private @Nullable AllowanceMeter meter(AccountName name) {
-		AllowanceMeter known = this.meters.get(name);
+	private @Nullable QuotaLimiter limiter(AccountName name) {
+		QuotaLimiter known = this.quotaLimiters.get(name);
 		if (known != null || this.configuration == null) {
 			return known;
 		}
-		TokenAllowance allowance = allowance(name, this.configuration);
-		if (allowance == null) {
+		TokenQuota quota = quota(name, this.configuration);
+		if (quota == null) {
 			return null;
 		}
-		AllowanceMeter created = new AllowanceMeter(allowance, this.clock.nanos());
-		created.heard(this.heardShare);
-		this.meters.put(name, created);
+		QuotaLimiter created = new QuotaLimiter(quota, this.clock.nanos());
+		created.reachable(this.reachableShare);
+		this.quotaLimiters.put(name, created);
 		return created;
 	}
 
 	/**
-	 * Changes which requests are taken.
+	 * Changes which requests are accepted.
 	 * @param newPhase which ones
 	 */
-	public void take(TakingPhase newPhase) {
+	public void take(DrainPhase newPhase) {
 		this.phase = newPhase;
 	}
 
@@ -215,70 +215,71 @@
 		return this.inProgress;
 	}
 
-	CallerAnswering begin(CallerConnection caller, CallerRequest request) {
-		if (this.configuration == null && this.held.size() < MOST_HELD) {
+	ResponseSubscription begin(CallerConnection caller, CallerRequest request) {
+		if (this.configuration == null && this.held.size() < MAXIMUM_HELD_REQUESTS) {
 			return hold(caller, request);
 		}
 		return beginNow(caller, request);
 	}
 
-	private CallerAnswering hold(CallerConnection caller, CallerRequest request) {
+	private ResponseSubscription hold(CallerConnection caller, CallerRequest request) {
 		HeldRequest holding = new HeldRequest(() -> beginNow(caller, request));
 		this.held.add(holding);
-		Duration deadline = this.words.readCaller(request.head().headers()).deadline();
+		Duration deadline = this.headerCodec.readCaller(request.head().headers()).deadline();
 		this.eventLoop.schedule(() -> {
 			this.held.remove(holding);
 			holding.release();
-		}, this.admission.patienceAtStart(deadline).toMillis(), TimeUnit.MILLISECONDS);
+		}, this.admission.maximumStartupWait(deadline).toMillis(), TimeUnit.MILLISECONDS);
 		return holding;
 	}
 
-	private CallerAnswering beginNow(CallerConnection caller, CallerRequest request) {
-		CallerHeaders said = this.words.readCaller(request.head().headers());
-		Intake intake = new Intake(this.configuration, this.phase);
-		IntakeDecision decision = intake.decide(request.head().headers().get("host"), request.head().uri(), said,
-				this.random.nextDouble());
+	private ResponseSubscription beginNow(CallerConnection caller, CallerRequest request) {
+		CallerHeaders requestHeaders = this.headerCodec.readCaller(request.head().headers());
+		RequestRouter router = new RequestRouter(this.configuration, this.phase);
+		RoutingDecision decision = router.decide(request.head().headers().get("host"), request.head().uri(),
+				requestHeaders, this.random.nextDouble());
 		return switch (decision) {
-			case IntakeDecision.Refused refused -> {
-				refuse(caller, new RequestLog.RefusalFacts(said.requestId(), refused.kind(), refused.comeBack(), null,
-						null, version()));
-				yield CallerAnswering.BEGUN;
+			case RoutingDecision.Rejected rejected -> {
+				reject(caller, new RequestLog.RejectionFacts(requestHeaders.requestId(), rejected.kind(),
+						rejected.retryAfter(), null, null, version()));
+				yield ResponseSubscription.BEGUN;
 			}
-			case IntakeDecision.Taken taken -> begin(caller, request, said, taken);
+			case RoutingDecision.Accepted accepted -> begin(caller, request, requestHeaders, accepted);
 		};
 	}
 
-	private CallerAnswering begin(CallerConnection caller, CallerRequest request, CallerHeaders said,
-			IntakeDecision.Taken taken) {
-		RequestLog.RefusalFacts overLimit = chargeAllowance(taken.account(), said);
+	private ResponseSubscription begin(CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
+			RoutingDecision.Accepted accepted) {
+		RequestLog.RejectionFacts overLimit = chargeQuota(accepted.account(), requestHeaders);
 		if (overLimit != null) {
-			refuse(caller, overLimit);
-			return CallerAnswering.BEGUN;
+			reject(caller, overLimit);
+			return ResponseSubscription.BEGUN;
 		}
 		this.inProgress++;
-		budget(taken.service().name()).firstAttempt();
-		Exchange exchange = new Exchange(this, caller, request, said, taken);
+		budget(accepted.service().name()).firstAttempt();
+		Exchange exchange = new Exchange(this, caller, request, requestHeaders, accepted);
 		exchange.begin();
 		return exchange;
 	}
 
-	private RequestLog.@Nullable RefusalFacts chargeAllowance(@Nullable ClientAccount account, CallerHeaders said) {
-		AllowanceMeter meter = (account != null) ? meter(account.name()) : null;
-		if (account == null || meter == null
-				|| meter.tryTake(meter.allowance().costOf(said.prompt().totalTokens()), this.clock.nanos())) {
+	private RequestLog.@Nullable RejectionFacts chargeQuota(@Nullable ClientAccount account,
+			CallerHeaders requestHeaders) {
+		QuotaLimiter limiter = (account != null) ? limiter(account.name()) : null;
+		if (account == null || limiter == null || limiter
+			.tryAcquire(limiter.quota().costOf(requestHeaders.prompt().totalTokens()), this.clock.nanos())) {
 			return null;
 		}
-		return new RequestLog.RefusalFacts(said.requestId(), ErrorKind.ACCOUNT_OVER_LIMIT, meter.timeToNext(),
-				account.name(), Math.round(meter.left()), version());
+		return new RequestLog.RejectionFacts(requestHeaders.requestId(), ErrorKind.ACCOUNT_OVER_LIMIT,
+				limiter.retryAfter(), account.name(), Math.round(limiter.left()), version());
 	}
 
-	private void refuse(CallerConnection caller, RequestLog.RefusalFacts facts) {
-		this.requestLog.refused(facts);
-		caller.answer(FailureAnswer.of(facts.kind(), facts.comeBack()));
+	private void reject(CallerConnection caller, RequestLog.RejectionFacts facts) {
+		this.requestLog.rejected(facts);
+		caller.answer(FailureAnswer.of(facts.kind(), facts.retryAfter()));
 	}
 
-	void refusedUnread(ErrorKind kind) {
-		this.requestLog.refused(new RequestLog.RefusalFacts(null, kind, null, null, null, version()));
+	void rejectedUnread(ErrorKind kind) {
+		this.requestLog.rejected(new RequestLog.RejectionFacts(null, kind, null, null, null, version()));
 	}
 
 	void ended() {
@@ -316,8 +317,8 @@
 		return this.wallClock;
 	}
 
-	HeaderWords words() {
-		return this.words;
+	HeaderCodec headerCodec() {
+		return this.headerCodec;
 	}
 
 	ClientConnections connections() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -15,7 +15,7 @@
 	 * Tells of a request that was answered before it was sent on.
 	 * @param facts what decided it
 	 */
-	void refused(RefusalFacts facts);
+	void rejected(RejectionFacts facts);
 
 	/**
 	 * Tells of an attempt at an endpoint that did not bring the answer.
@@ -35,14 +35,14 @@
 	 *
 	 * @param requestId the request, or {@code null} if it has no identifier
 	 * @param kind why
-	 * @param comeBack when the caller may come back, or {@code null}
+	 * @param retryAfter when the caller may come back, or {@code null}
 	 * @param account the client account, or {@code null} if it is not known
-	 * @param allowanceLeft what was left of the account's allowance, negative if it is
+	 * @param quotaAvailable what was left of the account's quota, negative if it is
 	 * overdrawn, or {@code null} if it was not asked
 	 * @param version the configuration's version
 	 */
-	record RefusalFacts(@Nullable String requestId, ErrorKind kind, @Nullable Duration comeBack,
-			@Nullable AccountName account, @Nullable Long allowanceLeft, long version) {
+	record RejectionFacts(@Nullable String requestId, ErrorKind kind, @Nullable Duration retryAfter,
+			@Nullable AccountName account, @Nullable Long quotaAvailable, long version) {
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Intake.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
@@ -14,47 +14,47 @@
 /**
  * Finds a request's route, service and client account.
  */
-final class Intake {
+final class RequestRouter {
 
 	/** Until a configuration is read, or another gateway answers. */
-	private static final Duration COME_BACK = Duration.ofMillis(300);
+	private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
 	private final @Nullable Configuration configuration;
 
-	private final TakingPhase phase;
+	private final DrainPhase phase;
 
-	Intake(@Nullable Configuration configuration, TakingPhase phase) {
+	RequestRouter(@Nullable Configuration configuration, DrainPhase phase) {
 		this.configuration = configuration;
 		this.phase = phase;
 	}
 
-	IntakeDecision decide(@Nullable String host, String uri, CallerHeaders said, double draw) {
+	RoutingDecision decide(@Nullable String host, String uri, CallerHeaders requestHeaders, double draw) {
 		Configuration known = this.configuration;
 		if (known == null) {
-			return new IntakeDecision.Refused(ErrorKind.PLATFORM_UNREACHABLE, COME_BACK);
+			return new RoutingDecision.Rejected(ErrorKind.PLATFORM_UNREACHABLE, RETRY_AFTER);
 		}
-		if (host == null || said.requestId() == null) {
-			return new IntakeDecision.Refused(ErrorKind.MALFORMED_REQUEST, null);
+		if (host == null || requestHeaders.requestId() == null) {
+			return new RoutingDecision.Rejected(ErrorKind.MALFORMED_REQUEST, null);
 		}
 		Route route = known.route(host, path(uri));
 		if (route == null) {
-			return new IntakeDecision.Refused(ErrorKind.SERVICE_UNKNOWN, null);
+			return new RoutingDecision.Rejected(ErrorKind.SERVICE_UNKNOWN, null);
 		}
 		ClientAccount account = null;
 		if (!route.anonymous() && !known.accounts().isEmpty()) {
-			account = (said.key() != null) ? known.accountOf(said.key()) : null;
+			account = (requestHeaders.key() != null) ? known.accountOf(requestHeaders.key()) : null;
 			if (account == null) {
-				return new IntakeDecision.Refused(ErrorKind.ACCOUNT_UNKNOWN, null);
+				return new RoutingDecision.Rejected(ErrorKind.ACCOUNT_UNKNOWN, null);
 			}
 		}
 		if (!takes(route)) {
-			return new IntakeDecision.Refused(ErrorKind.STOPPING, COME_BACK);
+			return new RoutingDecision.Rejected(ErrorKind.STOPPING, RETRY_AFTER);
 		}
 		Service service = known.service(route.serviceFor(draw));
 		if (service == null) {
-			return new IntakeDecision.Refused(ErrorKind.NO_ENDPOINT, COME_BACK);
+			return new RoutingDecision.Rejected(ErrorKind.NO_ENDPOINT, RETRY_AFTER);
 		}
-		return new IntakeDecision.Taken(route, service, account);
+		return new RoutingDecision.Accepted(route, service, account);
 	}
 
 	private boolean takes(Route route) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerAnswering.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseSubscription.java
@@ -3,10 +3,10 @@
 /**
  * A request that is being answered.
  */
-interface CallerAnswering {
+interface ResponseSubscription {
 
 	/** Stands while a request is being begun. */
-	CallerAnswering BEGUN = () -> {
+	ResponseSubscription BEGUN = () -> {
 	};
 
 	/** Hears that the caller closed its connection, so that the work can be stopped. */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/IntakeDecision.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RoutingDecision.java
@@ -11,7 +11,7 @@
 /**
  * Whether a request is taken in.
  */
-sealed interface IntakeDecision {
+sealed interface RoutingDecision {
 
 	/**
 	 * The request goes on.
@@ -20,16 +20,16 @@
 	 * @param service the service that runs it
 	 * @param account its client account, or {@code null} if it is anonymous
 	 */
-	record Taken(Route route, Service service, @Nullable ClientAccount account) implements IntakeDecision {
+	record Accepted(Route route, Service service, @Nullable ClientAccount account) implements RoutingDecision {
 	}
 
 	/**
 	 * The request is answered at once.
 	 *
 	 * @param kind why
-	 * @param comeBack when the caller may come back, or {@code null}
+	 * @param retryAfter when the caller may come back, or {@code null}
 	 */
-	record Refused(ErrorKind kind, @Nullable Duration comeBack) implements IntakeDecision {
+	record Rejected(ErrorKind kind, @Nullable Duration retryAfter) implements RoutingDecision {
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictRequestDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictRequestDecoder.java
@@ -8,7 +8,7 @@
  * Refuses a request that states its length in two ways.
  * <p>
  * The two may be read differently behind us, so that a second request could be hidden in
- * the first one's body. A refused request is never passed on.
+ * the first one's body. A rejected request is never passed on.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/Duties.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/Duties.java
@@ -4,8 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 
 /**
  * The calls that one gateway makes for all.
@@ -30,7 +30,7 @@
 	 * @param count how many there are to be
 	 * @return whether the order was taken
 	 */
-	CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, ZoneName zone, boolean reclaimable,
+	CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, DataCenterName zone, boolean reclaimable,
 			int count);
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderWords.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderCodec.java
@@ -6,7 +6,7 @@
  * Reads and writes the headers by which callers, gateways and endpoints understand each
  * other.
  */
-public interface HeaderWords {
+public interface HeaderCodec {
 
 	/**
 	 * Reads what a caller says of its request.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
@@ -21,30 +21,30 @@
 
 	@Test
 	void sendsWhatIsPredictedInTime() {
-		assertThat(timeToComeBack(400, 0, 3000)).isZero();
+		assertThat(retryAfter(400, 0, 3000)).isZero();
 	}
 
 	// The queues of all engines are a second and a half long. A caller that waited for
 	// one would get its answer late, and make those behind it late; it is told at once.
 	@Test
 	void turnsAwayAtOnceWhatIsPredictedLate() {
-		assertThat(timeToComeBack(1500, 0, 3000)).isEqualTo(Duration.ofMillis(1250));
+		assertThat(retryAfter(1500, 0, 3000)).isEqualTo(Duration.ofMillis(1250));
 	}
 
 	@Test
 	void countsTheTimeThatARequestHasWaited() {
-		assertThat(timeToComeBack(400, 300, 2700)).isPositive();
+		assertThat(retryAfter(400, 300, 2700)).isPositive();
 	}
 
 	@Test
 	void turnsAwayWhatItsCallerWouldNotWaitFor() {
-		assertThat(timeToComeBack(400, 0, 500)).isPositive();
+		assertThat(retryAfter(400, 0, 500)).isPositive();
 	}
 
 	@Test
 	void waitsForAnEndpointNoLongerThanHalfTheTargetOrAQuarterOfTheTimeLeft() {
-		assertThat(this.rule.patience(HINTS, Duration.ofSeconds(3))).isEqualTo(Duration.ofMillis(250));
-		assertThat(this.rule.patience(HINTS, Duration.ofMillis(400))).isEqualTo(Duration.ofMillis(100));
+		assertThat(this.rule.maximumWait(HINTS, Duration.ofSeconds(3))).isEqualTo(Duration.ofMillis(250));
+		assertThat(this.rule.maximumWait(HINTS, Duration.ofMillis(400))).isEqualTo(Duration.ofMillis(100));
 	}
 
 	// A data centre is cut off, and a request is placed at one of its endpoints.
@@ -62,9 +62,9 @@
 	// long.
 	@Test
 	void aCallerIsHeldAtAStartOnlyAsLongAsItCanStillGoElsewhere() {
-		assertThat(this.rule.patienceAtStart(Duration.ofMillis(600))).isEqualTo(Duration.ofMillis(150));
-		assertThat(this.rule.patienceAtStart(Duration.ofSeconds(15))).isLessThan(Duration.ofSeconds(1));
-		assertThat(this.rule.patienceAtStart(null)).isLessThan(Duration.ofSeconds(1));
+		assertThat(this.rule.maximumStartupWait(Duration.ofMillis(600))).isEqualTo(Duration.ofMillis(150));
+		assertThat(this.rule.maximumStartupWait(Duration.ofSeconds(15))).isLessThan(Duration.ofSeconds(1));
+		assertThat(this.rule.maximumStartupWait(null)).isLessThan(Duration.ofSeconds(1));
 	}
 
 	private static Route withTarget(Duration target) {
@@ -72,8 +72,8 @@
 				Duration.ofSeconds(1), 0, HINTS.services(), 1, false);
 	}
 
-	private Duration timeToComeBack(long predicted, long elapsed, long remaining) {
-		return this.rule.timeToComeBack(HINTS, Duration.ofMillis(predicted), Duration.ofMillis(elapsed),
+	private Duration retryAfter(long predicted, long elapsed, long remaining) {
+		return this.rule.retryAfter(HINTS, Duration.ofMillis(predicted), Duration.ofMillis(elapsed),
 				Duration.ofMillis(remaining));
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AllowanceMeterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/QuotaLimiterTests.java
@@ -5,16 +5,16 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
-import org.banyancove.gateway.configuration.TokenAllowance;
+import org.banyancove.gateway.configuration.TokenQuota;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class AllowanceMeterTests {
+class QuotaLimiterTests {
 
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-	private static final TokenAllowance ALLOWANCE = new TokenAllowance(true, 135_000, 135_000, 200);
+	private static final TokenQuota QUOTA = new TokenQuota(true, 135_000, 135_000, 200);
 
 	// What may be let in beyond rate and burst in a window: a tenth, and a fixed amount.
 	private static final double OVERSHOOT = 0.1;
@@ -23,31 +23,31 @@
 
 	@Test
 	void letsNothingInBeforeAnythingWasEarned() {
-		AllowanceMeter meter = new AllowanceMeter(ALLOWANCE, 0);
-		assertThat(meter.tryTake(1000, 0)).isFalse();
-		assertThat(meter.tryTake(1000, SECOND / 100)).isTrue();
+		QuotaLimiter meter = new QuotaLimiter(QUOTA, 0);
+		assertThat(meter.tryAcquire(1000, 0)).isFalse();
+		assertThat(meter.tryAcquire(1000, SECOND / 100)).isTrue();
 	}
 
 	@Test
 	void letsARequestInThatIsLargerThanWhatIsLeft() {
-		AllowanceMeter meter = new AllowanceMeter(ALLOWANCE, 0);
-		assertThat(meter.tryTake(500_000, SECOND)).isTrue();
-		assertThat(meter.tryTake(1, 2 * SECOND)).isFalse();
-		assertThat(meter.timeToNext()).isBetween(Duration.ofSeconds(1), Duration.ofSeconds(4));
+		QuotaLimiter meter = new QuotaLimiter(QUOTA, 0);
+		assertThat(meter.tryAcquire(500_000, SECOND)).isTrue();
+		assertThat(meter.tryAcquire(1, 2 * SECOND)).isFalse();
+		assertThat(meter.retryAfter()).isBetween(Duration.ofSeconds(1), Duration.ofSeconds(4));
 	}
 
 	// An operator lowers the limit of an account that has saved its burst. Callers are
 	// owed
-	// what the new limit lets in from a full bucket; one that began empty would refuse
+	// what the new limit lets in from a full bucket; one that began empty would reject
 	// it.
 	@Test
 	void aChangedLimitGoesOnFromWhatIsLeft() {
-		AllowanceMeter meter = new AllowanceMeter(ALLOWANCE, 0);
-		TokenAllowance lower = new TokenAllowance(true, 30_000, 30_000, 200);
-		AllowanceMeter lowered = meter.changedTo(lower, SECOND);
+		QuotaLimiter meter = new QuotaLimiter(QUOTA, 0);
+		TokenQuota lower = new TokenQuota(true, 30_000, 30_000, 200);
+		QuotaLimiter lowered = meter.changedTo(lower, SECOND);
 		assertThat(lowered.left()).isEqualTo(30_000);
-		lowered.tryTake(50_000, SECOND);
-		AllowanceMeter raised = lowered.changedTo(ALLOWANCE, SECOND);
+		lowered.tryAcquire(50_000, SECOND);
+		QuotaLimiter raised = lowered.changedTo(QUOTA, SECOND);
 		assertThat(raised.left()).isEqualTo(-20_000);
 		assertThat(raised.used()).isEqualTo(50_000);
 	}
@@ -58,10 +58,10 @@
 	@Test
 	void allGatewaysTogetherKeepToTheAllowanceOfAnAccountThatSendsEightTimesItsRate() {
 		Fleet fleet = new Fleet(9);
-		double most = fleet.mostInWindow(8, 8 * ALLOWANCE.ratePerSecond());
-		double allowed = (ALLOWANCE.ratePerSecond() * 8 + ALLOWANCE.burst()) * (1 + OVERSHOOT) + SLACK;
+		double most = fleet.mostInWindow(8, 8 * QUOTA.ratePerSecond());
+		double allowed = (QUOTA.ratePerSecond() * 8 + QUOTA.burst()) * (1 + OVERSHOOT) + SLACK;
 		assertThat(most).isLessThan(allowed);
-		assertThat(most).isGreaterThan(0.95 * ALLOWANCE.ratePerSecond() * 8);
+		assertThat(most).isGreaterThan(0.95 * QUOTA.ratePerSecond() * 8);
 	}
 
 	// A fleet is cut in two halves that both go on serving. Each half leaves the rate of
@@ -70,8 +70,8 @@
 	void halvesThatDoNotHearEachOtherKeepToTheAllowance() {
 		Fleet fleet = new Fleet(8);
 		fleet.cut();
-		double most = fleet.mostInWindow(8, 8 * ALLOWANCE.ratePerSecond());
-		double allowed = (ALLOWANCE.ratePerSecond() * 8 + ALLOWANCE.burst()) * (1 + OVERSHOOT) + SLACK;
+		double most = fleet.mostInWindow(8, 8 * QUOTA.ratePerSecond());
+		double allowed = (QUOTA.ratePerSecond() * 8 + QUOTA.burst()) * (1 + OVERSHOOT) + SLACK;
 		assertThat(most).isLessThan(allowed);
 	}
 
@@ -83,7 +83,7 @@
 
 		private final SplittableRandom random = new SplittableRandom(7);
 
-		private final List<AllowanceMeter> meters = new ArrayList<>();
+		private final List<QuotaLimiter> meters = new ArrayList<>();
 
 		private final double[] told;
 
@@ -91,14 +91,14 @@
 
 		private Fleet(int size) {
 			for (int i = 0; i < size; i++) {
-				this.meters.add(new AllowanceMeter(ALLOWANCE, 0));
+				this.meters.add(new QuotaLimiter(QUOTA, 0));
 			}
 			this.told = new double[size];
 		}
 
 		private void cut() {
 			this.cut = true;
-			this.meters.forEach((meter) -> meter.heard(0.5));
+			this.meters.forEach((meter) -> meter.reachable(0.5));
 		}
 
 		private boolean hears(int one, int other) {
@@ -115,7 +115,7 @@
 				while (asked > 0) {
 					double cost = 2000 + this.random.nextInt(20_000);
 					int gateway = this.random.nextBoolean() ? 0 : this.random.nextInt(this.meters.size());
-					letIn[step] += this.meters.get(gateway).tryTake(cost, now) ? cost : 0;
+					letIn[step] += this.meters.get(gateway).tryAcquire(cost, now) ? cost : 0;
 					asked -= cost;
 				}
 				if (step % STEPS_TO_HEAR == 0) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/OrderWorkTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
@@ -7,32 +7,32 @@
 import java.util.concurrent.CompletableFuture;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.EngineMemory;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.configuration.Service;
-import org.banyancove.gateway.duty.GatewayBoard;
-import org.banyancove.gateway.duty.WorkMeter;
+import org.banyancove.gateway.duty.DemandEstimator;
+import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.shared.Duties;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class OrderWorkTests {
+class EndpointScalingTests {
 
 	private static final ServiceName SERVICE = new ServiceName("engines");
 
-	private static final ZoneName ZONE = new ZoneName("a");
+	private static final DataCenterName ZONE = new DataCenterName("a");
 
 	private static final long TICK = Duration.ofMillis(200).toNanos();
 
 	private final ScriptedDuties duties = new ScriptedDuties();
 
-	private final OrderWork orders = new OrderWork(this.duties, new GatewayBoard(), new WorkMeter(),
+	private final EndpointScaling orders = new EndpointScaling(this.duties, new PeerTable(), new DemandEstimator(),
 			new EndpointTable());
 
 	// No reclaimable endpoints are available for some seconds, and on-demand ones stand
@@ -77,7 +77,7 @@
 		}
 
 		@Override
-		public CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, ZoneName zone,
+		public CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, DataCenterName zone,
 				boolean reclaimable, int count) {
 			if (reclaimable) {
 				this.reclaimableOrdersAt.add(this.now);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReportCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReportCodecTests.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.core.error.BanyancoveException;
 import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.GatewayReport;
@@ -28,8 +28,8 @@
 	@Test
 	void readsWhatItWrote() {
 		AccountName account = new AccountName("account");
-		GatewayReport report = new GatewayReport(Long.MAX_VALUE, new ZoneName("zone"), Map.of(9L, Map.of(account, 3L)),
-				Map.of(account, 5.0), Map.of(new ServiceName("service"), 7.0),
+		GatewayReport report = new GatewayReport(Long.MAX_VALUE, new DataCenterName("zone"),
+				Map.of(9L, Map.of(account, 3L)), Map.of(account, 5.0), Map.of(new ServiceName("service"), 7.0),
 				Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), true, new KnownState(true, 5, -9, 2));
 		assertThat(this.codec.readMessage(this.codec.write(report))).isEqualTo(new PeerMessage.Report(report));
 		LeaseRecord lease = new LeaseRecord(4, 2, List.of(new UsageReport(9, Map.of(account, 3L))));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/EndpointOrdersTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/ScalingPolicyTests.java
@@ -7,29 +7,29 @@
 import java.util.List;
 import java.util.Map;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class EndpointOrdersTests {
+class ScalingPolicyTests {
 
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-	private static final ZoneName CHEAP = new ZoneName("a");
+	private static final DataCenterName CHEAP = new DataCenterName("a");
 
-	private static final ZoneName MIDDLE = new ZoneName("b");
+	private static final DataCenterName MIDDLE = new DataCenterName("b");
 
-	private static final ZoneName DEAR = new ZoneName("c");
+	private static final DataCenterName DEAR = new DataCenterName("c");
 
 	private static final ScalingLimits LIMITS = new ScalingLimits(1, 6, Duration.ofSeconds(4), 0.15,
 			Map.of(CHEAP, 0.85, MIDDLE, 1.0, DEAR, 1.2));
 
-	private final EndpointOrders orders = new EndpointOrders();
+	private final ScalingPolicy orders = new ScalingPolicy();
 
 	@Test
 	void ordersReclaimableEndpointsEverywhereAndKeepsTheLastingOnesUntilTheyRun() {
@@ -54,7 +54,7 @@
 		decide(listed(0, 2), 1900, 0);
 		List<EndpointEntry> left = new ArrayList<>();
 		add(left, CHEAP, 2, true);
-		List<EndpointOrders.Order> orders = decide(left, 1900, 1);
+		List<ScalingPolicy.Order> orders = decide(left, 1900, 1);
 		assertThat(total(orders, false)).isEqualTo(3);
 		assertThat(orders).filteredOn((order) -> order.zone().equals(CHEAP) && order.reclaimable())
 			.singleElement()
@@ -64,7 +64,8 @@
 	// All reclaimable endpoints of one data centre are taken away, and no more are to be
 	// had anywhere; a few seconds later those of the next one go. Callers wait at the
 	// last
-	// data centre's few endpoints for as long as a start takes, unless lasting ones were
+	// data centre's few endpoints for as long as a start takes, unless on-demand ones
+	// were
 	// ordered at the first loss.
 	@Test
 	void lastingEndpointsAreOrderedBeforeTheLastDataCentreIsTakenAway() {
@@ -103,18 +104,19 @@
 		assertThat(total(decide(listed, 1000, true, 60), true)).isEqualTo(calm);
 	}
 
-	// While no reclaimable endpoints were to be had, lasting ones filled all places of
+	// While no reclaimable endpoints were available, on-demand ones filled all places of
 	// all
-	// data centres. Reclaimable ones are to be had again, but have nowhere to start. Each
-	// second what was ordered runs, so the lasting ones must have made room after a few.
+	// data centres. Reclaimable ones are available again, but have nowhere to start. Each
+	// second what was ordered runs, so the on-demand ones must have made room after a
+	// few.
 	// Until then callers need what is left in sum.
 	@Test
 	void lastingEndpointsThatFillAllPlacesMakeRoomForReclaimableOnes() {
 		List<EndpointEntry> listed = listed(6, 0);
 		for (int second = 0; second < 12; second++) {
-			List<EndpointOrders.Order> orders = decide(listed, 6000, true, second);
+			List<ScalingPolicy.Order> orders = decide(listed, 6000, true, second);
 			listed = new ArrayList<>();
-			for (EndpointOrders.Order order : orders) {
+			for (ScalingPolicy.Order order : orders) {
 				add(listed, order.zone(), order.count(), order.reclaimable());
 			}
 			assertThat(listed).hasSizeGreaterThanOrEqualTo(10);
@@ -122,7 +124,8 @@
 		assertThat(total(decide(listed, 6000, true, 12), false)).isLessThanOrEqualTo(3);
 	}
 
-	// A lasting endpoint was ordered and starts. A cheaper data centre gets a free place
+	// A on-demand endpoint was ordered and starts. A cheaper data centre gets a free
+	// place
 	// meanwhile. An order that moved there would end the start, and callers would wait
 	// for
 	// a whole one again.
@@ -131,12 +134,12 @@
 		List<EndpointEntry> listed = new ArrayList<>();
 		add(listed, CHEAP, 6, true);
 		add(listed, MIDDLE, 6, true);
-		assertThat(lastingIn(DEAR, decide(listed, 6500, 0))).isEqualTo(2);
+		assertThat(onDemandIn(DEAR, decide(listed, 6500, 0))).isEqualTo(2);
 		List<EndpointEntry> changed = new ArrayList<>();
 		add(changed, CHEAP, 4, true);
 		add(changed, MIDDLE, 6, true);
 		add(changed, DEAR, 2, true);
-		assertThat(lastingIn(DEAR, decide(changed, 6500, 1))).isEqualTo(2);
+		assertThat(onDemandIn(DEAR, decide(changed, 6500, 1))).isEqualTo(2);
 	}
 
 	// A data centre is cut off, so that its endpoints' entries lapse. They run on and are
@@ -168,7 +171,7 @@
 	// need little time. On-demand engines that are billed in full would run a fifth full.
 	@Test
 	void onDemandEndpointsAreFilledToMostOfTheirSlots() {
-		List<EndpointOrders.Order> orders = this.orders.decide(LIMITS, listed(2, 0), 1000, 200, false, 0);
+		List<ScalingPolicy.Order> orders = this.orders.decide(LIMITS, listed(2, 0), 1000, 200, false, 0);
 		assertThat(total(orders, false)).isBetween(200 / 64, 2 * 200 / 64);
 	}
 
@@ -182,46 +185,46 @@
 	@Test
 	void keepsToTheMostAndTheFewestOfADataCentre() {
 		for (int work = 0; work < 40_000; work += 1000) {
-			List<EndpointOrders.Order> orders = new EndpointOrders().decide(LIMITS, listed(1, 2), work, 0, true, 0);
-			for (ZoneName zone : List.of(CHEAP, MIDDLE, DEAR)) {
+			List<ScalingPolicy.Order> orders = new ScalingPolicy().decide(LIMITS, listed(1, 2), work, 0, true, 0);
+			for (DataCenterName zone : List.of(CHEAP, MIDDLE, DEAR)) {
 				int both = orders.stream()
 					.filter((order) -> order.zone().equals(zone))
-					.mapToInt(EndpointOrders.Order::count)
+					.mapToInt(ScalingPolicy.Order::count)
 					.sum();
 				assertThat(both).as("work %s", work).isBetween(LIMITS.fewest(), LIMITS.most());
 			}
 		}
 	}
 
-	private static int lastingIn(ZoneName zone, List<EndpointOrders.Order> orders) {
+	private static int onDemandIn(DataCenterName zone, List<ScalingPolicy.Order> orders) {
 		return total(orders.stream().filter((order) -> order.zone().equals(zone)).toList(), false);
 	}
 
-	private List<EndpointOrders.Order> decide(List<EndpointEntry> listed, double work, long second) {
+	private List<ScalingPolicy.Order> decide(List<EndpointEntry> listed, double work, long second) {
 		return decide(listed, work, false, second);
 	}
 
-	private List<EndpointOrders.Order> decide(List<EndpointEntry> listed, double work, boolean toBeHad, long second) {
+	private List<ScalingPolicy.Order> decide(List<EndpointEntry> listed, double work, boolean toBeHad, long second) {
 		return this.orders.decide(LIMITS, listed, work, 0, toBeHad, second * SECOND);
 	}
 
-	private static int total(List<EndpointOrders.Order> orders, boolean reclaimable) {
+	private static int total(List<ScalingPolicy.Order> orders, boolean reclaimable) {
 		return orders.stream()
 			.filter((order) -> order.reclaimable() == reclaimable)
-			.mapToInt(EndpointOrders.Order::count)
+			.mapToInt(ScalingPolicy.Order::count)
 			.sum();
 	}
 
-	private static List<EndpointEntry> listed(int lasting, int reclaimable) {
+	private static List<EndpointEntry> listed(int onDemand, int reclaimable) {
 		List<EndpointEntry> entries = new ArrayList<>();
-		for (ZoneName zone : List.of(CHEAP, MIDDLE, DEAR)) {
-			add(entries, zone, lasting, false);
+		for (DataCenterName zone : List.of(CHEAP, MIDDLE, DEAR)) {
+			add(entries, zone, onDemand, false);
 			add(entries, zone, reclaimable, true);
 		}
 		return entries;
 	}
 
-	private static void add(List<EndpointEntry> entries, ZoneName zone, int count, boolean reclaimable) {
+	private static void add(List<EndpointEntry> entries, DataCenterName zone, int count, boolean reclaimable) {
 		for (int i = 0; i < count; i++) {
 			entries.add(new EndpointEntry(new EndpointId(zone + "-" + reclaimable + i), new ServiceName("engines"),
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), zone, 64, false, reclaimable, 1));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 import org.banyancove.core.AccountName;
-import org.banyancove.core.ZoneName;
+import org.banyancove.core.DataCenterName;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -44,30 +44,30 @@
 
 	@Test
 	void countsStayWhenTheProcessThatCountedIsGone() {
-		GatewayBoard board = new GatewayBoard();
-		board.read(new GatewayReport(1, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(), Map.of(),
-				Map.of(), false, KnownState.NONE), 0);
-		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(), Map.of(),
-				Map.of(), false, KnownState.NONE), 0);
-		board.read(new GatewayReport(2, new ZoneName("zone"), Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(), Map.of(),
-				Map.of(), false, KnownState.NONE), 1);
-		board.expire(Duration.ofMinutes(1).toNanos());
-		assertThat(board.others()).isZero();
-		assertThat(board.counted(200)).containsExactly(Map.entry(ACCOUNT, 9L));
+		PeerTable peerTable = new PeerTable();
+		peerTable.read(new GatewayReport(1, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(),
+				Map.of(), Map.of(), false, KnownState.NONE), 0);
+		peerTable.read(new GatewayReport(2, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(),
+				Map.of(), Map.of(), false, KnownState.NONE), 0);
+		peerTable.read(new GatewayReport(2, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(),
+				Map.of(), Map.of(), false, KnownState.NONE), 1);
+		peerTable.expire(Duration.ofMinutes(1).toNanos());
+		assertThat(peerTable.others()).isZero();
+		assertThat(peerTable.counted(200)).containsExactly(Map.entry(ACCOUNT, 9L));
 	}
 
 	@Test
 	void tellsWhatAGatewayLetInSinceItsLastReport() {
-		GatewayBoard board = new GatewayBoard();
-		assertThat(board.read(used(70), 0)).isEmpty();
-		assertThat(board.read(used(100), 1)).containsExactly(Map.entry(ACCOUNT, 30.0));
-		assertThat(board.heardShare(1)).isEqualTo(1);
-		assertThat(board.heardShare(Duration.ofSeconds(3).toNanos())).isEqualTo(0.5);
+		PeerTable peerTable = new PeerTable();
+		assertThat(peerTable.read(used(70), 0)).isEmpty();
+		assertThat(peerTable.read(used(100), 1)).containsExactly(Map.entry(ACCOUNT, 30.0));
+		assertThat(peerTable.reachableShare(1)).isEqualTo(1);
+		assertThat(peerTable.reachableShare(Duration.ofSeconds(3).toNanos())).isEqualTo(0.5);
 	}
 
 	private static GatewayReport used(double amount) {
-		return new GatewayReport(1, new ZoneName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), false,
-				KnownState.NONE);
+		return new GatewayReport(1, new DataCenterName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(),
+				false, KnownState.NONE);
 	}
 
 	private List<UsageReport> toName(List<UsageReport> named, long second, long count) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Set;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.EngineMemory;
@@ -37,7 +37,7 @@
 
 	@Test
 	void anEndpointThatIsLeavingTakesNothing() {
-		PlacementRule placement = new PlacementRule(new ZoneName("a"));
+		PlacementRule placement = new PlacementRule(new DataCenterName("a"));
 		assertThat(placement.choose(this.table.listed(SERVICE), Prompt.NONE, Set.of(), 0)).isNotNull();
 		this.table.put(entry(true));
 		assertThat(placement.choose(this.table.listed(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
@@ -100,7 +100,7 @@
 
 	private static EndpointEntry entry(boolean draining) {
 		return new EndpointEntry(ID, SERVICE, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-				new ZoneName("a"), 10, draining, false, 1);
+				new DataCenterName("a"), 10, draining, false, 1);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -10,9 +10,9 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.EngineMemory;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +20,7 @@
 
 class PlacementRuleTests {
 
-	private static final ZoneName ZONE = new ZoneName("a");
+	private static final DataCenterName ZONE = new DataCenterName("a");
 
 	private static final ServiceName SERVICE = new ServiceName("engines");
 
@@ -133,10 +133,11 @@
 		List<Endpoint> endpoints = endpoints(1);
 		EndpointEntry near = endpoints.getFirst().entry();
 		endpoints.add(new Endpoint(new EndpointEntry(new EndpointId("far"), SERVICE, near.address(),
-				new ZoneName("far"), 64, false, false, 1), new EngineMemory(600_000, 0.0005), new PrefillLatency()));
+				new DataCenterName("far"), 64, false, false, 1), new EngineMemory(600_000, 0.0005),
+				new PrefillLatency()));
 		endpoints.getFirst().others(5, 40_000);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
-		this.rule.unreachable(Set.of(new ZoneName("far")));
+		this.rule.unreachable(Set.of(new DataCenterName("far")));
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getFirst());
 		assertThat(choose(endpoints.subList(1, 2), prompt(0, 0))).isEqualTo(endpoints.getLast());
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -20,17 +20,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.ZoneName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.RouteKind;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.configuration.WeightedService;
+import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.UsageCounter;
-import org.banyancove.gateway.duty.WorkMeter;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
@@ -45,7 +45,7 @@
 
 	private static final ServiceName SERVICE = new ServiceName("service");
 
-	private static final ZoneName ZONE = new ZoneName("zone");
+	private static final DataCenterName ZONE = new DataCenterName("zone");
 
 	private static final String WHOLE = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ncontent-length: 5\r\n\r\nhello";
 
@@ -77,7 +77,7 @@
 	private RequestFlow newFlow() {
 		return new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
 				new TestWords(), this.connections, this.endpoints, new PlacementRule(ZONE),
-				new Meters(new UsageCounter(Duration.ofSeconds(5)), new WorkMeter()), new SilentLog(),
+				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new SilentLog(),
 				new RetryLimits(1, 100));
 	}
 
@@ -489,7 +489,7 @@
 	private static final class SilentLog implements RequestLog {
 
 		@Override
-		public void refused(RefusalFacts facts) {
+		public void rejected(RejectionFacts facts) {
 		}
 
 		@Override
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/IntakeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/RequestRouterTests.java
@@ -20,7 +20,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class IntakeTests {
+class RequestRouterTests {
 
 	private static final Configuration CONFIGURATION = new Configuration(1,
 			List.of(route("/plain/", RouteKind.NON_IDEMPOTENT, false), route("/open/", RouteKind.IDEMPOTENT, true),
@@ -35,44 +35,44 @@
 
 	@Test
 	void takesWhatIsConfigured() {
-		assertThat(decide(CONFIGURATION, TakingPhase.ALL, "/plain/x?y", "key"))
-			.isInstanceOf(IntakeDecision.Taken.class);
-		assertThat(decide(CONFIGURATION, TakingPhase.ALL, "/open/", null)).isInstanceOf(IntakeDecision.Taken.class);
+		assertThat(decide(CONFIGURATION, DrainPhase.ALL, "/plain/x?y", "key"))
+			.isInstanceOf(RoutingDecision.Accepted.class);
+		assertThat(decide(CONFIGURATION, DrainPhase.ALL, "/open/", null)).isInstanceOf(RoutingDecision.Accepted.class);
 	}
 
 	@Test
 	void refusesWhatIsNotConfigured() {
-		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/other/", "key")).isEqualTo(ErrorKind.SERVICE_UNKNOWN);
-		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/plain/", "old")).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
-		assertThat(refusal(CONFIGURATION, TakingPhase.ALL, "/plain/", null)).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
+		assertThat(refusal(CONFIGURATION, DrainPhase.ALL, "/other/", "key")).isEqualTo(ErrorKind.SERVICE_UNKNOWN);
+		assertThat(refusal(CONFIGURATION, DrainPhase.ALL, "/plain/", "old")).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
+		assertThat(refusal(CONFIGURATION, DrainPhase.ALL, "/plain/", null)).isEqualTo(ErrorKind.ACCOUNT_UNKNOWN);
 	}
 
 	// A process that has just started knows no configuration. It must not tell callers
 	// that their route or key is unknown, which they would take for final.
 	@Test
 	void withoutAConfigurationNothingIsCalledUnknown() {
-		assertThat(refusal(null, TakingPhase.ALL, "/plain/", "key")).isEqualTo(ErrorKind.PLATFORM_UNREACHABLE);
+		assertThat(refusal(null, DrainPhase.ALL, "/plain/", "key")).isEqualTo(ErrorKind.PLATFORM_UNREACHABLE);
 	}
 
 	// A caller keeps its connection open all through a stop and sends a request shortly
 	// before the process ends. The endpoint begins to run it, and the process ends under
-	// it. It is turned away unrun instead, so that the caller sends it elsewhere.
+	// it. It is rejected unrun instead, so that the caller sends it elsewhere.
 	@Test
 	void towardsTheEndOfAStopNothingIsTakenThatCouldBeCutOff() {
-		assertThat(refusal(CONFIGURATION, TakingPhase.SHORT_ONES, "/stream/", "key")).isEqualTo(ErrorKind.STOPPING);
-		assertThat(decide(CONFIGURATION, TakingPhase.SHORT_ONES, "/plain/", "key"))
-			.isInstanceOf(IntakeDecision.Taken.class);
-		assertThat(refusal(CONFIGURATION, TakingPhase.NONE, "/plain/", "key")).isEqualTo(ErrorKind.STOPPING);
+		assertThat(refusal(CONFIGURATION, DrainPhase.SHORT_ONES, "/stream/", "key")).isEqualTo(ErrorKind.STOPPING);
+		assertThat(decide(CONFIGURATION, DrainPhase.SHORT_ONES, "/plain/", "key"))
+			.isInstanceOf(RoutingDecision.Accepted.class);
+		assertThat(refusal(CONFIGURATION, DrainPhase.NONE, "/plain/", "key")).isEqualTo(ErrorKind.STOPPING);
 	}
 
-	private static ErrorKind refusal(@Nullable Configuration configuration, TakingPhase phase, String uri,
+	private static ErrorKind refusal(@Nullable Configuration configuration, DrainPhase phase, String uri,
 			@Nullable String key) {
-		return ((IntakeDecision.Refused) decide(configuration, phase, uri, key)).kind();
+		return ((RoutingDecision.Rejected) decide(configuration, phase, uri, key)).kind();
 	}
 
-	private static IntakeDecision decide(@Nullable Configuration configuration, TakingPhase phase, String uri,
+	private static RoutingDecision decide(@Nullable Configuration configuration, DrainPhase phase, String uri,
 			@Nullable String key) {
-		return new Intake(configuration, phase).decide("host", uri,
+		return new RequestRouter(configuration, phase).decide("host", uri,
 				new CallerHeaders("1", null, key, null, Prompt.NONE), 0);
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestWords.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestWords.java
@@ -7,12 +7,12 @@
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.EndpointCall;
 import org.banyancove.gateway.shared.EndpointHeaders;
-import org.banyancove.gateway.shared.HeaderWords;
+import org.banyancove.gateway.shared.HeaderCodec;
 
 /**
  * The headers of the stand-ins.
  */
-final class TestWords implements HeaderWords {
+final class TestWords implements HeaderCodec {
 
 	@Override
 	public CallerHeaders readCaller(HttpHeaders headers) {
