--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -33,7 +33,7 @@
 	 * Part of an engine's time that prefill takes where reclaimable endpoints are enough:
 	 * beyond it, prompts wait for each other longer than short targets allow.
 	 */
-	private static final double COMFORTABLE_UTILIZATION = 0.25;
+	private static final double COMFORTABLE_UTILIZATION = 0.13;
 
 	/**
 	 * The same where on-demand endpoints have to stand in: they cost several times as
