Cover the loss of a data centre's reclaimable endpoints in full again

A cover at 0.9 of engine time was chosen while the need was counted twice; now it leaves too little.

Change: the same 0.6 after a loss as before it.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -41,12 +41,6 @@
 	 */
 	private static final double DENSE_UTILIZATION = 0.6;
 
-	/**
-	 * The same for the seconds from a loss until what is ordered then has started: queues
-	 * form, but do not grow.
-	 */
-	private static final double HIGHEST_UTILIZATION = 0.9;
-
 	/**
 	 * Part of an engine's slots that are taken where reclaimable endpoints are enough.
 	 */
@@ -75,8 +69,6 @@
 
 	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
 
-	private final RecentPeak needsAfterLoss = new RecentPeak(LEAST_MEMORY);
-
 	private Map<DataCenterName, Integer> onDemandOrdered = Map.of();
 
 	/**
@@ -110,8 +102,6 @@
 		if (limits.reclaimablePrice() >= 1) {
 			return orders(zones, fill(least, zones, limits, listed), null, limits);
 		}
-		int afterLoss = (int) this.needsAfterLoss.add(atLeastOne(Math.max(engines / HIGHEST_UTILIZATION, engineSlots)),
-				now);
 		Map<DataCenterName, Integer> running = runningByZone(listed, zones);
 		Map<DataCenterName, Integer> reclaimable = spread(
 				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
@@ -120,8 +110,7 @@
 			running.forEach((zone, count) -> reclaimable.merge(zone, count, Math::max));
 		}
 		int left = leftAfterLoss(reclaimableAvailable ? reclaimable : running);
-		int uncovered = Math.max(least - running(listed, true), afterLoss - left);
-		int onDemand = Math.max(0, uncovered);
+		int onDemand = Math.max(0, least - Math.min(running(listed, true), left));
 		return orders(zones, fill(onDemand, zones, limits, listed), reclaimable, limits);
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/ScalingPolicyTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/ScalingPolicyTests.java
@@ -44,18 +44,16 @@
 		assertThat(total(decide(listed, 1900, 0), false)).isZero();
 	}
 
-	// All reclaimable endpoints of two data centres are taken away, and no more are to be
-	// had. On-demand ones are ordered at once for what is missing. Those that are left
-	// can
-	// go at one blow, and the on-demand ones alone must then carry all prompts until more
-	// have started, though with queues. The reclaimable ones that are left are kept.
+	// All reclaimable endpoints of two data centres are taken away, and no more are
+	// available. Those that are left can go at one blow, so on-demand ones are ordered at
+	// once for all that is needed, and the reclaimable ones that are left are kept.
 	@Test
 	void lastingEndpointsStandInWhereReclaimableOnesWereTakenAway() {
 		decide(listed(0, 2), 1900, 0);
 		List<EndpointEntry> left = new ArrayList<>();
 		add(left, CHEAP, 2, true);
 		List<ScalingPolicy.Order> orders = decide(left, 1900, 1);
-		assertThat(total(orders, false)).isEqualTo(3);
+		assertThat(total(orders, false)).isEqualTo(4);
 		assertThat(orders).filteredOn((order) -> order.zone().equals(CHEAP) && order.reclaimable())
 			.singleElement()
 			.satisfies((order) -> assertThat(order.count()).isGreaterThanOrEqualTo(2));
@@ -134,12 +132,12 @@
 		List<EndpointEntry> listed = new ArrayList<>();
 		add(listed, CHEAP, 6, true);
 		add(listed, MIDDLE, 6, true);
-		assertThat(onDemandIn(DEAR, decide(listed, 6500, 0))).isEqualTo(2);
+		assertThat(onDemandIn(DEAR, decide(listed, 4700, 0))).isEqualTo(2);
 		List<EndpointEntry> changed = new ArrayList<>();
 		add(changed, CHEAP, 4, true);
 		add(changed, MIDDLE, 6, true);
 		add(changed, DEAR, 2, true);
-		assertThat(onDemandIn(DEAR, decide(changed, 6500, 1))).isEqualTo(2);
+		assertThat(onDemandIn(DEAR, decide(changed, 4700, 1))).isEqualTo(2);
 	}
 
 	// A data centre is cut off, so that its endpoints' entries lapse. They run on and are
