Order as many endpoints as stand before the first caller comes

Change: the first decision of a process that sees no load takes what stands for what is needed; after the half minute for which needs are remembered, the load decides.

The new test fails before it (9 instead of 15).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/RecentPeak.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/RecentPeak.java
@@ -16,6 +16,14 @@
 		this.memory = memory;
 	}
 
+	/**
+	 * Returns whether no value was added yet.
+	 * @return whether there is none
+	 */
+	boolean isEmpty() {
+		return this.values.isEmpty();
+	}
+
 	/**
 	 * Adds a value.
 	 * @param value the value
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -95,8 +95,8 @@
 		}
 		double engines = work / 1000;
 		double engineSlots = inFlight / (double) slots(listed);
-		double comfortable = this.needs
-			.add(Math.max(engines / COMFORTABLE_UTILIZATION, engineSlots / COMFORTABLE_SLOT_SHARE), now);
+		double comfortable = this.needs.add(Math.max(standing(listed, work, inFlight),
+				Math.max(engines / COMFORTABLE_UTILIZATION, engineSlots / COMFORTABLE_SLOT_SHARE)), now);
 		int least = (int) this.leastNeeds
 			.add(atLeastOne(Math.max(engines / DENSE_UTILIZATION, engineSlots / DENSE_SLOT_SHARE)), now);
 		if (limits.reclaimablePrice() >= 1) {
@@ -114,6 +114,14 @@
 		return orders(zones, fill(onDemand, zones, limits, listed), reclaimable, limits);
 	}
 
+	// The first decision may come before any caller does. What stands then is the only
+	// sign of the load to come: given back, a large fleet would begin its day with a few
+	// endpoints, and callers wait for as long as a start takes.
+	private int standing(Collection<EndpointEntry> listed, double work, int inFlight) {
+		boolean unknown = this.needs.isEmpty() && work == 0 && inFlight == 0;
+		return unknown ? listed.size() : 0;
+	}
+
 	private static double atLeastOne(double endpoints) {
 		return Math.max(1, Math.ceil(endpoints));
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/ScalingPolicyTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/ScalingPolicyTests.java
@@ -165,6 +165,16 @@
 		assertThat(decide(left, 4700, true, 1)).anyMatch((order) -> order.zone().equals(DEAR));
 	}
 
+	// A fleet starts some seconds before its callers come. Fifteen on-demand endpoints
+	// stand there; as many reclaimable ones must run when the callers are there.
+	@Test
+	void beforeAnyCallerComesAsManyAreOrderedAsStand() {
+		List<ScalingPolicy.Order> first = decide(listed(5, 0), 0, 0);
+		assertThat(total(first, true)).isGreaterThanOrEqualTo(15);
+		assertThat(total(decide(listed(0, 5), 0, true, 15), true)).isGreaterThanOrEqualTo(15);
+		assertThat(total(decide(listed(0, 5), 1000, true, 40), true)).isLessThan(15);
+	}
+
 	// Two hundred streams run at once on engines with 64 slots each, and their prompts
 	// need little time. On-demand engines that are billed in full would run a fifth full.
 	@Test
