Wait three seconds again before a new holder of the lease orders

With the wait, the successor's first order comes after it.

Ruled out: nothing yet; by reading, the old holder's lease was over three seconds before, and its calls are reset after 1.2 s.

Conclusion: reverted until the cause is known.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -78,7 +78,7 @@
 		this.wallClock = wallClock;
 		this.keeper = keeper;
 		this.peerTable = peerTable;
-		this.orders = new EndpointScaling(duties, peerTable, work, endpoints, clock.nanos());
+		this.orders = new EndpointScaling(duties, peerTable, work, endpoints);
 		this.plan = new UsagePlan(usage, wallClock.instant());
 		this.lastWall = wallClock.instant();
 		this.lastSteady = clock.nanos();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
@@ -36,9 +36,9 @@
 	private static final Duration INTERVAL = Duration.ofSeconds(1);
 
 	/**
-	 * From a process's start: all endpoints have written their entries, and the other
-	 * gateways have told their loads by then. An order made before would replace
-	 * endpoints that are there. A process that takes the orders over later knows both.
+	 * After a holder took over: all endpoints have written their entries, and the others
+	 * have told their loads by then. An order made before would replace endpoints that
+	 * are there.
 	 */
 	private static final Duration FIRST_LOOK = Duration.ofSeconds(3);
 
@@ -67,20 +67,17 @@
 
 	private final Set<ServiceName> reclaimableAvailable = new HashSet<>();
 
-	private final long startedAt;
-
 	private @Nullable Configuration configuration;
 
 	private long fence;
 
 	private long nextAt;
 
-	EndpointScaling(Duties duties, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints, long startedAt) {
+	EndpointScaling(Duties duties, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints) {
 		this.duties = duties;
 		this.peerTable = peerTable;
 		this.work = work;
 		this.endpoints = endpoints;
-		this.startedAt = startedAt;
 	}
 
 	void configure(Configuration newest) {
@@ -91,7 +88,7 @@
 		if (newFence != this.fence) {
 			this.fence = newFence;
 			this.sent.clear();
-			this.nextAt = Math.max(now, this.startedAt + FIRST_LOOK.toNanos());
+			this.nextAt = now + FIRST_LOOK.toNanos();
 		}
 		Configuration known = this.configuration;
 		if (known == null || now < this.nextAt) {
