Use the table's list of a service's endpoints, and digest a heartbeat once

Cause: on reading the whole change again. EndpointScaling filtered all endpoints by service each second though EndpointTable.listed keeps that list; StateWatch digested each heartbeat twice; AdmissionRule wrote the quarter of a caller's time once as a constant and once as a number; three comments still bore words or line breaks from before the renames.

Change: one call, one local variable, one constant, the comments. Behaviour is unchanged, no test was touched.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -96,7 +96,7 @@
 	 */
 	public Duration maximumWait(Route route, Duration remaining) {
 		Duration half = route.latencyTarget().dividedBy(2);
-		Duration quarter = remaining.dividedBy(4);
+		Duration quarter = remaining.dividedBy(PARTS_OF_DEADLINE);
 		return (half.compareTo(quarter) < 0) ? half : quarter;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
@@ -103,10 +103,7 @@
 	}
 
 	private void order(ServiceName service, ScalingLimits limits, long now) {
-		List<Endpoint> listed = this.endpoints.all()
-			.stream()
-			.filter((endpoint) -> endpoint.entry().service().equals(service))
-			.toList();
+		List<Endpoint> listed = this.endpoints.listed(service);
 		Map<EndpointId, EndpointLoad> others = this.peerTable.loads(now);
 		int inFlight = listed.stream()
 			.mapToInt((endpoint) -> endpoint.inFlight()
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -256,8 +256,9 @@
 				StateWatch.this.digests.remove(id);
 				return;
 			}
-			Long before = StateWatch.this.digests.put(id, digest(read));
-			if (before == null || before != digest(read)) {
+			long digest = digest(read);
+			Long before = StateWatch.this.digests.put(id, digest);
+			if (before == null || before != digest) {
 				log.atInfo()
 					.addKeyValue("endpoint", id)
 					.addKeyValue("service", read.service())
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -172,8 +172,7 @@
 
 	// The reclaimable endpoints that are left when the data centre with the most of them
 	// loses all at one blow. Counting those too would order on-demand ones only once they
-	// are
-	// leaving: callers would wait for a start, four seconds, at whatever is left.
+	// are leaving: callers would wait for a start, four seconds, at whatever is left.
 	private static int leftAfterLoss(Map<DataCenterName, Integer> reclaimable) {
 		int all = reclaimable.values().stream().mapToInt(Integer::intValue).sum();
 		int most = reclaimable.values().stream().mapToInt(Integer::intValue).max().orElse(0);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -94,7 +94,7 @@
 	 * @param clock the steady clock
 	 * @param wallClock the time of day
 	 * @param random chooses among a route's services
-	 * @param headerCodec the headers' words
+	 * @param headerCodec reads and writes headers
 	 * @param connections the connections to endpoints
 	 * @param endpoints the endpoints
 	 * @param placement chooses among them
@@ -152,7 +152,7 @@
 	/**
 	 * Takes in how much of the fleet there is.
 	 * @param newGateways the gateways, this one included
-	 * @param newReachableShare the part of them that is heard now
+	 * @param newReachableShare the part of them that is reachable now
 	 */
 	public void fleet(int newGateways, double newReachableShare) {
 		this.gateways = newGateways;
