Ignore the answer to a renewal that a standstill overtook

Cause: a holder whose VM stood still gives its lease up at the next tick, but kept the renewal that was on its way. Its answer, read after that tick, set the fence and the end of the lease again, counted by a steady clock that does not show the standstill. By then another gateway may have taken over, so the old fence acts after the new one. The same by the topic: its own record, read after the loss, set the fence again at once. Change: what is on its way belongs to one record; a standstill drops it, and the topic is read again before anything is appended. A gateway that gave up stays away for its two leases also when it reads its own record. The three seconds that a new holder waits stay.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -137,9 +137,7 @@
 		this.lastSteady = now;
 		if (drift.compareTo(MOST_DRIFT) > 0) {
 			log.atWarn().addKeyValue("driftMs", drift.toMillis()).log("clock moved");
-			if (this.keeper.holds(now)) {
-				this.keeper.lose(now);
-			}
+			this.keeper.stoodStill(now);
 		}
 	}
 
@@ -155,11 +153,11 @@
 			.whenComplete((outcome, failure) -> {
 				switch (outcome) {
 					case AppendOutcome.Appended appended -> {
-						this.keeper.appended(appended.offset(), this.clock.nanos());
+						this.keeper.appended(appending, appended.offset(), this.clock.nanos());
 						this.written = this.keeper.reports();
 					}
-					case AppendOutcome.Moved moved -> this.keeper.notAppended();
-					case null -> this.keeper.notAppended();
+					case AppendOutcome.Moved moved -> this.keeper.notAppended(appending);
+					case null -> this.keeper.notAppended(appending);
 				}
 			});
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
@@ -86,7 +86,7 @@
 		this.seen = record;
 		this.seenAt = now;
 		if (record.incarnation() == this.incarnation) {
-			this.fence = record.fence();
+			this.fence = (now < this.awayUntil) ? 0 : record.fence();
 		}
 		else if (this.fence != 0) {
 			lose(now);
@@ -102,10 +102,20 @@
 	}
 
 	/**
-	 * Gives the duties up, after a sign that this process stood still.
+	 * Gives the duties up, after a sign that this process stood still. The steady clock
+	 * may not show for how long, so that an answer to an append that was on its way says
+	 * nothing about the lease either.
 	 * @param now the present time
 	 */
-	public void lose(long now) {
+	public void stoodStill(long now) {
+		if (this.fence != 0 || this.claiming != null) {
+			lose(now);
+		}
+	}
+
+	private void lose(long now) {
+		this.claiming = null;
+		this.end = -1;
 		this.fence = 0;
 		this.heldUntil = now;
 		this.awayUntil = now + (long) (this.leaseNanos * AWAY_LEASES);
@@ -170,24 +180,35 @@
 	}
 
 	/**
-	 * Notes that the record was appended.
+	 * Notes that a record was appended.
+	 * @param record the record
 	 * @param offset its place
 	 * @param now the present time
 	 */
-	public void appended(long offset, long now) {
-		LeaseRecord record = this.claiming;
+	public void appended(LeaseRecord record, long offset, long now) {
+		if (!pending(record)) {
+			return;
+		}
 		this.claiming = null;
 		ends(offset + 1);
-		if (record != null) {
-			read(record, now);
-			this.heldUntil = this.claimedAt + (long) (this.leaseNanos * SHARE_HELD);
-		}
+		read(record, now);
+		this.heldUntil = this.claimedAt + (long) (this.leaseNanos * SHARE_HELD);
+	}
+
+	// Two renewals may be equal; only the one on its way counts.
+	@SuppressWarnings("ReferenceEquality")
+	private boolean pending(LeaseRecord record) {
+		return record == this.claiming;
 	}
 
 	/**
-	 * Notes that the record was not appended, or that nobody knows.
+	 * Notes that a record was not appended, or that nobody knows.
+	 * @param record the record
 	 */
-	public void notAppended() {
+	public void notAppended(LeaseRecord record) {
+		if (!pending(record)) {
+			return;
+		}
 		this.claiming = null;
 		// The next attempt waits until the topic was read again.
 		this.end = -1;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/LeaseKeeperTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/LeaseKeeperTests.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -107,10 +108,137 @@
 		assertThat(changes).isGreaterThan(20);
 	}
 
+	// Guards against a holder that stood still while its renewal was on its way, and acts
+	// on the answer after another gateway took over.
+	@Test
+	void anAnswerThatArrivesAfterAStandstillRenewsNothing() {
+		Topic topic = new Topic();
+		LeaseKeeper keeper = keeper(1);
+		topic.read(keeper, 0);
+		topic.append(keeper, 0);
+		long renewal = LEASE.toNanos() / 3;
+		LeaseRecord renewing = Objects.requireNonNull(keeper.toAppend(List.of(), false, renewal));
+		topic.take(keeper, renewing);
+		keeper.stoodStill(renewal + MILLISECOND);
+		keeper.appended(renewing, 1, renewal + 2 * MILLISECOND);
+		assertThat(keeper.holds(renewal + 2 * MILLISECOND)).isFalse();
+		topic.read(keeper, renewal + 3 * MILLISECOND);
+		assertThat(keeper.toAppend(List.of(), true, renewal + 3 * MILLISECOND)).as("stays away").isNull();
+	}
+
+	// Guards against two holders of which the one with the lower fence acts last, over
+	// freezes that the steady clock does not show, lost answers and outages.
+	@Test
+	void noHolderActsAfterOneWithAHigherFence() {
+		SplittableRandom random = new SplittableRandom(5);
+		Topic topic = new Topic();
+		List<Holder> holders = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			holders.add(new Holder(keeper(i + 1)));
+		}
+		long highest = 0;
+		int changes = 0;
+		for (long now = 0; now < 3_600_000 * MILLISECOND; now += 200 * MILLISECOND) {
+			for (Holder holder : holders) {
+				long acted = holder.play(topic, random, now);
+				assertThat(acted == 0 || acted >= highest).as("fence %s after %s", acted, highest).isTrue();
+				changes += (acted > highest) ? 1 : 0;
+				highest = Math.max(highest, acted);
+			}
+		}
+		assertThat(changes).isGreaterThan(20);
+	}
+
 	private static LeaseKeeper keeper(long incarnation) {
 		return new LeaseKeeper(incarnation, LEASE, incarnation / 10.0, 0);
 	}
 
+	/**
+	 * A gateway that freezes, loses the store, and gets answers late or never.
+	 */
+	private static final class Holder {
+
+		private final LeaseKeeper keeper;
+
+		private long frozenUntil;
+
+		private long stoodStill;
+
+		private boolean thawed;
+
+		private boolean away;
+
+		private @Nullable LeaseRecord pending;
+
+		private long answerAt;
+
+		private long offset;
+
+		Holder(LeaseKeeper keeper) {
+			this.keeper = keeper;
+		}
+
+		// Returns the fence that it acts with, or 0 if it does not act.
+		long play(Topic topic, SplittableRandom random, long now) {
+			if (now < this.frozenUntil) {
+				return 0;
+			}
+			long steady = now - this.stoodStill;
+			boolean answersFirst = random.nextBoolean();
+			if (answersFirst) {
+				receive(now, steady);
+			}
+			if (this.thawed) {
+				this.thawed = false;
+				this.keeper.stoodStill(steady);
+			}
+			long acts = this.keeper.holds(steady) ? this.keeper.fence() : 0;
+			if (!answersFirst) {
+				receive(now, steady);
+			}
+			this.away = (random.nextInt(60) == 0) != this.away;
+			if (!this.away) {
+				topic.read(this.keeper, steady);
+				send(topic, random, now, steady);
+			}
+			if (random.nextInt(100) == 0) {
+				freeze(now, Duration.ofSeconds(1 + random.nextInt(20)).toNanos());
+			}
+			return acts;
+		}
+
+		private void freeze(long now, long time) {
+			this.frozenUntil = now + time;
+			this.stoodStill += time;
+			this.thawed = true;
+		}
+
+		private void send(Topic topic, SplittableRandom random, long now, long steady) {
+			LeaseRecord record = this.keeper.toAppend(List.of(), false, steady);
+			if (record == null) {
+				return;
+			}
+			this.pending = record;
+			this.offset = topic.take(this.keeper, record) ? topic.records.size() - 1L : -1;
+			this.answerAt = now + random.nextInt(600) * MILLISECOND;
+		}
+
+		private void receive(long now, long steady) {
+			LeaseRecord record = this.pending;
+			if (record == null || now < this.answerAt) {
+				return;
+			}
+			this.pending = null;
+			if (this.offset >= 0) {
+				this.keeper.appended(record, this.offset, steady);
+			}
+			else {
+				this.keeper.notAppended(record);
+			}
+		}
+
+	}
+
 	private static final class Topic {
 
 		private final List<LeaseRecord> records = new ArrayList<>();
@@ -134,17 +262,17 @@
 				return;
 			}
 			if (take(keeper, record)) {
-				keeper.appended(this.records.size() - 1L, now);
+				keeper.appended(record, this.records.size() - 1L, now);
 			}
 			else {
-				keeper.notAppended();
+				keeper.notAppended(record);
 			}
 		}
 
 		private void appendAndLoseTheAnswer(LeaseKeeper keeper, long now) {
 			LeaseRecord record = Objects.requireNonNull(keeper.toAppend(List.of(), false, now));
 			take(keeper, record);
-			keeper.notAppended();
+			keeper.notAppended(record);
 		}
 
 	}
