--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -6,9 +6,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.DemandEstimator;
+import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.duty.LeaseKeeper;
 import org.banyancove.gateway.duty.LeaseRecord;
 import org.banyancove.gateway.duty.PeerTable;
@@ -48,7 +50,7 @@
 
 	private final InstantSource wallClock;
 
-	private final ReportCodec codec = new ReportCodec();
+	private final LeaseRecordCodec codec = new LeaseRecordCodec();
 
 	private final LeaseKeeper keeper;
 
@@ -71,14 +73,15 @@
 	private boolean holding;
 
 	DutyWork(SharedTopics topics, Duties duties, SteadyClock clock, InstantSource wallClock, LeaseKeeper keeper,
-			UsageCounter usage, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints) {
+			UsageCounter usage, PeerTable peerTable, Supplier<FleetView> fleet, DemandEstimator work,
+			EndpointTable endpoints) {
 		this.topics = topics;
 		this.duties = duties;
 		this.clock = clock;
 		this.wallClock = wallClock;
 		this.keeper = keeper;
 		this.peerTable = peerTable;
-		this.orders = new EndpointScaling(duties, peerTable, work, endpoints);
+		this.orders = new EndpointScaling(duties, fleet, work, endpoints);
 		this.plan = new UsagePlan(usage, wallClock.instant());
 		this.lastWall = wallClock.instant();
 		this.lastSteady = clock.nanos();
@@ -90,7 +93,7 @@
 			return;
 		}
 		try {
-			LeaseRecord read = this.codec.readLease(entry.value());
+			LeaseRecord read = this.codec.read(entry.value());
 			this.keeper.read(read, this.clock.nanos());
 			this.written = this.keeper.reports();
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
@@ -6,16 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import org.banyancove.core.DataCenterName;
-import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.EndpointLoad;
-import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.duty.ScalingPolicy;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
@@ -53,7 +53,7 @@
 
 	private final Duties duties;
 
-	private final PeerTable peerTable;
+	private final Supplier<FleetView> fleet;
 
 	private final DemandEstimator work;
 
@@ -73,9 +73,9 @@
 
 	private long nextAt;
 
-	EndpointScaling(Duties duties, PeerTable peerTable, DemandEstimator work, EndpointTable endpoints) {
+	EndpointScaling(Duties duties, Supplier<FleetView> fleet, DemandEstimator work, EndpointTable endpoints) {
 		this.duties = duties;
-		this.peerTable = peerTable;
+		this.fleet = fleet;
 		this.work = work;
 		this.endpoints = endpoints;
 	}
@@ -104,12 +104,12 @@
 
 	private void order(ServiceName service, ScalingLimits limits, long now) {
 		List<Endpoint> listed = this.endpoints.listed(service);
-		Map<EndpointId, EndpointLoad> others = this.peerTable.loads(now);
+		FleetView others = this.fleet.get();
 		int inFlight = listed.stream()
 			.mapToInt((endpoint) -> endpoint.inFlight()
-					+ others.getOrDefault(endpoint.id(), EndpointLoad.NONE).inFlight())
+					+ others.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE).inFlight())
 			.sum();
-		double needed = this.work.perService(now).getOrDefault(service, 0.0) + this.peerTable.work(service, now);
+		double needed = this.work.perService(now).getOrDefault(service, 0.0) + others.work().getOrDefault(service, 0.0);
 		List<EndpointEntry> entries = listed.stream().map(Endpoint::entry).toList();
 		this.deciders.computeIfAbsent(service, (name) -> new ScalingPolicy())
 			.decide(limits, entries, needed, inFlight, this.reclaimableAvailable.contains(service), now)
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -1,12 +1,11 @@
 package org.banyancove.gateway.daemon;
 
+import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -18,16 +17,17 @@
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.EndpointLoad;
+import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseKeeper;
 import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ClientConnections;
-import org.banyancove.gateway.exchange.DrainPhase;
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestFlow;
 import org.banyancove.gateway.shared.Duties;
@@ -37,7 +37,6 @@
 import org.banyancove.gateway.shared.SteadyClock;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.program.MetricsText;
-import org.banyancove.program.SocketAddressText;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -56,44 +55,27 @@
 	 */
 	private static final Duration GATEWAYS_WAIT = Duration.ofSeconds(25);
 
-	/** Between two held reads of the gateways' addresses. */
-	private static final Duration GATEWAYS_INTERVAL = Duration.ofMillis(100);
-
 	/**
-	 * While the holder of the lease is heard, its topic is read only to be near its end.
+	 * Between two held reads of the gateways' addresses: while a fleet starts, each new
+	 * address would end the reads of all.
 	 */
-	private static final Duration LEASES_INTERVAL = Duration.ofSeconds(8);
-
-	/** When it is not heard: several times within a lease. */
-	private static final Duration LEASES_INTERVAL_UNHEARD = Duration.ofMillis(700);
-
-	/** How often the address is written again, in case it was lost. */
-	private static final Duration ADDRESS_INTERVAL = Duration.ofSeconds(2);
+	private static final Duration GATEWAYS_INTERVAL = Duration.ofSeconds(1);
 
 	/**
-	 * Reports that a gateway must miss until it counts as not heard; a data centre none
-	 * of whose gateways is heard counts as cut off. One report is lost now and then.
+	 * While another gateway holds the lease, its topic is read only to be near its end.
 	 */
-	private static final int MISSED_REPORTS = 2;
-
-	/** The same as a time: three ticks, so that a slow VM is not taken for a cut. */
-	private static final Duration SHORTEST_SILENCE = Duration.ofMillis(600);
-
-	private static final Duration TICK = Duration.ofMillis(200);
+	private static final Duration LEASES_INTERVAL = Duration.ofSeconds(8);
 
-	/**
-	 * Within a stop: callers are sent elsewhere after two missed checks, a second apart.
-	 */
-	private static final Duration STOP_IDLE_AFTER = Duration.ofMillis(2500);
+	/** When none does: several times within a lease. */
+	private static final Duration LEASES_INTERVAL_UNHELD = Duration.ofMillis(700);
 
 	/**
-	 * At the end of a stop, nothing more is taken for as long as a plain request may
-	 * last: a request that was taken in the last moment would be cut off while it runs.
+	 * The same for a gateway that is no aggregator: the aggregators claim first, and the
+	 * rest only if none of them reaches the store.
 	 */
-	private static final Duration STOP_TAKES_NONE_FOR = Duration.ofSeconds(2);
+	private static final Duration LEASES_INTERVAL_OTHERS = Duration.ofSeconds(5);
 
-	/** Left over at the end of a stop, so that the last answers leave the VM. */
-	private static final Duration STOP_MARGIN = Duration.ofMillis(400);
+	private static final Duration TICK = Duration.ofMillis(200);
 
 	private final GatewaySettings settings;
 
@@ -109,9 +91,9 @@
 
 	private final EndpointTable endpoints = new EndpointTable();
 
-	private final PeerTable peerTable = new PeerTable();
+	private final PeerTable peerTable;
 
-	private final ReportCodec codec = new ReportCodec();
+	private final GatewayAddress address;
 
 	private final UsageCounter usage;
 
@@ -127,12 +109,18 @@
 
 	private final DutyWork duties;
 
-	private final PeerExchange peers;
+	private final PeerChannel channel = new PeerChannel(this::received);
+
+	private final FleetExchange fleet;
 
 	private final DemandEstimator work = new DemandEstimator();
 
+	private final EventLoopLag lag;
+
 	private final StateWatch state;
 
+	private FleetView others = FleetView.ALONE;
+
 	private @Nullable Configuration configuration;
 
 	private boolean stopping;
@@ -159,25 +147,27 @@
 		this.incarnation = random.nextLong() >>> 1;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		this.metrics = new GatewayMetrics(registry);
+		this.lag = new EventLoopLag(TICK, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.placement = new PlacementRule(settings.zone());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, headerCodec, connections,
 				this.endpoints, this.placement, new Meters(this.usage, this.work), this.metrics,
 				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
-		this.peers = new PeerExchange(settings.name(), this::peerReported);
+		this.peerTable = new PeerTable(this.incarnation, settings.zone());
+		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.zone(),
+				settings.processorShare());
+		this.fleet = new FleetExchange(this.address, this.eventLoop, this.clock, this.channel, this.peerTable,
+				this::report, this.flow::usedElsewhere, this::relayed);
 		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
 				this.clock.nanos());
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
-				this.peerTable, this.work, this.endpoints);
-		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints, this::leftToOthers,
-				(records) -> this.peers.send(this.codec.write(records)), this::configure);
-	}
-
-	private boolean leftToOthers() {
-		return this.peerTable.readingIsLeftToOthers(this.incarnation, silence(), this.clock.nanos());
+				this.peerTable, () -> this.others, this.work, this.endpoints);
+		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints,
+				() -> this.others.readingIsLeftToOthers(this.incarnation), this.fleet::relay, this.fleet::forward,
+				this::configure);
 	}
 
 	/**
@@ -187,7 +177,7 @@
 	 */
 	public void start(ServerSocketChannel callersSocket) throws InterruptedException {
 		this.callers.listen(callersSocket);
-		this.peers.listen(this.eventLoops, this.settings.peers());
+		this.channel.listen(this.eventLoops, this.settings.peers());
 		this.status.listen(this.settings.readiness());
 		if (this.settings.metrics() != null) {
 			this.status.listen(this.settings.metrics());
@@ -203,20 +193,26 @@
 	private void follow() {
 		this.state.start();
 		new TopicFollower(Topic.GATEWAYS, this.topics, this.eventLoop, this.clock, () -> GATEWAYS_INTERVAL,
-				GATEWAYS_WAIT, () -> false, this.peers)
+				GATEWAYS_WAIT, () -> false,
+				new AddressAnnouncement(this.address, this.fleet.directory(), this.topics, this.eventLoop))
 			.start();
 		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 			leaseFollower().start();
 		}
 		this.eventLoop.scheduleWithFixedDelay(this::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
-		report();
-		writeAddress();
+		this.fleet.start();
 	}
 
 	private TopicFollower leaseFollower() {
-		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock,
-				() -> this.peerTable.hasLeaseHolder(this.clock.nanos()) ? LEASES_INTERVAL : LEASES_INTERVAL_UNHEARD,
-				Duration.ZERO, () -> false, this.duties);
+		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock, this::leasesInterval,
+				Duration.ZERO, () -> !this.others.aggregates() && this.others.leaseHeld(), this.duties);
+	}
+
+	private Duration leasesInterval() {
+		if (this.others.leaseHeld()) {
+			return LEASES_INTERVAL;
+		}
+		return (this.others.aggregates() || this.duties.holds()) ? LEASES_INTERVAL_UNHELD : LEASES_INTERVAL_OTHERS;
 	}
 
 	private CallerLimits limits() {
@@ -227,8 +223,6 @@
 		return !this.stopping && this.state.complete();
 	}
 
-	// ---- what is followed
-
 	private void configure(Configuration newest) {
 		this.configuration = newest;
 		this.endpoints.configure(newest);
@@ -236,34 +230,19 @@
 		this.flow.configure(newest);
 	}
 
-	private void peerReported(byte[] datagram) {
-		try {
-			switch (this.codec.readMessage(datagram)) {
-				case PeerMessage.Report told ->
-					this.flow.usedElsewhere(this.peerTable.read(told.report(), this.clock.nanos()));
-				case PeerMessage.Relay told -> this.state.relayed(told.relayed());
-			}
-		}
-		catch (RuntimeException ex) {
-			log.atWarn().addKeyValue("cause", ex.toString()).log("peer's message unreadable");
-		}
+	private void received(InetSocketAddress sender, byte[] message) {
+		this.fleet.received(sender, message);
 	}
 
-	// ---- what is told
+	private void relayed(RelayedRecords records) {
+		this.state.relayed(records);
+	}
 
-	private void report() {
-		try {
-			GatewayReport told = new GatewayReport(this.incarnation, this.settings.zone(), this.usage.counts(),
-					this.flow.used(), this.work.perService(this.clock.nanos()), loads(), this.duties.holds(),
-					this.state.known());
-			this.peerTable.readCounts(told);
-			this.peers.send(this.codec.write(told));
-		}
-		catch (RuntimeException ex) {
-			// The timer would end for good; the next report may well succeed.
-			log.error("report failed", ex);
-		}
-		this.eventLoop.schedule(this::report, this.peers.interval().toMillis(), TimeUnit.MILLISECONDS);
+	private GatewayReport report() {
+		TrafficTotals traffic = new TrafficTotals(this.usage.counts(), this.flow.used(),
+				this.work.perService(this.clock.nanos()), loads());
+		return new GatewayReport(this.incarnation, this.settings.zone(), traffic, this.duties.holds(),
+				this.state.known());
 	}
 
 	private Map<EndpointId, EndpointLoad> loads() {
@@ -276,40 +255,24 @@
 		return loads;
 	}
 
-	private void readPeersLoads(long now) {
-		Map<EndpointId, EndpointLoad> loads = this.peerTable.loads(now);
+	private void readOthers(long now) {
+		this.others = this.peerTable.view(now);
+		this.flow.fleet(this.others.others() + 1, this.others.reachableShare());
+		this.placement.unreachable(this.others.unreachableDataCenters());
 		for (Endpoint endpoint : this.endpoints.all()) {
-			EndpointLoad others = loads.getOrDefault(endpoint.id(), EndpointLoad.NONE);
-			endpoint.others(others.inFlight(), others.unreadTokens());
+			EndpointLoad load = this.others.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE);
+			endpoint.others(load.inFlight(), load.unreadTokens());
 		}
 	}
 
-	// Tells the other gateways where this one listens; until it succeeds, they don't hear
-	// it.
-	private void writeAddress() {
-		byte[] value = SocketAddressText.format(this.settings.peers()).getBytes(StandardCharsets.UTF_8);
-		this.topics.append(Topic.GATEWAYS, this.settings.name(), value).whenComplete((outcome, failure) -> {
-			if (outcome == null) {
-				log.atWarn().addKeyValue("cause", String.valueOf(failure)).log("address not written");
-				this.eventLoop.schedule(this::writeAddress, ADDRESS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-			}
-		});
-	}
-
-	private Duration silence() {
-		Duration missed = this.peers.interval().multipliedBy(MISSED_REPORTS);
-		return (missed.compareTo(SHORTEST_SILENCE) > 0) ? missed : SHORTEST_SILENCE;
-	}
-
 	private void tick() {
 		try {
 			long now = this.clock.nanos();
+			this.lag.ticked(now);
 			this.endpoints.expire(now).forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
 			this.peerTable.expire(now);
-			this.flow.fleet(this.peerTable.others() + 1, this.peerTable.reachableShare(now));
-			readPeersLoads(now);
-			this.state.compare(this.peerTable.furthestReader(silence(), now), now);
-			this.placement.unreachable(this.peerTable.unreachableDataCenters(this.settings.zone(), silence(), now));
+			readOthers(now);
+			this.state.compare(this.others.known(), now);
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
@@ -325,41 +288,14 @@
 		}
 	}
 
-	// ---- the stop
-
 	/**
 	 * Stops in order: takes no new connections, lets requests end, closes what is idle.
 	 * Returns when that is done or the time is up.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void stop() throws InterruptedException {
-		long began = this.clock.nanos();
-		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopping");
-		this.eventLoop.execute(() -> {
-			this.stopping = true;
-			this.callers.stop();
-		});
-		TimeUnit.MILLISECONDS.sleep(STOP_IDLE_AFTER.toMillis());
-		this.eventLoop.execute(() -> this.flow.take(DrainPhase.SHORT_ONES));
-		long end = began + this.settings.stopTime().minus(STOP_MARGIN).toNanos();
-		long lastTaken = end - STOP_TAKES_NONE_FOR.toNanos();
-		while (this.clock.nanos() < end && connectionsLeft() > 0) {
-			if (this.clock.nanos() > lastTaken) {
-				this.eventLoop.execute(() -> this.flow.take(DrainPhase.NONE));
-			}
-			TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
-		}
-		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopped");
-	}
-
-	private int connectionsLeft() throws InterruptedException {
-		try {
-			return this.eventLoop.submit(this.callers::closeIdle).get();
-		}
-		catch (ExecutionException ex) {
-			log.error("closing idle connections failed", ex);
-			return 0;
-		}
+		this.eventLoop.execute(() -> this.stopping = true);
+		new OrderlyStop(this.eventLoop, this.clock, this.callers, this.flow).run(this.settings.stopTime());
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -22,19 +22,24 @@
  * @param reportsUsage whether usage is to be reported
  * @param ordersEndpoints whether endpoints are to be ordered
  * @param stopTime from being told to stop to being killed
+ * @param processorShare the VM's processor share, in cores
  */
 public record GatewaySettings(String name, DataCenterName zone, InetSocketAddress callers, InetSocketAddress readiness,
 		@Nullable InetSocketAddress metrics, InetSocketAddress peers, RetryLimits retryLimits, Duration lease,
-		Duration usageWindow, boolean reportsUsage, boolean ordersEndpoints, Duration stopTime) {
+		Duration usageWindow, boolean reportsUsage, boolean ordersEndpoints, Duration stopTime, double processorShare) {
 
 	/**
 	 * Creates the settings.
-	 * @throws IllegalArgumentException if {@code name} is blank
+	 * @throws IllegalArgumentException if {@code name} is blank or {@code processorShare}
+	 * is not positive
 	 */
 	public GatewaySettings {
 		if (name.isBlank()) {
 			throw new IllegalArgumentException("name must not be blank: '" + name + "'");
 		}
+		if (!(processorShare > 0)) {
+			throw new IllegalArgumentException("processorShare must be positive: " + processorShare);
+		}
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/ReportCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/LeaseRecordCodec.java
@@ -12,66 +12,16 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.error.BanyancoveException;
 import org.banyancove.core.error.ErrorKind;
-import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseRecord;
 import org.banyancove.gateway.duty.UsageReport;
-import org.banyancove.gateway.shared.Topic;
-import org.banyancove.gateway.shared.TopicRecord;
 
 /**
- * Writes and reads what gateways tell each other and keep in shared state.
+ * Writes and reads the records of the leases' topic.
  */
-final class ReportCodec {
+final class LeaseRecordCodec {
 
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final GatewayReportCodec reports = new GatewayReportCodec();
-
-	byte[] write(GatewayReport report) {
-		return this.reports.write(report);
-	}
-
-	byte[] write(RelayedRecords relayed) {
-		ObjectNode root = this.mapper.createObjectNode();
-		root.put("topic", relayed.topic().name());
-		root.put("outageMillis", relayed.outageMillis());
-		var records = root.putArray("records");
-		for (TopicRecord entry : relayed.records()) {
-			records.addObject().put("offset", entry.offset()).put("key", entry.key()).put("value", entry.value());
-		}
-		return bytes(root);
-	}
-
-	/**
-	 * Reads what another gateway sent.
-	 * @param value the datagram
-	 * @return the message
-	 * @throws BanyancoveException if it cannot be read
-	 */
-	PeerMessage readMessage(byte[] value) {
-		if (value.length > 0 && value[0] == GatewayReportCodec.MARK) {
-			return new PeerMessage.Report(this.reports.read(value));
-		}
-		return new PeerMessage.Relay(relayed(tree(value)));
-	}
-
-	private static RelayedRecords relayed(JsonNode root) {
-		List<TopicRecord> records = new ArrayList<>();
-		try {
-			for (JsonNode entry : root.path("records")) {
-				JsonNode content = entry.path("value");
-				records.add(new TopicRecord(entry.path("offset").asLong(), entry.path("key").asText(),
-						content.isNull() ? null : content.binaryValue()));
-			}
-			JsonNode outage = root.path("outageMillis");
-			return new RelayedRecords(Topic.valueOf(root.path("topic").asText()), records,
-					outage.isNumber() ? outage.asLong() : null);
-		}
-		catch (IOException | IllegalArgumentException ex) {
-			throw new BanyancoveException(ErrorKind.MALFORMED_REQUEST, "relayed records unreadable", ex);
-		}
-	}
-
 	byte[] write(LeaseRecord record) {
 		ObjectNode root = this.mapper.createObjectNode();
 		root.put("incarnation", record.incarnation());
@@ -85,7 +35,7 @@
 		return bytes(root);
 	}
 
-	LeaseRecord readLease(byte[] value) {
+	LeaseRecord read(byte[] value) {
 		JsonNode root = tree(value);
 		List<UsageReport> reports = new ArrayList<>();
 		root.path("reports")
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import org.banyancove.gateway.duty.FleetSummary;
 import org.banyancove.gateway.duty.GatewayReport;
 
 /**
@@ -8,13 +9,21 @@
 sealed interface PeerMessage {
 
 	/**
-	 * A gateway tells of itself.
+	 * A gateway reports to an aggregator of its group.
 	 *
-	 * @param report what it tells
+	 * @param report its report
 	 */
 	record Report(GatewayReport report) implements PeerMessage {
 	}
 
+	/**
+	 * An aggregator reports its group to the other groups, or the fleet to its group.
+	 *
+	 * @param summary the summary
+	 */
+	record Summary(FleetSummary summary) implements PeerMessage {
+	}
+
 	/**
 	 * A gateway that reads the store passes on what changed.
 	 *
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -63,14 +63,16 @@
 	 */
 	private static final Duration LONGEST_MISSING = Duration.ofMillis(300);
 
-	/** Records in one datagram: some 400 bytes each, a quarter of the most. */
-	private static final int MOST_RELAYED = 20;
+	/**
+	 * Records in one datagram; compressed, they take a part of the most that it holds.
+	 */
+	private static final int MAXIMUM_RELAYED = 50;
 
 	/**
 	 * A larger configuration is not passed on, as it would not fit into a datagram;
 	 * others read it when they hear of it.
 	 */
-	private static final int MOST_RELAYED_BYTES = 16 * 1024;
+	private static final int MAXIMUM_RELAYED_BYTES = 16 * 1024;
 
 	private final StateReader reader;
 
@@ -82,6 +84,8 @@
 
 	private final Consumer<RelayedRecords> relay;
 
+	private final Consumer<RelayedRecords> forward;
+
 	private final Consumer<Configuration> configured;
 
 	private final TopicFollower configurationFollower;
@@ -92,6 +96,8 @@
 
 	private final List<TopicRecord> toRelay = new ArrayList<>();
 
+	private final List<TopicRecord> toForward = new ArrayList<>();
+
 	private @Nullable Configuration configuration;
 
 	private long configurationOffset = -1;
@@ -111,15 +117,18 @@
 	 * @param endpoints the table that is kept up to date
 	 * @param leftToOthers whether other gateways read the store for this one
 	 * @param relay passes on what was read
+	 * @param forward passes on what another gateway read and was new here
 	 * @param configured hears of each configuration
 	 */
 	StateWatch(SharedTopics topics, EventLoop eventLoop, SteadyClock clock, StateReader reader, EndpointTable endpoints,
-			BooleanSupplier leftToOthers, Consumer<RelayedRecords> relay, Consumer<Configuration> configured) {
+			BooleanSupplier leftToOthers, Consumer<RelayedRecords> relay, Consumer<RelayedRecords> forward,
+			Consumer<Configuration> configured) {
 		this.reader = reader;
 		this.endpoints = endpoints;
 		this.clock = clock;
 		this.leftToOthers = leftToOthers;
 		this.relay = relay;
+		this.forward = forward;
 		this.configured = configured;
 		this.configurationFollower = new TopicFollower(Topic.CONFIGURATION, topics, eventLoop, clock,
 				() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, leftToOthers, this::configurationChanged);
@@ -164,6 +173,10 @@
 		finally {
 			this.relayed = null;
 		}
+		if (!this.toForward.isEmpty()) {
+			this.forward.accept(new RelayedRecords(records.topic(), this.toForward, records.outageMillis()));
+			this.toForward.clear();
+		}
 	}
 
 	/**
@@ -221,8 +234,13 @@
 			.addKeyValue("passedOn", this.relayed != null)
 			.log("configuration taken");
 		this.configured.accept(newest);
-		if (this.relayed == null && this.configurationFollower.complete()
-				&& entry.value().length <= MOST_RELAYED_BYTES) {
+		if (entry.value().length > MAXIMUM_RELAYED_BYTES) {
+			return;
+		}
+		if (this.relayed != null) {
+			this.toForward.add(entry);
+		}
+		else if (this.configurationFollower.complete()) {
 			this.relay.accept(new RelayedRecords(Topic.CONFIGURATION, List.of(entry), null));
 		}
 	}
@@ -298,7 +316,10 @@
 		}
 
 		private void passOn(TopicRecord entry) {
-			if (StateWatch.this.relayed == null && StateWatch.this.endpointFollower.complete()) {
+			if (StateWatch.this.relayed != null) {
+				StateWatch.this.toForward.add(entry);
+			}
+			else if (StateWatch.this.endpointFollower.complete()) {
 				StateWatch.this.toRelay.add(entry);
 			}
 		}
@@ -312,9 +333,9 @@
 		public void readThrough(long next) {
 			List<TopicRecord> all = StateWatch.this.toRelay;
 			Duration outage = StateWatch.this.endpointFollower.sinceFailure();
-			for (int from = 0; from < all.size(); from += MOST_RELAYED) {
+			for (int from = 0; from < all.size(); from += MAXIMUM_RELAYED) {
 				StateWatch.this.relay.accept(new RelayedRecords(Topic.ENDPOINTS,
-						all.subList(from, Math.min(all.size(), from + MOST_RELAYED)),
+						all.subList(from, Math.min(all.size(), from + MAXIMUM_RELAYED)),
 						(outage != null) ? outage.toMillis() : null));
 			}
 			all.clear();
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
@@ -0,0 +1,100 @@
+package org.banyancove.gateway.daemon;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.netty.buffer.ByteBuf;
+import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.duty.EndpointLoad;
+import org.banyancove.gateway.duty.TrafficTotals;
+
+/**
+ * Writes and reads traffic totals in binary form. Names of client accounts stand once,
+ * and figures follow by their place.
+ */
+final class TrafficTotalsCodec {
+
+	private TrafficTotalsCodec() {
+	}
+
+	static void write(ByteBuf out, TrafficTotals traffic) {
+		List<AccountName> accounts = accounts(traffic);
+		BinaryFields.writeNumber(out, accounts.size());
+		for (AccountName account : accounts) {
+			BinaryFields.writeText(out, account.value());
+			BinaryFields.writeNumber(out, Math.round(traffic.used().getOrDefault(account, 0.0)));
+		}
+		BinaryFields.writeNumber(out, traffic.counts().size());
+		traffic.counts().forEach((window, counts) -> {
+			BinaryFields.writeNumber(out, window);
+			accounts.forEach((account) -> BinaryFields.writeNumber(out, counts.getOrDefault(account, 0L)));
+		});
+		BinaryFields.writeNumber(out, traffic.work().size());
+		traffic.work().forEach((service, millis) -> {
+			BinaryFields.writeText(out, service.value());
+			BinaryFields.writeNumber(out, Math.round(millis));
+		});
+		writeLoads(out, traffic.loads());
+	}
+
+	private static void writeLoads(ByteBuf out, Map<EndpointId, EndpointLoad> loads) {
+		BinaryFields.writeNumber(out, loads.size());
+		loads.forEach((endpoint, load) -> {
+			BinaryFields.writeText(out, endpoint.value());
+			BinaryFields.writeNumber(out, load.inFlight());
+			BinaryFields.writeNumber(out, load.unreadTokens());
+		});
+	}
+
+	private static List<AccountName> accounts(TrafficTotals traffic) {
+		Set<AccountName> accounts = new TreeSet<>(traffic.used().keySet());
+		traffic.counts().values().forEach((counts) -> accounts.addAll(counts.keySet()));
+		return List.copyOf(accounts);
+	}
+
+	static TrafficTotals read(ByteBuf in) {
+		List<AccountName> accounts = new ArrayList<>();
+		Map<AccountName, Double> used = new HashMap<>();
+		for (int left = BinaryFields.readCount(in); left > 0; left--) {
+			AccountName account = new AccountName(BinaryFields.readText(in));
+			accounts.add(account);
+			used.put(account, (double) BinaryFields.readNumber(in));
+		}
+		Map<Long, Map<AccountName, Long>> counts = new HashMap<>();
+		for (int left = BinaryFields.readCount(in); left > 0; left--) {
+			counts.put(BinaryFields.readNumber(in), readCounts(in, accounts));
+		}
+		Map<ServiceName, Double> work = new HashMap<>();
+		for (int left = BinaryFields.readCount(in); left > 0; left--) {
+			work.put(new ServiceName(BinaryFields.readText(in)), (double) BinaryFields.readNumber(in));
+		}
+		return new TrafficTotals(counts, used, work, readLoads(in));
+	}
+
+	private static Map<EndpointId, EndpointLoad> readLoads(ByteBuf in) {
+		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+		for (int left = BinaryFields.readCount(in); left > 0; left--) {
+			loads.put(new EndpointId(BinaryFields.readText(in)),
+					new EndpointLoad(Math.toIntExact(BinaryFields.readNumber(in)), BinaryFields.readNumber(in)));
+		}
+		return loads;
+	}
+
+	private static Map<AccountName, Long> readCounts(ByteBuf in, List<AccountName> accounts) {
+		Map<AccountName, Long> counts = new HashMap<>();
+		for (AccountName account : accounts) {
+			long count = BinaryFields.readNumber(in);
+			if (count > 0) {
+				counts.put(account, count);
+			}
+		}
+		return counts;
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointLoad.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointLoad.java
@@ -31,4 +31,14 @@
 		return new EndpointLoad(this.inFlight + other.inFlight, this.unreadTokens + other.unreadTokens);
 	}
 
+	/**
+	 * Subtracts a part of this load.
+	 * @param part the part, which may have been reported at another moment
+	 * @return what is left, never negative
+	 */
+	public EndpointLoad minus(EndpointLoad part) {
+		return new EndpointLoad(Math.max(0, this.inFlight - part.inFlight),
+				Math.max(0, this.unreadTokens - part.unreadTokens));
+	}
+
 }
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -0,0 +1,120 @@
+package org.banyancove.gateway.duty;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Adds up reports and summaries into one summary.
+ */
+final class FleetAggregation {
+
+	/** Readers named in a summary: one more than are needed. */
+	private static final int MAXIMUM_READERS = 4;
+
+	private final Map<DataCenterName, DataCenterPresence> presence = new HashMap<>();
+
+	private final Map<ServiceName, Double> work = new HashMap<>();
+
+	private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+
+	private final TreeSet<Long> readers = new TreeSet<>();
+
+	private long leaseHolder;
+
+	private KnownState known = KnownState.NONE;
+
+	/**
+	 * Adds a gateway.
+	 * @param report its newest report
+	 * @param fresh whether its loads still count
+	 * @param responding whether it reported within the failure detection timeout
+	 */
+	void add(GatewayReport report, boolean fresh, boolean responding) {
+		addPresence(new DataCenterPresence(report.dataCenter(), 1, fresh ? 1 : 0, responding));
+		if (fresh) {
+			addTraffic(report.traffic());
+			this.leaseHolder = report.holdsLease() ? report.incarnation() : this.leaseHolder;
+		}
+		if (responding && report.known().reads()) {
+			this.readers.add(report.incarnation());
+			addKnown(report.known());
+		}
+	}
+
+	/**
+	 * Adds a group.
+	 * @param summary its newest summary
+	 * @param fresh whether its loads still count
+	 * @param responding whether it was reported within the failure detection timeout
+	 */
+	void add(FleetSummary summary, boolean fresh, boolean responding) {
+		FleetSummary current = fresh ? summary : summary.stale();
+		for (DataCenterPresence part : current.presence()) {
+			addPresence(new DataCenterPresence(part.dataCenter(), part.gateways(), part.reachable(),
+					part.responding() && responding));
+		}
+		addTraffic(current.traffic());
+		this.leaseHolder = (current.leaseHolder() != 0) ? current.leaseHolder() : this.leaseHolder;
+		if (responding) {
+			this.readers.addAll(current.readers());
+			addKnown(current.known());
+		}
+	}
+
+	/**
+	 * Takes out a gateway that was counted.
+	 * @param report what it reported
+	 */
+	void remove(GatewayReport report) {
+		this.presence.computeIfPresent(report.dataCenter(), (name, part) -> part.withoutOne());
+		report.traffic()
+			.work()
+			.forEach(
+					(service, millis) -> this.work.computeIfPresent(service, (name, sum) -> Math.max(0, sum - millis)));
+		report.traffic()
+			.loads()
+			.forEach((endpoint, load) -> this.loads.computeIfPresent(endpoint, (name, sum) -> sum.minus(load)));
+		this.readers.remove(report.incarnation());
+		this.leaseHolder = (this.leaseHolder == report.incarnation()) ? 0 : this.leaseHolder;
+	}
+
+	private void addPresence(DataCenterPresence part) {
+		this.presence.merge(part.dataCenter(), part, DataCenterPresence::plus);
+	}
+
+	private void addTraffic(TrafficTotals traffic) {
+		traffic.work().forEach((service, millis) -> this.work.merge(service, millis, Double::sum));
+		traffic.loads().forEach((endpoint, load) -> this.loads.merge(endpoint, load, EndpointLoad::plus));
+	}
+
+	private void addKnown(KnownState candidate) {
+		if (candidate.reads() && (!this.known.reads() || candidate.endpointsNext() > this.known.endpointsNext())) {
+			this.known = candidate;
+		}
+	}
+
+	/**
+	 * Returns the sums.
+	 * @param incarnation the process that adds them up
+	 * @param group the group, or {@code null} for the whole fleet
+	 * @param counts the requests that began to run, by usage window and client account
+	 * @param used what was accepted, by client account
+	 * @return the summary
+	 */
+	FleetSummary summary(long incarnation, @Nullable String group, Map<Long, Map<AccountName, Long>> counts,
+			Map<AccountName, Double> used) {
+		List<Long> lowest = new ArrayList<>(this.readers.stream().limit(MAXIMUM_READERS).toList());
+		return new FleetSummary(incarnation, group, List.copyOf(this.presence.values()),
+				new TrafficTotals(counts, used, this.work, this.loads), this.leaseHolder, this.known, lowest);
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
@@ -1,203 +1,220 @@
 package org.banyancove.gateway.duty;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.DataCenterName;
-import org.banyancove.core.EndpointId;
-import org.banyancove.core.ServiceName;
 
 /**
- * What the other gateways told of themselves.
+ * What this gateway knows of the others.
  * <p>
- * Counts of usage stay when their process is gone: what it counted did run. Loads are
- * forgotten after a short silence, and a gateway counts as one of the fleet for longer:
- * it may be cut off from here and go on working.
+ * An aggregator adds up the gateways of its group, which report to it, and the summaries
+ * of the other groups. Any other gateway takes the fleet's summary from its aggregators
+ * and subtracts itself. Loads are forgotten after a few missed reports; a gateway counts
+ * as one of the fleet for longer, since it may be cut off from here and go on working.
+ * <p>
+ * Times are nanoseconds of the steady clock.
  */
 public final class PeerTable {
 
-	/** Silence after which a gateway's loads count no more: a few missed reports. */
-	private static final Duration SILENCE = Duration.ofMillis(1500);
+	/** Time without reports after which a gateway's loads count no more. */
+	private static final Duration REACHABLE_TIMEOUT = Duration.ofMillis(1500);
 
-	/**
-	 * Silence after which a gateway is no longer one of the fleet: longer than most cuts.
-	 */
-	private static final Duration GONE = Duration.ofSeconds(12);
+	/** The same after which it no longer belongs to the fleet: longer than most cuts. */
+	private static final Duration MEMBER_TIMEOUT = Duration.ofSeconds(12);
 
-	/**
-	 * Gateways that read the store for all: with three, two may die at the same moment,
-	 * or be slow, and changes still arrive in time.
-	 */
-	private static final int READERS = 3;
+	private final Map<Long, Member> members = new HashMap<>();
 
-	/** Windows that are kept for the usage report. */
-	private static final int MOST_WINDOWS = 12;
+	private final Map<String, SummarySource> groups = new HashMap<>();
 
-	private final Map<Long, Peer> peers = new HashMap<>();
+	private final SummarySource fleet = new SummarySource(REACHABLE_TIMEOUT);
 
-	private final TreeMap<Long, Map<Long, Map<AccountName, Long>>> counts = new TreeMap<>();
+	private final UsageLedger ledger = new UsageLedger();
 
-	/**
-	 * Takes in a report.
-	 * @param report the report
-	 * @param now when it was read, on the steady clock
-	 * @return what the gateway let in since its last report and was not left to it while
-	 * it was unreachable, by client account; nothing for its first one
-	 */
-	public Map<AccountName, Double> read(GatewayReport report, long now) {
-		Peer before = this.peers.put(report.incarnation(), new Peer(report, now));
-		readCounts(report);
-		Map<AccountName, Double> since = new HashMap<>();
-		if (before != null) {
-			double charged = chargedPart(now - before.at());
-			report.used()
-				.forEach((account, used) -> since.put(account,
-						charged * Math.max(0, used - before.report().used().getOrDefault(account, 0.0))));
-		}
-		return since;
-	}
+	private final Map<AccountName, Double> usedByMembers = new HashMap<>();
 
-	// A gateway that is unreachable has its part of each quota left to it. What it let in
-	// meanwhile was earned by that part: charged once more when a cut ends, the sum of
-	// several seconds would lock its accounts out at all gateways.
-	private static double chargedPart(long silentNanos) {
-		return Math.min(1, SILENCE.toNanos() / (double) Math.max(1, silentNanos));
-	}
+	private final Map<AccountName, Double> usedByGroups = new HashMap<>();
+
+	private final long incarnation;
+
+	private final DataCenterName dataCenter;
+
+	private GatewayReport own;
+
+	private Duration responseTimeout = Duration.ofMillis(600);
+
+	private boolean aggregates = true;
 
 	/**
-	 * Takes in the counts of usage of a report.
-	 * @param report the report
+	 * Creates the table.
+	 * @param incarnation this process
+	 * @param dataCenter its data centre
 	 */
-	public void readCounts(GatewayReport report) {
-		report.counts()
-			.forEach((window, accounts) -> this.counts.computeIfAbsent(window, (number) -> new HashMap<>())
-				.put(report.incarnation(), accounts));
-		while (this.counts.size() > MOST_WINDOWS) {
-			this.counts.pollFirstEntry();
-		}
+	public PeerTable(long incarnation, DataCenterName dataCenter) {
+		this.incarnation = incarnation;
+		this.dataCenter = dataCenter;
+		this.own = new GatewayReport(incarnation, dataCenter, TrafficTotals.NONE, false, KnownState.NONE);
 	}
 
 	/**
-	 * Forgets the gateways that are gone.
-	 * @param now the present time
+	 * Notes what this gateway reports of itself.
+	 * @param report its report
 	 */
-	public void expire(long now) {
-		this.peers.values().removeIf((entry) -> now - entry.at() > GONE.toNanos());
+	public void ownReport(GatewayReport report) {
+		this.own = report;
+		this.ledger.addGateway(report.incarnation(), report.traffic().counts());
 	}
 
 	/**
-	 * Returns the gateways of the fleet that were told of here, without this one.
-	 * @return the number
+	 * Changes whether this gateway adds up the others' reports.
+	 * @param newAggregates whether it is an aggregator of its group
+	 * @param knownGroups the groups of the fleet
+	 * @param newResponseTimeout time without reports after which a gateway does not
+	 * respond
 	 */
-	public int others() {
-		return this.peers.size();
+	public void configure(boolean newAggregates, Set<String> knownGroups, Duration newResponseTimeout) {
+		this.aggregates = newAggregates;
+		this.responseTimeout = newResponseTimeout;
+		this.groups.keySet().retainAll(knownGroups);
+		this.ledger.retainGroups(knownGroups);
 	}
 
 	/**
-	 * Returns the part of the fleet that is reachable now, this gateway included.
-	 * @param now the present time
-	 * @return the part, from 0 to 1
+	 * Notes a report of a gateway of the same group.
+	 * @param report the report
+	 * @param now when it was received
+	 * @return what was accepted elsewhere and is to be charged here, by client account
 	 */
-	public double reachableShare(long now) {
-		long fresh = this.peers.values().stream().filter((entry) -> entry.fresh(now)).count();
-		return (fresh + 1.0) / (this.peers.size() + 1);
+	public Map<AccountName, Double> read(GatewayReport report, long now) {
+		this.ledger.addGateway(report.incarnation(), report.traffic().counts());
+		Member known = this.members.get(report.incarnation());
+		UsedProgress progress = (known != null) ? known.progress() : new UsedProgress(REACHABLE_TIMEOUT);
+		this.members.put(report.incarnation(), new Member(report, now, progress));
+		Map<AccountName, Double> due = progress.update(report.incarnation(), report.traffic().used(), now);
+		due.forEach((account, amount) -> this.usedByMembers.merge(account, amount, Double::sum));
+		return this.aggregates ? due : Map.of();
 	}
 
 	/**
-	 * Returns the data centres all of whose gateways have been unreachable for a while.
-	 * @param own this gateway's data centre, which is none of them
-	 * @param silence for how long
-	 * @param now the present time
-	 * @return the data centres
+	 * Notes a summary of another group or of the whole fleet.
+	 * @param summary the summary
+	 * @param now when it was received
+	 * @return what was accepted elsewhere and is to be charged here, by client account
 	 */
-	public Set<DataCenterName> unreachableDataCenters(DataCenterName own, Duration silence, long now) {
-		Set<DataCenterName> unreachable = new HashSet<>();
-		Set<DataCenterName> reachable = new HashSet<>(Set.of(own));
-		for (Peer entry : this.peers.values()) {
-			boolean recentlyReported = now - entry.at() < silence.toNanos();
-			(recentlyReported ? reachable : unreachable).add(entry.report().zone());
+	public Map<AccountName, Double> read(FleetSummary summary, long now) {
+		String group = summary.group();
+		if (group == null) {
+			this.ledger.addFleet(summary.traffic().counts());
+			Map<AccountName, Double> due = this.fleet.read(summary, withoutOwn(summary.traffic().used()), now);
+			return this.aggregates ? Map.of() : due;
 		}
-		unreachable.removeAll(reachable);
-		return unreachable;
+		this.ledger.addGroup(group, summary.traffic().counts());
+		Map<AccountName, Double> due = this.groups.computeIfAbsent(group, (key) -> new SummarySource(REACHABLE_TIMEOUT))
+			.read(summary, summary.traffic().used(), now);
+		due.forEach((account, amount) -> this.usedByGroups.merge(account, amount, Double::sum));
+		return this.aggregates ? due : Map.of();
 	}
 
-	/**
-	 * Returns whether enough others read the store, so that this gateway need not.
-	 * <p>
-	 * Each gateway that polls costs calls, which are paid for and bounded; at 810
-	 * gateways the store's bound would be spent on polling alone. A few read and tell the
-	 * rest. Those with the lowest identifiers read, as all can tell alike; a gateway that
-	 * hears too few of them reads for itself.
-	 * @param own this gateway's incarnation
-	 * @param silence after which a gateway counts as unreachable
-	 * @param now the present time
-	 * @return whether reading is left to others
-	 */
-	public boolean readingIsLeftToOthers(long own, Duration silence, long now) {
-		return this.peers.values()
-			.stream()
-			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads()
-					&& entry.report().incarnation() < own)
-			.count() >= READERS;
+	private Map<AccountName, Double> withoutOwn(Map<AccountName, Double> used) {
+		Map<AccountName, Double> others = new HashMap<>(used);
+		this.own.traffic().used().forEach((account, amount) -> others.merge(account, -amount, Double::sum));
+		return others;
 	}
 
 	/**
-	 * Returns what the reader knows that is furthest of those that are reachable.
-	 * @param silence after which a gateway counts as unreachable
+	 * Forgets the gateways that are gone.
 	 * @param now the present time
-	 * @return what it knows, {@link KnownState#NONE} if none is reachable
 	 */
-	public KnownState furthestReader(Duration silence, long now) {
-		return this.peers.values()
-			.stream()
-			.filter((entry) -> now - entry.at() < silence.toNanos() && entry.report().known().reads())
-			.map((entry) -> entry.report().known())
-			.max(Comparator.comparingLong(KnownState::endpointsNext))
-			.orElse(KnownState.NONE);
+	public void expire(long now) {
+		this.members.values().removeIf((member) -> now - member.at() > MEMBER_TIMEOUT.toNanos());
+		this.groups.values().forEach((source) -> source.expire(now, MEMBER_TIMEOUT));
+		this.groups.values().removeIf(SummarySource::isEmpty);
+		this.fleet.expire(now, MEMBER_TIMEOUT);
 	}
 
 	/**
-	 * Returns whether another gateway told of late that it does the shared duties.
+	 * Returns the summary of this gateway and those that report to it.
+	 * @param group the name of their group
 	 * @param now the present time
-	 * @return whether one did
+	 * @return the summary
 	 */
-	public boolean hasLeaseHolder(long now) {
-		return this.peers.values().stream().anyMatch((entry) -> entry.fresh(now) && entry.report().holdsLease());
+	public FleetSummary groupSummary(String group, long now) {
+		FleetAggregation aggregation = new FleetAggregation();
+		aggregation.add(this.own, true, true);
+		addMembers(aggregation, now);
+		return aggregation.summary(this.incarnation, group, this.ledger.newestOfGroup(), used(this.usedByMembers));
 	}
 
 	/**
-	 * Returns what the others have at endpoints.
+	 * Returns the summary of the whole fleet, as this gateway knows it.
 	 * @param now the present time
-	 * @return the loads
+	 * @return the summary
 	 */
-	public Map<EndpointId, EndpointLoad> loads(long now) {
-		Map<EndpointId, EndpointLoad> total = new HashMap<>();
-		for (Peer entry : this.peers.values()) {
-			if (entry.fresh(now)) {
-				entry.report().loads().forEach((endpoint, load) -> total.merge(endpoint, load, EndpointLoad::plus));
+	public FleetSummary fleetSummary(long now) {
+		FleetAggregation aggregation = new FleetAggregation();
+		aggregation.add(this.own, true, true);
+		addMembers(aggregation, now);
+		addGroups(aggregation, now);
+		Map<AccountName, Double> used = used(this.usedByMembers);
+		this.usedByGroups.forEach((account, amount) -> used.merge(account, amount, Double::sum));
+		return aggregation.summary(this.incarnation, null, this.ledger.newestOfFleet(), used);
+	}
+
+	private Map<AccountName, Double> used(Map<AccountName, Double> others) {
+		Map<AccountName, Double> sums = new HashMap<>(this.own.traffic().used());
+		others.forEach((account, amount) -> sums.merge(account, amount, Double::sum));
+		return sums;
+	}
+
+	private void addMembers(FleetAggregation aggregation, long now) {
+		for (Member member : this.members.values()) {
+			long age = now - member.at();
+			aggregation.add(member.report(), age < REACHABLE_TIMEOUT.toNanos(), age < this.responseTimeout.toNanos());
+		}
+	}
+
+	private void addGroups(FleetAggregation aggregation, long now) {
+		for (SummarySource source : this.groups.values()) {
+			SummarySource.Received best = source.best(now, this.responseTimeout);
+			if (best != null) {
+				long age = now - best.at();
+				aggregation.add(best.summary(), age < REACHABLE_TIMEOUT.toNanos(),
+						age < this.responseTimeout.toNanos());
 			}
 		}
-		return total;
 	}
 
 	/**
-	 * Returns the engine time that the others' requests need.
-	 * @param service the service
+	 * Returns what is known of the others.
 	 * @param now the present time
-	 * @return milliseconds a second
+	 * @return the view
 	 */
-	public double work(ServiceName service, long now) {
-		return this.peers.values()
-			.stream()
-			.filter((entry) -> entry.fresh(now))
-			.mapToDouble((entry) -> entry.report().work().getOrDefault(service, 0.0))
-			.sum();
+	public FleetView view(long now) {
+		return this.aggregates ? aggregatedView(now) : receivedView(now);
+	}
+
+	private FleetView aggregatedView(long now) {
+		FleetAggregation aggregation = new FleetAggregation();
+		addMembers(aggregation, now);
+		addGroups(aggregation, now);
+		return FleetView.of(aggregation.summary(this.incarnation, null, Map.of(), Map.of()), this.dataCenter,
+				this.aggregates);
+	}
+
+	private FleetView receivedView(long now) {
+		SummarySource.Received newest = this.fleet.best(now, this.responseTimeout);
+		if (newest == null) {
+			return FleetView.of(FleetSummary.NONE, this.dataCenter, false);
+		}
+		FleetAggregation aggregation = new FleetAggregation();
+		long age = now - newest.at();
+		aggregation.add(newest.summary(), age < REACHABLE_TIMEOUT.toNanos(), age < this.responseTimeout.toNanos());
+		aggregation.remove(this.own);
+		return FleetView.of(aggregation.summary(this.incarnation, null, Map.of(), Map.of()), this.dataCenter,
+				this.aggregates);
 	}
 
 	/**
@@ -206,19 +223,10 @@
 	 * @return the requests by client account
 	 */
 	public Map<AccountName, Long> counted(long window) {
-		Map<AccountName, Long> total = new HashMap<>();
-		this.counts.getOrDefault(window, Map.of())
-			.values()
-			.forEach((accounts) -> accounts.forEach((account, count) -> total.merge(account, count, Long::sum)));
-		return total;
+		return this.ledger.counted(window);
 	}
 
-	private record Peer(GatewayReport report, long at) {
-
-		boolean fresh(long now) {
-			return now - this.at < SILENCE.toNanos();
-		}
-
+	private record Member(GatewayReport report, long at, UsedProgress progress) {
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
@@ -15,7 +15,7 @@
 import org.banyancove.gateway.configuration.ScalingLimits;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.duty.DemandEstimator;
-import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.shared.Duties;
 import org.junit.jupiter.api.Test;
@@ -32,8 +32,8 @@
 
 	private final ScriptedDuties duties = new ScriptedDuties();
 
-	private final EndpointScaling orders = new EndpointScaling(this.duties, new PeerTable(), new DemandEstimator(),
-			new EndpointTable());
+	private final EndpointScaling orders = new EndpointScaling(this.duties, () -> FleetView.ALONE,
+			new DemandEstimator(), new EndpointTable());
 
 	// No reclaimable endpoints are available for some seconds, and on-demand ones stand
 	// in
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -0,0 +1,146 @@
+package org.banyancove.gateway.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.error.BanyancoveException;
+import org.banyancove.gateway.duty.DataCenterPresence;
+import org.banyancove.gateway.duty.EndpointLoad;
+import org.banyancove.gateway.duty.FleetSummary;
+import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.KnownState;
+import org.banyancove.gateway.duty.LeaseRecord;
+import org.banyancove.gateway.duty.TrafficTotals;
+import org.banyancove.gateway.duty.UsageReport;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class PeerMessageCodecTests {
+
+	private static final AccountName ACCOUNT = new AccountName("account");
+
+	private static final TrafficTotals TRAFFIC = new TrafficTotals(Map.of(9L, Map.of(ACCOUNT, 3L)),
+			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
+			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)));
+
+	private static final KnownState KNOWN = new KnownState(true, 5, -9, 2);
+
+	private final PeerMessageCodec codec = new PeerMessageCodec();
+
+	@Test
+	void readsTheReportThatItWrote() {
+		assertReadsWhatItWrote(new PeerMessage.Report(
+				new GatewayReport(Long.MAX_VALUE, new DataCenterName("a"), TRAFFIC, true, KNOWN)));
+	}
+
+	@Test
+	void readsTheSummaryThatItWrote() {
+		List<DataCenterPresence> presence = List.of(new DataCenterPresence(new DataCenterName("a"), 19, 18, true),
+				new DataCenterPresence(new DataCenterName("b"), 300, 0, false));
+		assertReadsWhatItWrote(new PeerMessage.Summary(
+				new FleetSummary(Long.MAX_VALUE, "a", presence, TRAFFIC, Long.MAX_VALUE, KNOWN, List.of(1L, -2L))));
+		assertReadsWhatItWrote(new PeerMessage.Summary(
+				new FleetSummary(1, null, List.of(), TrafficTotals.NONE, 0, KnownState.NONE, List.of())));
+	}
+
+	private void assertReadsWhatItWrote(PeerMessage message) {
+		assertThat(this.codec.read(this.codec.write(message))).isEqualTo(message);
+	}
+
+	@Test
+	void readsTheLeaseRecordThatItWrote() {
+		LeaseRecordCodec leases = new LeaseRecordCodec();
+		LeaseRecord lease = new LeaseRecord(4, 2, List.of(new UsageReport(9, Map.of(ACCOUNT, 3L))));
+		assertThat(leases.read(leases.write(lease))).isEqualTo(lease);
+	}
+
+	@Test
+	void readsRelayedRecordsAsTheyWere() {
+		RelayedRecords relayed = new RelayedRecords(Topic.ENDPOINTS,
+				List.of(new TopicRecord(7, "a", new byte[] { 1, -2 }), new TopicRecord(8, "b", null)), 900L);
+		PeerMessage read = this.codec.read(this.codec.write(new PeerMessage.Relay(relayed)));
+		assertThat(read).isInstanceOfSatisfying(PeerMessage.Relay.class, (message) -> {
+			assertThat(message.relayed().topic()).isEqualTo(Topic.ENDPOINTS);
+			assertThat(message.relayed().outageMillis()).isEqualTo(900);
+			assertThat(message.relayed().records().getFirst().value()).containsExactly(1, -2);
+			assertThat(message.relayed().records().getLast().value()).isNull();
+		});
+	}
+
+	// Guards against a report that takes more than a quarter of a link of 7 Mbit/s at a
+	// hundred reports a second.
+	@Test
+	void aReportOfALargeFleetIsSmall() {
+		GatewayReport report = new GatewayReport(7, new DataCenterName("zone"), largeTraffic(), false, KNOWN);
+		PeerMessage message = new PeerMessage.Report(report);
+		assertThat(this.codec.write(message).length * 100 * Byte.SIZE).isLessThan(7_000_000 / 4);
+		assertReadsWhatItWrote(message);
+	}
+
+	private static TrafficTotals largeTraffic() {
+		Map<AccountName, Long> counts = new HashMap<>();
+		Map<AccountName, Double> used = new HashMap<>();
+		for (int i = 0; i < 16; i++) {
+			counts.put(new AccountName("huka27" + i), 120L + i);
+			used.put(new AccountName("huka27" + i), 1e7 + i);
+		}
+		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+		for (int i = 0; i < 30; i++) {
+			loads.put(new EndpointId("i-7f3a91c2" + i), new EndpointLoad(2, 9000));
+		}
+		return new TrafficTotals(Map.of(1L, counts, 2L, counts, 3L, counts, 4L, counts), used,
+				Map.of(new ServiceName("service"), 7.0), loads);
+	}
+
+	// Guards against relayed records that fill a small VM's link for seconds when all
+	// endpoints of a service change at once.
+	@Test
+	void manyRecordsThatAreAlikeTakeLessThanAQuarterOfTheirSize() {
+		List<TopicRecord> records = new ArrayList<>();
+		int plain = 0;
+		for (int i = 0; i < 50; i++) {
+			byte[] value = ("{\"service\":\"fiti51a\",\"address\":\"10.2.64." + i
+					+ ":8661\",\"zone\":\"gt-central-b\",\"version\":3,\"slots\":16,\"state\":\"ready\","
+					+ "\"warmupLeftMs\":0,\"sequence\":" + (900 + 7 * i) + ",\"born\":17803902" + (10000 + 31 * i)
+					+ "}")
+				.getBytes(StandardCharsets.UTF_8);
+			records.add(new TopicRecord(40_000 + i, "i-297b3f02" + i, value));
+			plain += value.length;
+		}
+		PeerMessage message = new PeerMessage.Relay(new RelayedRecords(Topic.ENDPOINTS, records, null));
+		assertThat(this.codec.write(message).length).isLessThan(plain / 4);
+	}
+
+	@Test
+	void refusesAMessageThatIsCutShort() {
+		for (PeerMessage message : List.of(
+				new PeerMessage.Report(new GatewayReport(7, new DataCenterName("a"), TRAFFIC, true, KNOWN)),
+				new PeerMessage.Relay(new RelayedRecords(Topic.ENDPOINTS,
+						List.of(new TopicRecord(7, "a", new byte[] { 1, -2 })), null)))) {
+			byte[] whole = this.codec.write(message);
+			for (int length = 0; length < whole.length; length++) {
+				byte[] cut = Arrays.copyOf(whole, length);
+				assertThatExceptionOfType(BanyancoveException.class).isThrownBy(() -> this.codec.read(cut));
+			}
+		}
+	}
+
+	@Test
+	void refusesWhatIsNoMessage() {
+		assertThatExceptionOfType(BanyancoveException.class)
+			.isThrownBy(() -> this.codec.read("cut sho".getBytes(StandardCharsets.US_ASCII)));
+	}
+
+}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
@@ -1,11 +1,14 @@
 package org.banyancove.gateway.duty;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -14,35 +17,37 @@
 
 	private static final AccountName ACCOUNT = new AccountName("account");
 
+	private static final EndpointId ENDPOINT = new EndpointId("endpoint");
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final DataCenterName NEAR = new DataCenterName("near");
+
+	private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(600);
+
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-	private final PeerTable peerTable = new PeerTable();
+	private final PeerTable peerTable = new PeerTable(9, NEAR);
 
 	@Test
-	void tellsWhatAGatewayLetInSinceItsLastReport() {
+	void tellsWhatAGatewayAcceptedSinceItsLastReport() {
 		assertThat(this.peerTable.read(report(1000), 0)).isEmpty();
 		assertThat(this.peerTable.read(report(1400), SECOND / 4)).containsEntry(ACCOUNT, 400.0);
 	}
 
-	// A data centre is cut off for six seconds. Both sides go on with their parts of an
-	// account's quota. When the cut ends, each side hears at once what the other let
-	// in
-	// during all that time. Charged again, it overdraws the account by seconds of its
-	// rate,
-	// and callers well within their quota are rejected.
+	// Guards against an account that is locked out at all gateways when a cut ends, since
+	// what the other side accepted meanwhile is charged once more.
 	@Test
-	void whatWasLeftToASilentGatewayIsNotChargedOnceMore() {
+	void whatWasLeftToAnUnreachableGatewayIsNotChargedOnceMore() {
 		this.peerTable.read(report(0), 0);
 		double charged = this.peerTable.read(report(60_000), 6 * SECOND).getOrDefault(ACCOUNT, 0.0);
-		assertThat(charged).as("what it let in before it counted as silent").isBetween(10_000.0, 20_000.0);
+		assertThat(charged).as("what it accepted before it was unreachable").isBetween(10_000.0, 20_000.0);
 	}
 
-	// A data centre is cut off. Connections to its endpoints stay open and silent, so
-	// that
-	// callers would wait out their deadlines there. Its gateways, which report several
-	// times a second, are not heard either.
+	// Guards against requests that wait out their deadlines at endpoints of a data centre
+	// that is cut off.
 	@Test
-	void aDataCentreAllOfWhoseGatewaysFellSilentMayBeCutOff() {
+	void aDataCentreNoneOfWhoseGatewaysRespondsMayBeCutOff() {
 		this.peerTable.read(report(1, "near"), 0);
 		this.peerTable.read(report(2, "far"), 0);
 		this.peerTable.read(report(3, "far"), 0);
@@ -55,48 +60,135 @@
 		assertThat(unreachableDataCenters(2 * SECOND)).extracting(DataCenterName::value).containsExactly("far");
 	}
 
-	// Nine gateways run. All of them can tell which three read the store for the rest.
-	// One
-	// of these dies, and a fourth one takes its place without a word.
+	// Guards against missed changes when one of the three gateways dies that read the
+	// store for the rest.
 	@Test
-	void aFewGatewaysReadForAllAndOthersStepInWhenTheyAreNotHeard() {
+	void aFewGatewaysReadForAllAndOthersStepInWhenTheyDoNotRespond() {
 		for (long incarnation = 1; incarnation <= 3; incarnation++) {
 			this.peerTable.read(reading(incarnation), 0);
 		}
-		Duration silence = Duration.ofMillis(600);
-		assertThat(this.peerTable.readingIsLeftToOthers(9, silence, 0)).isTrue();
-		assertThat(this.peerTable.readingIsLeftToOthers(2, silence, 0)).isFalse();
+		assertThat(this.peerTable.view(0).readingIsLeftToOthers(9)).isTrue();
+		assertThat(this.peerTable.view(0).readingIsLeftToOthers(2)).isFalse();
 		this.peerTable.read(reading(1), SECOND);
 		this.peerTable.read(reading(2), SECOND);
-		assertThat(this.peerTable.readingIsLeftToOthers(9, silence, SECOND)).isFalse();
+		assertThat(this.peerTable.view(SECOND).readingIsLeftToOthers(9)).isFalse();
 	}
 
-	// A gateway that reads cannot reach the store any more, but goes on reporting.
+	// Guards against reading that is left to a gateway that cannot reach the store.
 	@Test
 	void aGatewayThatDoesNotReadDoesNotCount() {
 		this.peerTable.read(reading(1), 0);
 		this.peerTable.read(reading(2), 0);
 		this.peerTable.read(report(3, "near"), 0);
-		assertThat(this.peerTable.readingIsLeftToOthers(9, Duration.ofMillis(600), 0)).isFalse();
+		assertThat(this.peerTable.view(0).readingIsLeftToOthers(9)).isFalse();
 	}
 
-	private static GatewayReport reading(long incarnation) {
-		return new GatewayReport(incarnation, new DataCenterName("near"), Map.of(), Map.of(), Map.of(), Map.of(), false,
-				new KnownState(true, 5, 5, 5));
+	@Test
+	void anAggregatorAddsUpItsGroupAndTheOthers() {
+		this.peerTable.read(loaded(1, 2), 0);
+		this.peerTable.read(loaded(2, 3), 0);
+		this.peerTable.read(summary(5, "far", 10), 0);
+		FleetView view = this.peerTable.view(0);
+		assertThat(view.others()).isEqualTo(12);
+		assertThat(view.loads().get(ENDPOINT)).isEqualTo(new EndpointLoad(15, 1500));
+		assertThat(view.work()).containsEntry(SERVICE, 150.0);
+		assertThat(this.peerTable.groupSummary("near", 0).gateways()).isEqualTo(3);
+		assertThat(this.peerTable.fleetSummary(0).gateways()).isEqualTo(13);
+	}
+
+	// Guards against loads that count twice while two aggregators report the same group.
+	@Test
+	void ofTwoSummariesOfAGroupOneCounts() {
+		this.peerTable.read(summary(5, "far", 10), 0);
+		this.peerTable.read(summary(6, "far", 9), 0);
+		assertThat(this.peerTable.view(0).others()).isEqualTo(10);
+		this.peerTable.read(summary(6, "far", 9), SECOND);
+		assertThat(this.peerTable.view(SECOND).others()).as("the other one died").isEqualTo(9);
+	}
+
+	// Guards against a gateway that counts its own requests as others' load.
+	@Test
+	void whoIsNoAggregatorSubtractsItselfFromTheFleet() {
+		this.peerTable.configure(false, Set.of("near", "far"), RESPONSE_TIMEOUT);
+		this.peerTable.ownReport(loaded(9, 2));
+		this.peerTable.read(fleet(5, 12), 0);
+		FleetView view = this.peerTable.view(0);
+		assertThat(view.others()).isEqualTo(11);
+		assertThat(view.loads().get(ENDPOINT)).isEqualTo(new EndpointLoad(10, 1000));
+		assertThat(view.work()).containsEntry(SERVICE, 100.0);
+	}
+
+	// Guards against a holder of the lease that takes itself for another one, and reads
+	// the topic of the lease too seldom to renew it.
+	@Test
+	void theLeaseIsHeldElsewhereOnlyByAnother() {
+		this.peerTable.configure(false, Set.of("near"), RESPONSE_TIMEOUT);
+		this.peerTable.read(new FleetSummary(5, null, List.of(), TrafficTotals.NONE, 9, KnownState.NONE, List.of()), 0);
+		assertThat(this.peerTable.view(0).leaseHeld()).isFalse();
+		this.peerTable.read(new FleetSummary(5, null, List.of(), TrafficTotals.NONE, 7, KnownState.NONE, List.of()), 0);
+		assertThat(this.peerTable.view(0).leaseHeld()).isTrue();
+	}
+
+	// Guards against a gateway that goes on with the loads and readers of a fleet that it
+	// no longer reaches.
+	@Test
+	void aSummaryThatIsOutOfDateTellsOnlyTheSizeOfTheFleet() {
+		this.peerTable.configure(false, Set.of("near"), RESPONSE_TIMEOUT);
+		this.peerTable.read(fleet(5, 12), 0);
+		FleetView view = this.peerTable.view(2 * SECOND);
+		assertThat(view.others()).isEqualTo(11);
+		assertThat(view.reachableShare()).isEqualTo(1.0 / 12);
+		assertThat(view.loads()).isEmpty();
+		assertThat(view.readers()).isEmpty();
+	}
+
+	// Guards against a group that counts once under its gateways' names and once under
+	// its
+	// data centre's when the fleet outgrows the direct exchange.
+	@Test
+	void groupsThatAreNoMoreAreForgotten() {
+		this.peerTable.read(summary(5, "far-1", 1), 0);
+		this.peerTable.configure(true, Set.of("near", "far"), RESPONSE_TIMEOUT);
+		this.peerTable.read(summary(5, "far", 10), 0);
+		assertThat(this.peerTable.view(0).others()).isEqualTo(10);
 	}
 
 	private Set<DataCenterName> unreachableDataCenters(long now) {
-		return this.peerTable.unreachableDataCenters(new DataCenterName("near"), Duration.ofMillis(600), now);
+		return this.peerTable.view(now).unreachableDataCenters();
+	}
+
+	private static GatewayReport reading(long incarnation) {
+		return new GatewayReport(incarnation, NEAR, TrafficTotals.NONE, false, new KnownState(true, 5, 5, 5));
 	}
 
-	private static GatewayReport report(long incarnation, String zone) {
-		return new GatewayReport(incarnation, new DataCenterName(zone), Map.of(), Map.of(), Map.of(), Map.of(), false,
+	private static GatewayReport report(long incarnation, String dataCenter) {
+		return new GatewayReport(incarnation, new DataCenterName(dataCenter), TrafficTotals.NONE, false,
 				KnownState.NONE);
 	}
 
 	private static GatewayReport report(double used) {
-		return new GatewayReport(7, new DataCenterName("zone"), Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(),
-				false, KnownState.NONE);
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of());
+		return new GatewayReport(7, new DataCenterName("zone"), traffic, false, KnownState.NONE);
+	}
+
+	private static GatewayReport loaded(long incarnation, int requests) {
+		return new GatewayReport(incarnation, NEAR, loads(requests), false, KnownState.NONE);
+	}
+
+	private static FleetSummary summary(long incarnation, String group, int gateways) {
+		return new FleetSummary(incarnation, group,
+				List.of(new DataCenterPresence(new DataCenterName("far"), gateways, gateways, true)), loads(gateways),
+				0, KnownState.NONE, List.of());
+	}
+
+	private static FleetSummary fleet(long incarnation, int gateways) {
+		return new FleetSummary(incarnation, null, List.of(new DataCenterPresence(NEAR, gateways, gateways, true)),
+				loads(gateways), 0, new KnownState(true, 5, 5, 5), List.of(1L, 2L, 3L));
+	}
+
+	private static TrafficTotals loads(int requests) {
+		return new TrafficTotals(Map.of(), Map.of(), Map.of(SERVICE, 10.0 * requests),
+				Map.of(ENDPOINT, new EndpointLoad(requests, 100L * requests)));
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsagePlanTests.java
@@ -42,32 +42,39 @@
 		assertThat(toName(written, 1100, 3)).extracting(UsageReport::window).containsExactly(215L, 216L, 217L, 218L);
 	}
 
+	// Guards against a usage report that lacks what a gateway counted before it died.
 	@Test
 	void countsStayWhenTheProcessThatCountedIsGone() {
-		PeerTable peerTable = new PeerTable();
-		peerTable.read(new GatewayReport(1, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 3L)), Map.of(),
-				Map.of(), Map.of(), false, KnownState.NONE), 0);
-		peerTable.read(new GatewayReport(2, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 4L)), Map.of(),
-				Map.of(), Map.of(), false, KnownState.NONE), 0);
-		peerTable.read(new GatewayReport(2, new DataCenterName("zone"), Map.of(200L, Map.of(ACCOUNT, 6L)), Map.of(),
-				Map.of(), Map.of(), false, KnownState.NONE), 1);
-		peerTable.expire(Duration.ofMinutes(1).toNanos());
-		assertThat(peerTable.others()).isZero();
+		PeerTable peerTable = new PeerTable(9, new DataCenterName("zone"));
+		peerTable.read(counted(1, 3), 0);
+		peerTable.read(counted(2, 4), 0);
+		peerTable.read(counted(2, 6), 1);
+		long later = Duration.ofMinutes(1).toNanos();
+		peerTable.expire(later);
+		assertThat(peerTable.view(later).others()).isZero();
 		assertThat(peerTable.counted(200)).containsExactly(Map.entry(ACCOUNT, 9L));
 	}
 
 	@Test
-	void tellsWhatAGatewayLetInSinceItsLastReport() {
-		PeerTable peerTable = new PeerTable();
+	void tellsWhatAGatewayAcceptedSinceItsLastReport() {
+		PeerTable peerTable = new PeerTable(9, new DataCenterName("zone"));
 		assertThat(peerTable.read(used(70), 0)).isEmpty();
 		assertThat(peerTable.read(used(100), 1)).containsExactly(Map.entry(ACCOUNT, 30.0));
-		assertThat(peerTable.reachableShare(1)).isEqualTo(1);
-		assertThat(peerTable.reachableShare(Duration.ofSeconds(3).toNanos())).isEqualTo(0.5);
+		assertThat(peerTable.view(1).reachableShare()).isEqualTo(1);
+		assertThat(peerTable.view(Duration.ofSeconds(3).toNanos()).reachableShare()).isEqualTo(0.5);
+	}
+
+	private static GatewayReport counted(long incarnation, long count) {
+		return report(incarnation,
+				new TrafficTotals(Map.of(200L, Map.of(ACCOUNT, count)), Map.of(), Map.of(), Map.of()));
 	}
 
 	private static GatewayReport used(double amount) {
-		return new GatewayReport(1, new DataCenterName("zone"), Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(),
-				false, KnownState.NONE);
+		return report(1, new TrafficTotals(Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of()));
+	}
+
+	private static GatewayReport report(long incarnation, TrafficTotals traffic) {
+		return new GatewayReport(incarnation, new DataCenterName("zone"), traffic, false, KnownState.NONE);
 	}
 
 	private List<UsageReport> toName(List<UsageReport> named, long second, long count) {
