Report directly in a small fleet, as single gateways

Cause: in a fleet of up to 16 each gateway sent the summary of its group of one. Test: whatAProcessCountedBeforeARestartIsAddedToWhatItCountsAfterwards, at 9 and at 60 gateways.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -143,13 +143,13 @@
 		noteAggregators(group, aggregators);
 		boolean aggregates = aggregators.contains(this.name);
 		this.peerTable.configure(aggregates, this.directory.groups(), responseTimeout());
-		send(withProbes(group, aggregators, now), this.codec.write(new PeerMessage.Report(own)));
-		if (aggregates) {
-			byte[] summary = this.codec.write(new PeerMessage.Summary(this.peerTable.groupSummary(group, now)));
-			this.directory.groups()
-				.stream()
-				.filter((other) -> !other.equals(group))
-				.forEach((other) -> send(aggregators(other, now), summary));
+		byte[] report = this.codec.write(new PeerMessage.Report(own));
+		send(withProbes(group, aggregators, now), report);
+		if (this.directory.direct()) {
+			sendToOtherGroups(report, now);
+		}
+		else if (aggregates) {
+			sendToOtherGroups(this.codec.write(new PeerMessage.Summary(this.peerTable.groupSummary(group, now))), now);
 		}
 		if (!this.reporting.isEmpty()) {
 			byte[] summary = this.codec.write(new PeerMessage.Summary(this.peerTable.fleetSummary(now)));
@@ -165,6 +165,14 @@
 		}
 	}
 
+	private void sendToOtherGroups(byte[] message, long now) {
+		String group = this.directory.ownGroup();
+		this.directory.groups()
+			.stream()
+			.filter((other) -> !other.equals(group))
+			.forEach((other) -> send(aggregators(other, now), message));
+	}
+
 	private List<String> aggregators(String group, long now) {
 		return withProbes(group, this.selection.choose(this.directory.members(group), now), now);
 	}
@@ -234,7 +242,9 @@
 		try {
 			switch (this.codec.read(datagram)) {
 				case PeerMessage.Report message -> {
-					this.reporting.put(sender, this.clock.nanos());
+					if (!this.directory.direct()) {
+						this.reporting.put(sender, this.clock.nanos());
+					}
 					this.usedElsewhere.accept(this.peerTable.read(message.report(), this.clock.nanos()));
 				}
 				case PeerMessage.Summary message ->
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -85,8 +85,16 @@
 		return members;
 	}
 
+	/**
+	 * Returns whether each gateway is a group of its own, and reports to all others.
+	 * @return whether it is
+	 */
+	boolean direct() {
+		return this.gateways.size() <= MAXIMUM_SMALL_FLEET;
+	}
+
 	private String groupOf(GatewayAddress gateway) {
-		return (this.gateways.size() <= MAXIMUM_SMALL_FLEET) ? gateway.name() : gateway.dataCenter().value();
+		return direct() ? gateway.name() : gateway.dataCenter().value();
 	}
 
 	String ownGroup() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
@@ -9,7 +9,7 @@
 sealed interface PeerMessage {
 
 	/**
-	 * A gateway reports to an aggregator of its group.
+	 * A gateway reports to an aggregator of its group, or in a small fleet to any other.
 	 *
 	 * @param report its report
 	 */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/GatewayReport.java
@@ -3,7 +3,8 @@
 import org.banyancove.core.DataCenterName;
 
 /**
- * What a gateway reports of itself to the aggregators of its group, a few times a second.
+ * What a gateway reports of itself a few times a second: to the aggregators of its group,
+ * or in a small fleet to all others.
  *
  * @param incarnation its process
  * @param dataCenter its data centre
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.daemon;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -102,6 +103,27 @@
 		}
 	}
 
+	// Guards against a usage report that lacks what a process counted before it was
+	// started
+	// again within the same window.
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 60 })
+	void whatAProcessCountedBeforeARestartIsAddedToWhatItCountsAfterwards(int gateways) {
+		start(gateways, 3);
+		play(Duration.ofSeconds(4));
+		Peer restarted = this.fleet.get(5);
+		restarted.counted = 40;
+		play(Duration.ofSeconds(2));
+		restarted.restart();
+		restarted.counted = 30;
+		play(Duration.ofSeconds(3));
+		for (Peer peer : this.fleet) {
+			if (peer != restarted || gateways > 16) {
+				assertThat(peer.table.counted(WINDOW)).as("counted by " + peer.name).containsEntry(ACCOUNT, 70L);
+			}
+		}
+	}
+
 	// Guards against a group that drops out of the fleet with its aggregators.
 	@Test
 	void theNextInRankStepInWhenBothAggregatorsDie() {
@@ -180,11 +202,13 @@
 			this.fleet.add(peer);
 			this.byAddress.put(peer.address.address(), peer);
 		}
-		for (Peer peer : this.fleet) {
-			for (Peer other : this.fleet) {
-				byte[] value = other.address.format().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-				peer.exchange.directory().changed(new TopicRecord(other.number, other.name, value));
-			}
+		this.fleet.forEach(this::introduce);
+	}
+
+	private void introduce(Peer peer) {
+		for (Peer other : this.fleet) {
+			byte[] value = other.address.format().getBytes(StandardCharsets.UTF_8);
+			peer.exchange.directory().changed(new TopicRecord(other.number, other.name, value));
 		}
 	}
 
@@ -235,9 +259,11 @@
 
 		private final GatewayAddress address;
 
-		private final PeerTable table;
+		private PeerTable table;
+
+		private FleetExchange exchange;
 
-		private final FleetExchange exchange;
+		private long incarnation;
 
 		private final List<Message> outbox = new ArrayList<>();
 
@@ -264,11 +290,25 @@
 			this.address = new GatewayAddress(this.name,
 					new InetSocketAddress("10.0." + number / 250 + "." + (1 + number % 250), 7500), dataCenter,
 					(number % 4 == 0) ? 1.5 : 0.27);
-			this.table = new PeerTable(1000 + number, dataCenter);
+			this.incarnation = 1000L + number;
+			this.table = new PeerTable(this.incarnation, dataCenter);
 			this.nextAt = Duration.ofMillis(number % 250).toNanos();
-			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
-					() -> FleetExchangeTests.this.now, this, this.table, this::report,
-					(used) -> used.values().forEach((amount) -> this.charged += amount), this::relayed);
+			this.exchange = exchange();
+		}
+
+		private FleetExchange exchange() {
+			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(), () -> FleetExchangeTests.this.now,
+					this, this.table, this::report,
+					(elsewhere) -> elsewhere.values().forEach((amount) -> this.charged += amount), this::relayed);
+		}
+
+		void restart() {
+			this.incarnation += 100_000;
+			this.counted = 0;
+			this.used = 0;
+			this.table = new PeerTable(this.incarnation, this.dataCenter);
+			this.exchange = exchange();
+			introduce(this);
 		}
 
 		private void relayed(RelayedRecords records) {
@@ -281,7 +321,7 @@
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(WINDOW, Map.of(ACCOUNT, this.counted)),
 					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)));
-			return new GatewayReport(1000 + this.number, this.dataCenter, traffic, false,
+			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false,
 					new KnownState(false, 0, 0, -1));
 		}
 
