Name limits, timeouts and quota use by the field's terms

Second reading of the gateway, behaviour unchanged: MOST_, LONGEST_ and SHORTEST_ constants are MAXIMUM_ and MINIMUM_ or timeouts, silence is a response timeout, a quota accepts instead of letting in, DutyWork's taken and written say what they hold, prompt tokens are pending or uncached instead of unread, section rules leave Exchange, listeners are described by when they are called.

--- a/banyancove-core/src/main/java/org/banyancove/core/AccountName.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/AccountName.java
@@ -20,7 +20,8 @@
 		return this.value.compareTo(other.value);
 	}
 
-	// The methods that a record generates are linked at their first call, which takes some
+	// The methods that a record generates are linked at their first call, which takes
+	// some
 	// ms of a process's start, and identifiers are the keys of most maps.
 	@Override
 	public boolean equals(Object other) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -9,9 +9,9 @@
  * Decides whether a request is sent on or rejected at once.
  * <p>
  * More prompts than the engines can read. Without a limit each engine's queue grows until
- * every first event is late, and all that was read is read for callers who have left. A
- * request whose answer is predicted past its target is worth a tenth; rejecting it before
- * it is sent keeps those in time that are already there.
+ * every first event is late, and prefill is spent on requests whose callers have timed
+ * out. A request whose answer is predicted past its target is worth a tenth; rejecting it
+ * before it is sent keeps those in time that are already there.
  */
 public final class AdmissionRule {
 
@@ -42,13 +42,13 @@
 	 * A connection takes some ms within a region; below this, a busy VM would be taken
 	 * for a dead one.
 	 */
-	private static final Duration SHORTEST_CONNECT = Duration.ofMillis(40);
+	private static final Duration MINIMUM_CONNECT = Duration.ofMillis(40);
 
 	/**
 	 * A lost packet is sent again after a second, when another endpoint has long
 	 * answered.
 	 */
-	private static final Duration LONGEST_CONNECT = Duration.ofMillis(300);
+	private static final Duration MAXIMUM_CONNECT = Duration.ofMillis(300);
 
 	/**
 	 * Silence after which a repeatable request tries another endpoint, in targets: some
@@ -120,24 +120,24 @@
 	 * @return the time
 	 */
 	public Duration connectTimeout(Route route) {
-		return clamp(scaled(route.latencyTarget(), SHARE_TO_CONNECT), SHORTEST_CONNECT, LONGEST_CONNECT);
+		return clamp(scaled(route.latencyTarget(), SHARE_TO_CONNECT), MINIMUM_CONNECT, MAXIMUM_CONNECT);
 	}
 
 	/**
-	 * Returns the silence after which a repeatable request tries another endpoint.
+	 * Returns the time without an answer after which a repeatable request is retried.
 	 * @param route the request's route
 	 * @return the time
 	 */
-	public Duration silenceBeforeAnswer(Route route) {
+	public Duration responseTimeout(Route route) {
 		return scaled(route.latencyTarget(), SILENCE_TARGETS);
 	}
 
 	/**
-	 * Returns the silence after which a stream that can be resumed goes on elsewhere.
+	 * Returns the pause after which a stream is resumed at another endpoint.
 	 * @param route the request's route
 	 * @return the time
 	 */
-	public Duration silenceInStream(Route route) {
+	public Duration streamTimeout(Route route) {
 		return scaled(route.longestPause(), SILENCE_PAUSES);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/QuotaLimiter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/QuotaLimiter.java
@@ -8,10 +8,10 @@
  * A gateway's view of what is left of a client account's quota, which all gateways share.
  * <p>
  * One account sends many times its usual, unevenly over the gateways. Each gateway keeps
- * the whole bucket and takes out of it what it lets in and what the others tell that they
- * let in, a quarter of a second later. What is let in twice in that time makes the bucket
- * negative and is paid back before anything else is let in. A gateway that is unreachable
- * may be letting in its part, so its part of the rate is left to it.
+ * the whole bucket and takes out of it what it accepts and what the others report that
+ * they accepted, a quarter of a second later. What is accepted twice in that time makes
+ * the bucket negative and is paid back before anything else is accepted. A gateway that
+ * is unreachable may be accepting its part, so its part of the rate is left to it.
  * <p>
  * Times are nanoseconds of the steady clock.
  */
@@ -21,7 +21,7 @@
 	 * The most that the bucket can be overdrawn, in seconds of its rate: more can only be
 	 * due to figures of a gateway that came late, and would lock an account out for long.
 	 */
-	private static final double MOST_OVERDRAWN_SECONDS = 4;
+	private static final double MAXIMUM_OVERDRAFT_SECONDS = 4;
 
 	private final TokenQuota quota;
 
@@ -35,7 +35,7 @@
 
 	/**
 	 * Creates the meter, empty: a process that starts anew doesn't know what the others
-	 * let in, and a fleet that starts anew together must not let the burst in twice.
+	 * accepted, and a fleet that starts anew together must not accept the burst twice.
 	 * @param quota the account's quota
 	 * @param now the present time
 	 */
@@ -70,7 +70,7 @@
 	}
 
 	/**
-	 * Takes in how much of the fleet is reachable.
+	 * Notes how much of the fleet is reachable.
 	 * @param newShare the gateways that are reachable, this one included, as a part of
 	 * all
 	 */
@@ -79,21 +79,21 @@
 	}
 
 	/**
-	 * Takes out what another gateway let in.
-	 * @param amount what it let in since it told last
+	 * Takes out what another gateway accepted.
+	 * @param amount what it accepted since its last report
 	 * @param now the present time
 	 */
-	public void usedElsewhere(double amount, long now) {
+	public void acceptedElsewhere(double amount, long now) {
 		advance(now);
-		this.level = Math.max(this.level - amount, -MOST_OVERDRAWN_SECONDS * this.quota.ratePerSecond());
+		this.level = Math.max(this.level - amount, -MAXIMUM_OVERDRAFT_SECONDS * this.quota.ratePerSecond());
 	}
 
 	/**
-	 * Lets a request in if there is anything left. The last one may take more than is
-	 * left, else no prompt longer than the burst would ever be let in.
+	 * Accepts a request if there is anything left. The last one may take more than is
+	 * left, else no prompt longer than the burst would ever be accepted.
 	 * @param cost what the request counts
 	 * @param now the present time
-	 * @return whether it is let in
+	 * @return whether it is accepted
 	 */
 	public boolean tryAcquire(double cost, long now) {
 		advance(now);
@@ -106,7 +106,7 @@
 	}
 
 	/**
-	 * Returns how long it takes until a request can be let in.
+	 * Returns how long it takes until a request can be accepted.
 	 * @return the time
 	 */
 	public Duration retryAfter() {
@@ -116,14 +116,14 @@
 
 	/**
 	 * Returns what is left, as of the last change.
-	 * @return the amount, negative if more was let in than was earned
+	 * @return the amount, negative if more was accepted than was earned
 	 */
-	public double left() {
+	public double available() {
 		return this.level;
 	}
 
 	/**
-	 * Returns all that this gateway let in.
+	 * Returns all that this gateway accepted.
 	 * @return the sum of the costs
 	 */
 	public double used() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/package-info.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Who is let in, who waits, who is rejected at once, and what may be sent again.
+ * Which requests are accepted, wait or are rejected at once, and what may be retried.
  * <p>
  * Pure decisions; times are passed in.
  */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/DutyWork.java
@@ -40,7 +40,7 @@
 	 * How much further the time of day may move than the steady clock before this process
 	 * counts as having stood still, which the steady clock may not show.
 	 */
-	private static final Duration MOST_DRIFT = Duration.ofMillis(400);
+	private static final Duration MAXIMUM_DRIFT = Duration.ofMillis(400);
 
 	private final SharedTopics topics;
 
@@ -60,11 +60,11 @@
 
 	private final EndpointScaling orders;
 
-	private final Set<Long> taken = new HashSet<>();
+	private final Set<Long> acknowledgedWindows = new HashSet<>();
 
 	private final Set<Long> sending = new HashSet<>();
 
-	private List<UsageReport> written = List.of();
+	private List<UsageReport> persistedReports = List.of();
 
 	private Instant lastWall;
 
@@ -95,7 +95,7 @@
 		try {
 			LeaseRecord read = this.codec.read(entry.value());
 			this.keeper.read(read, this.clock.nanos());
-			this.written = this.keeper.reports();
+			this.persistedReports = this.keeper.reports();
 		}
 		catch (RuntimeException ex) {
 			log.atError()
@@ -128,7 +128,7 @@
 		}
 		renew(now, holds);
 		if (holds) {
-			this.written.forEach(this::send);
+			this.persistedReports.forEach(this::send);
 			this.orders.tick(this.keeper.fence(), now);
 		}
 	}
@@ -138,7 +138,7 @@
 		Duration drift = Duration.between(this.lastWall, wall).minusNanos(now - this.lastSteady).abs();
 		this.lastWall = wall;
 		this.lastSteady = now;
-		if (drift.compareTo(MOST_DRIFT) > 0) {
+		if (drift.compareTo(MAXIMUM_DRIFT) > 0) {
 			log.atWarn().addKeyValue("driftMs", drift.toMillis()).log("clock moved");
 			this.keeper.stoodStill(now);
 		}
@@ -157,7 +157,7 @@
 				switch (outcome) {
 					case AppendOutcome.Appended appended -> {
 						this.keeper.appended(appending, appended.offset(), this.clock.nanos());
-						this.written = this.keeper.reports();
+						this.persistedReports = this.keeper.reports();
 					}
 					case AppendOutcome.Moved moved -> this.keeper.notAppended(appending);
 					case null -> this.keeper.notAppended(appending);
@@ -167,13 +167,13 @@
 
 	private void send(UsageReport report) {
 		long window = report.window();
-		if (this.taken.contains(window) || !this.sending.add(window)) {
+		if (this.acknowledgedWindows.contains(window) || !this.sending.add(window)) {
 			return;
 		}
 		this.duties.reportUsage(this.keeper.fence(), window, report.counts()).whenComplete((taken, failure) -> {
 			this.sending.remove(window);
 			if (Boolean.TRUE.equals(taken)) {
-				this.taken.add(window);
+				this.acknowledgedWindows.add(window);
 			}
 			log.atInfo()
 				.addKeyValue("window", window)
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -64,7 +64,7 @@
 
 	private final Supplier<GatewayReport> ownReport;
 
-	private final Consumer<Map<AccountName, Double>> usedElsewhere;
+	private final Consumer<Map<AccountName, Double>> acceptedElsewhere;
 
 	private final Consumer<RelayedRecords> relayed;
 
@@ -86,12 +86,12 @@
 	 * @param transport sends messages
 	 * @param peerTable takes the others' reports
 	 * @param ownReport returns what this gateway reports of itself
-	 * @param usedElsewhere takes what the others accepted, by client account
+	 * @param acceptedElsewhere takes what the others accepted, by client account
 	 * @param relayed takes records that other gateways pass on
 	 */
 	FleetExchange(GatewayAddress own, EventLoop eventLoop, SteadyClock clock, PeerTransport transport,
-			PeerTable peerTable, Supplier<GatewayReport> ownReport, Consumer<Map<AccountName, Double>> usedElsewhere,
-			Consumer<RelayedRecords> relayed) {
+			PeerTable peerTable, Supplier<GatewayReport> ownReport,
+			Consumer<Map<AccountName, Double>> acceptedElsewhere, Consumer<RelayedRecords> relayed) {
 		this.name = own.name();
 		this.eventLoop = eventLoop;
 		this.clock = clock;
@@ -99,7 +99,7 @@
 		this.directory = new GatewayDirectory(own);
 		this.peerTable = peerTable;
 		this.ownReport = ownReport;
-		this.usedElsewhere = usedElsewhere;
+		this.acceptedElsewhere = acceptedElsewhere;
 		this.relayed = relayed;
 		this.selection = new AggregatorSelection(own.name());
 	}
@@ -245,10 +245,10 @@
 					if (!this.directory.direct()) {
 						this.reporting.put(sender, this.clock.nanos());
 					}
-					this.usedElsewhere.accept(this.peerTable.read(message.report(), this.clock.nanos()));
+					this.acceptedElsewhere.accept(this.peerTable.read(message.report(), this.clock.nanos()));
 				}
 				case PeerMessage.Summary message ->
-					this.usedElsewhere.accept(this.peerTable.read(message.summary(), this.clock.nanos()));
+					this.acceptedElsewhere.accept(this.peerTable.read(message.summary(), this.clock.nanos()));
 				case PeerMessage.Relay message -> this.relayed.accept(message.relayed());
 			}
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -158,7 +158,7 @@
 		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.zone(),
 				settings.processorShare());
 		this.fleet = new FleetExchange(this.address, this.eventLoop, this.clock, this.channel, this.peerTable,
-				this::report, this.flow::usedElsewhere, this::relayed);
+				this::report, this.flow::acceptedElsewhere, this::relayed);
 		this.eventLoops = eventLoops;
 		this.status = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseKeeper keeper = new LeaseKeeper(this.incarnation, settings.lease(), random.nextDouble(),
@@ -261,7 +261,7 @@
 		this.placement.unreachable(this.others.unreachableDataCenters());
 		for (Endpoint endpoint : this.endpoints.all()) {
 			EndpointLoad load = this.others.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE);
-			endpoint.others(load.inFlight(), load.unreadTokens());
+			endpoint.others(load.inFlight(), load.pendingPrefillTokens());
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -18,10 +18,10 @@
 	private static final Logger log = LoggerFactory.getLogger("org.banyancove.gateway.requests");
 
 	/** Lines a second: at 0.1 ms a line, 2 in 100 of half a core. */
-	private static final int MOST_LINES = 100;
+	private static final int MAXIMUM_LINES = 100;
 
 	/** There are five ticks a second. */
-	private static final int LINES_A_TICK = MOST_LINES / 5;
+	private static final int LINES_A_TICK = MAXIMUM_LINES / 5;
 
 	/**
 	 * From a tenth of the shortest target of interactive traffic to its longest deadline,
@@ -39,7 +39,7 @@
 
 	private final Histogram whole;
 
-	private int linesLeft = MOST_LINES;
+	private int linesLeft = MAXIMUM_LINES;
 
 	private long dropped;
 
@@ -73,7 +73,7 @@
 
 	/** Gives back a tick's part of the bound on lines. */
 	void nextTick() {
-		this.linesLeft = Math.min(MOST_LINES, this.linesLeft + LINES_A_TICK);
+		this.linesLeft = Math.min(MAXIMUM_LINES, this.linesLeft + LINES_A_TICK);
 		if (this.dropped > 0) {
 			log.atWarn().addKeyValue("lines", this.dropped).log("lines dropped");
 			this.dropped = 0;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderlyStop.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderlyStop.java
@@ -58,12 +58,12 @@
 		log.atInfo().addKeyValue("inProgress", this.flow.inProgress()).log("stopping");
 		this.eventLoop.execute(this.callers::stop);
 		TimeUnit.MILLISECONDS.sleep(IDLE_AFTER.toMillis());
-		this.eventLoop.execute(() -> this.flow.take(DrainPhase.SHORT_ONES));
+		this.eventLoop.execute(() -> this.flow.drain(DrainPhase.SHORT_ONES));
 		long end = began + stopTime.minus(MARGIN).toNanos();
 		long lastAccepted = end - ACCEPTS_NONE_FOR.toNanos();
 		while (this.clock.nanos() < end && connectionsLeft() > 0) {
 			if (this.clock.nanos() > lastAccepted) {
-				this.eventLoop.execute(() -> this.flow.take(DrainPhase.NONE));
+				this.eventLoop.execute(() -> this.flow.drain(DrainPhase.NONE));
 			}
 			TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL.toMillis());
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -61,7 +61,7 @@
 	 * How long something may be missing that another gateway knows until it is read from
 	 * the store: what was passed on arrives within some ms, or was lost.
 	 */
-	private static final Duration LONGEST_MISSING = Duration.ofMillis(300);
+	private static final Duration MISSING_TIMEOUT = Duration.ofMillis(300);
 
 	/**
 	 * Records in one datagram; compressed, they take a part of the most that it holds.
@@ -200,7 +200,7 @@
 		if (!missing) {
 			return null;
 		}
-		if (since != null && now - since > LONGEST_MISSING.toNanos()) {
+		if (since != null && now - since > MISSING_TIMEOUT.toNanos()) {
 			follower.readAnew();
 			return null;
 		}
@@ -253,7 +253,7 @@
 	}
 
 	/**
-	 * Hears of endpoints.
+	 * Receives the records of endpoints.
 	 */
 	private final class EndpointListener implements TopicFollower.Listener {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -245,25 +245,25 @@
 	}
 
 	/**
-	 * Hears what a topic holds.
+	 * Receives the records of a topic.
 	 */
 	interface Listener {
 
 		/**
-		 * Hears of a key's newest record.
+		 * Receives a key's newest record.
 		 * @param entry the record
 		 */
 		void changed(TopicRecord entry);
 
 		/**
-		 * Hears that a key is no longer listed, though its end was not read.
+		 * Called for a key that is no longer listed, though its end was not read.
 		 * @param key the key
 		 */
 		default void missing(String key) {
 		}
 
 		/**
-		 * Hears how far the topic was read.
+		 * Called when the topic was read.
 		 * @param next the offset of the next record
 		 */
 		default void readThrough(long next) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
@@ -48,7 +48,7 @@
 		loads.forEach((endpoint, load) -> {
 			BinaryFields.writeText(out, endpoint.value());
 			BinaryFields.writeNumber(out, load.inFlight());
-			BinaryFields.writeNumber(out, load.unreadTokens());
+			BinaryFields.writeNumber(out, load.pendingPrefillTokens());
 		});
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/DataCenterFailureDetector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/DataCenterFailureDetector.java
@@ -22,39 +22,39 @@
 final class DataCenterFailureDetector {
 
 	/**
-	 * How long a silence is taken for a cut: longer than cuts usually last. Endpoints
-	 * that were lost for good are ordered anew after it.
+	 * How long missing entries are taken for a cut: longer than cuts usually last.
+	 * Endpoints that were lost for good are ordered anew after it.
 	 */
-	private static final Duration LONGEST_CUT = Duration.ofSeconds(10);
+	private static final Duration MAXIMUM_CUT = Duration.ofSeconds(10);
 
 	private final Set<DataCenterName> serving = new HashSet<>();
 
-	private final Map<DataCenterName, Long> silentSince = new HashMap<>();
+	private final Map<DataCenterName, Long> unreachableSince = new HashMap<>();
 
 	/**
-	 * Takes in the list of endpoints.
+	 * Notes the list of endpoints.
 	 * @param listed the endpoints
-	 * @param zones the data centres that may have some
+	 * @param dataCenters the data centres that may have some
 	 * @param now the present time
-	 * @return the data centres that are silent
+	 * @return the data centres that may be cut off
 	 */
-	Set<DataCenterName> update(Collection<EndpointEntry> listed, List<DataCenterName> zones, long now) {
-		Set<DataCenterName> silent = new HashSet<>();
-		for (DataCenterName zone : zones) {
-			List<EndpointEntry> here = listed.stream().filter((entry) -> entry.zone().equals(zone)).toList();
+	Set<DataCenterName> update(Collection<EndpointEntry> listed, List<DataCenterName> dataCenters, long now) {
+		Set<DataCenterName> unreachable = new HashSet<>();
+		for (DataCenterName dataCenter : dataCenters) {
+			List<EndpointEntry> here = listed.stream().filter((entry) -> entry.zone().equals(dataCenter)).toList();
 			if (here.stream().anyMatch((entry) -> !entry.draining())) {
-				this.serving.add(zone);
-				this.silentSince.remove(zone);
+				this.serving.add(dataCenter);
+				this.unreachableSince.remove(dataCenter);
 			}
 			else if (!here.isEmpty()) {
-				this.serving.remove(zone);
+				this.serving.remove(dataCenter);
 			}
-			else if (this.serving.contains(zone)
-					&& now - this.silentSince.computeIfAbsent(zone, (name) -> now) < LONGEST_CUT.toNanos()) {
-				silent.add(zone);
+			else if (this.serving.contains(dataCenter)
+					&& now - this.unreachableSince.computeIfAbsent(dataCenter, (name) -> now) < MAXIMUM_CUT.toNanos()) {
+				unreachable.add(dataCenter);
 			}
 		}
-		return silent;
+		return unreachable;
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointLoad.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/EndpointLoad.java
@@ -4,9 +4,9 @@
  * What one gateway has at an endpoint.
  *
  * @param inFlight its requests there
- * @param unreadTokens the prompt tokens of theirs that are still to be read
+ * @param pendingPrefillTokens the prompt tokens of theirs that are still to be read
  */
-public record EndpointLoad(int inFlight, long unreadTokens) {
+public record EndpointLoad(int inFlight, long pendingPrefillTokens) {
 
 	/** Nothing. */
 	public static final EndpointLoad NONE = new EndpointLoad(0, 0);
@@ -16,9 +16,9 @@
 	 * @throws IllegalArgumentException if a figure is negative
 	 */
 	public EndpointLoad {
-		if (inFlight < 0 || unreadTokens < 0) {
-			throw new IllegalArgumentException(
-					"inFlight and unreadTokens must not be negative: " + inFlight + ", " + unreadTokens);
+		if (inFlight < 0 || pendingPrefillTokens < 0) {
+			throw new IllegalArgumentException("inFlight and pendingPrefillTokens must not be negative: " + inFlight
+					+ ", " + pendingPrefillTokens);
 		}
 	}
 
@@ -28,7 +28,7 @@
 	 * @return the sum
 	 */
 	public EndpointLoad plus(EndpointLoad other) {
-		return new EndpointLoad(this.inFlight + other.inFlight, this.unreadTokens + other.unreadTokens);
+		return new EndpointLoad(this.inFlight + other.inFlight, this.pendingPrefillTokens + other.pendingPrefillTokens);
 	}
 
 	/**
@@ -38,7 +38,7 @@
 	 */
 	public EndpointLoad minus(EndpointLoad part) {
 		return new EndpointLoad(Math.max(0, this.inFlight - part.inFlight),
-				Math.max(0, this.unreadTokens - part.unreadTokens));
+				Math.max(0, this.pendingPrefillTokens - part.pendingPrefillTokens));
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/LeaseKeeper.java
@@ -74,7 +74,7 @@
 	}
 
 	/**
-	 * Takes in a record of the topic.
+	 * Notes a record of the topic.
 	 * @param record the record
 	 * @param now when it was read
 	 */
@@ -94,7 +94,7 @@
 	}
 
 	/**
-	 * Takes in where the topic ends.
+	 * Notes where the topic ends.
 	 * @param newEnd the offset after its last record
 	 */
 	public void ends(long newEnd) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/ScalingPolicy.java
@@ -55,19 +55,19 @@
 	private static final Duration MEMORY = Duration.ofSeconds(30);
 
 	/** How long the least need is remembered: about two starts. */
-	private static final Duration LEAST_MEMORY = Duration.ofSeconds(8);
+	private static final Duration MINIMUM_MEMORY = Duration.ofSeconds(8);
 
 	/**
 	 * Reclaimable endpoints in each data centre at any load: a burst starts within a
 	 * second, an endpoint in four.
 	 */
-	private static final int LEAST_IN_ZONE = 3;
+	private static final int MINIMUM_IN_DATA_CENTER = 3;
 
 	private final DataCenterFailureDetector unreachableDataCenters = new DataCenterFailureDetector();
 
 	private final RecentPeak needs = new RecentPeak(MEMORY);
 
-	private final RecentPeak leastNeeds = new RecentPeak(LEAST_MEMORY);
+	private final RecentPeak leastNeeds = new RecentPeak(MINIMUM_MEMORY);
 
 	private Map<DataCenterName, Integer> onDemandOrdered = Map.of();
 
@@ -104,7 +104,7 @@
 		}
 		Map<DataCenterName, Integer> running = runningByZone(listed, zones);
 		Map<DataCenterName, Integer> reclaimable = spread(
-				Math.max(zones.size() * LEAST_IN_ZONE, (int) Math.ceil(comfortable)), zones, limits.most());
+				Math.max(zones.size() * MINIMUM_IN_DATA_CENTER, (int) Math.ceil(comfortable)), zones, limits.most());
 		if (!reclaimableAvailable) {
 			// What is given back now cannot be had again when the load returns.
 			running.forEach((zone, count) -> reclaimable.merge(zone, count, Math::max));
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsageCounter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsageCounter.java
@@ -13,8 +13,8 @@
  */
 public final class UsageCounter {
 
-	/** Windows that are told again and again: the others have heard of older ones. */
-	private static final int MOST_WINDOWS = 4;
+	/** Windows that are repeated in reports: the others have received older ones. */
+	private static final int MAXIMUM_WINDOWS = 4;
 
 	private final Duration window;
 
@@ -44,7 +44,7 @@
 	 */
 	public void began(AccountName account, Instant moment) {
 		this.counts.computeIfAbsent(windowOf(moment), (number) -> new HashMap<>()).merge(account, 1L, Long::sum);
-		while (this.counts.size() > MOST_WINDOWS) {
+		while (this.counts.size() > MAXIMUM_WINDOWS) {
 			this.counts.pollFirstEntry();
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
@@ -21,7 +21,7 @@
 	private static final Duration SETTLE = Duration.ofSeconds(2);
 
 	/** Reports that a lease names: more would be past their due time. */
-	private static final int MOST_NAMED = 4;
+	private static final int MAXIMUM_NAMED = 4;
 
 	private final UsageCounter windows;
 
@@ -47,12 +47,12 @@
 	public List<UsageReport> toName(List<UsageReport> named, Instant now, LongFunction<UsageReport> counted) {
 		long settled = this.windows.windowOf(now.minus(SETTLE)) - 1;
 		long next = named.isEmpty() ? this.firstWindow : named.getLast().window() + 1;
-		next = Math.max(next, settled - MOST_NAMED + 1);
+		next = Math.max(next, settled - MAXIMUM_NAMED + 1);
 		List<UsageReport> all = new ArrayList<>(named);
 		for (long window = next; window <= settled; window++) {
 			all.add(counted.apply(window));
 		}
-		return List.copyOf(all.subList(Math.max(0, all.size() - MOST_NAMED), all.size()));
+		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_NAMED), all.size()));
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -61,7 +61,7 @@
 	 */
 	private static final Duration FIRST_PAUSE = Duration.ofMillis(500);
 
-	private static final Duration LONGEST_PAUSE = Duration.ofSeconds(4);
+	private static final Duration MAXIMUM_PAUSE = Duration.ofSeconds(4);
 
 	private EndpointEntry entry;
 
@@ -71,11 +71,11 @@
 
 	private int inFlight;
 
-	private long unreadTokens;
+	private long pendingPrefillTokens;
 
 	private int othersInFlight;
 
-	private long othersUnreadTokens;
+	private long othersPendingPrefillTokens;
 
 	private double unknownAtReport;
 
@@ -137,7 +137,7 @@
 	}
 
 	/**
-	 * Takes in what the configuration says of the endpoint's service.
+	 * Notes what the configuration says of the endpoint's service.
 	 * @param described its engines' memory, or {@code null} for a plain service
 	 */
 	void describe(@Nullable EngineMemory described) {
@@ -175,7 +175,7 @@
 	 */
 	public void sent(Prompt prompt, int prefillTokens) {
 		this.inFlight++;
-		this.unreadTokens += prefillTokens;
+		this.pendingPrefillTokens += prefillTokens;
 		this.cache.add(prompt);
 	}
 
@@ -184,7 +184,7 @@
 	 * @param prefillTokens the tokens of it that had to be prefilled
 	 */
 	public void promptRead(int prefillTokens) {
-		this.unreadTokens = Math.max(0, this.unreadTokens - prefillTokens);
+		this.pendingPrefillTokens = Math.max(0, this.pendingPrefillTokens - prefillTokens);
 	}
 
 	/**
@@ -220,7 +220,7 @@
 		this.failuresInRow++;
 		if (this.failuresInRow > 1) {
 			int doublings = Math.min(this.failuresInRow - 2, 10);
-			long pause = Math.min(FIRST_PAUSE.toNanos() << doublings, LONGEST_PAUSE.toNanos());
+			long pause = Math.min(FIRST_PAUSE.toNanos() << doublings, MAXIMUM_PAUSE.toNanos());
 			this.pausedUntil = now + pause;
 		}
 	}
@@ -276,7 +276,7 @@
 	 * @return the tokens
 	 */
 	public long waitingTokens() {
-		return this.unreadTokens;
+		return this.pendingPrefillTokens;
 	}
 
 	/**
@@ -284,17 +284,17 @@
 	 * @return the tokens
 	 */
 	public long queuedTokens() {
-		return this.unreadTokens + this.othersUnreadTokens;
+		return this.pendingPrefillTokens + this.othersPendingPrefillTokens;
 	}
 
 	/**
-	 * Takes in what the other gateways have here.
+	 * Notes what the other gateways have here.
 	 * @param requests their requests
 	 * @param unread the prompt tokens of theirs that are still to be read
 	 */
 	public void others(int requests, long unread) {
 		this.othersInFlight = requests;
-		this.othersUnreadTokens = unread;
+		this.othersPendingPrefillTokens = unread;
 	}
 
 	/**
@@ -314,7 +314,7 @@
 		return this.failureRate * Math.exp((this.outcomeAt - now) / OUTCOME_LIFE_NANOS);
 	}
 
-	int unreadTokens(Prompt prompt) {
+	int uncachedTokens(Prompt prompt) {
 		return Math.max(0, prompt.tokensIn() - this.cache.heldTokens(prompt));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -39,7 +39,7 @@
 	private @Nullable Configuration configuration;
 
 	/**
-	 * Takes in a new configuration, which says what the services are. Endpoints may have
+	 * Notes a new configuration, which says what the services are. Endpoints may have
 	 * been listed before it was read.
 	 * @param newest the configuration
 	 */
@@ -57,7 +57,7 @@
 	}
 
 	/**
-	 * Takes in what an endpoint says of itself.
+	 * Notes what an endpoint says of itself.
 	 * @param entry the entry
 	 */
 	public void put(EndpointEntry entry) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -50,7 +50,7 @@
 	 * in ms. The data centre may be cut off, and a request sent there would wait until
 	 * its end; as long as a failure, so that it is used where nothing else is left.
 	 */
-	private static final double SILENT_ZONE_MILLIS = FAILURE_MILLIS;
+	private static final double UNREACHABLE_DATA_CENTER_MILLIS = FAILURE_MILLIS;
 
 	private final DataCenterName zone;
 
@@ -65,7 +65,7 @@
 	}
 
 	/**
-	 * Takes in which data centres may be cut off from here.
+	 * Notes which data centres may be cut off from here.
 	 * @param zones the data centres
 	 */
 	public void unreachable(Set<DataCenterName> zones) {
@@ -106,7 +106,7 @@
 		// The other gateways send a session's requests to its owner as well, so that it
 		// holds the prefix though this one may not have sent it yet.
 		boolean held = copies || candidate == owner;
-		int prefillTokens = candidate.unreadTokens(prompt) - (held ? missing : 0);
+		int prefillTokens = candidate.uncachedTokens(prompt) - (held ? missing : 0);
 		double predicted = candidate.predictedMillis(prompt, prefillTokens, now);
 		if (copies && candidate != owner) {
 			predicted += candidate.transferMillis(missing) + COPY_SETUP_MILLIS;
@@ -119,7 +119,7 @@
 			cost += FAR_MILLIS;
 		}
 		if (this.unreachable.contains(candidate.entry().zone())) {
-			cost += SILENT_ZONE_MILLIS;
+			cost += UNREACHABLE_DATA_CENTER_MILLIS;
 		}
 		return new Choice(new Placement(candidate, predicted, prefillTokens, copies ? source : null), cost);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -17,7 +17,7 @@
 final class Attempt implements AnswerListener {
 
 	/** An answer that is no stream is kept whole until it is known to be sound. */
-	private static final int MOST_KEPT_BYTES = 16 << 20;
+	private static final int MAXIMUM_BUFFERED_BYTES = 16 << 20;
 
 	private final Exchange exchange;
 
@@ -72,7 +72,7 @@
 		return Objects.requireNonNull(this.responseHeaders, "no answer has begun");
 	}
 
-	boolean silent() {
+	boolean unanswered() {
 		return this.head == null;
 	}
 
@@ -140,7 +140,7 @@
 			this.exchange.streamed(this, content);
 			return;
 		}
-		if (this.body.readableBytes() + content.readableBytes() > MOST_KEPT_BYTES) {
+		if (this.body.readableBytes() + content.readableBytes() > MAXIMUM_BUFFERED_BYTES) {
 			cancel();
 			this.exchange.failed(this, CallFailure.UNREADABLE);
 			return;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
@@ -6,18 +6,18 @@
  * How a call uses connections.
  *
  * @param connectTimeout how long a new connection may take
- * @param longestIdle how long a kept connection may have been idle to be used
- * @param mostConnections the connections to one address at once
+ * @param maximumIdle how long a kept connection may have been idle to be used
+ * @param maximumConnections the connections to one address at once
  */
-public record CallOptions(Duration connectTimeout, Duration longestIdle, int mostConnections) {
+public record CallOptions(Duration connectTimeout, Duration maximumIdle, int maximumConnections) {
 
 	/**
 	 * Creates the options.
-	 * @throws IllegalArgumentException if {@code mostConnections} is below 1
+	 * @throws IllegalArgumentException if {@code maximumConnections} is below 1
 	 */
 	public CallOptions {
-		if (mostConnections < 1) {
-			throw new IllegalArgumentException("mostConnections must be at least 1: " + mostConnections);
+		if (maximumConnections < 1) {
+			throw new IllegalArgumentException("maximumConnections must be at least 1: " + maximumConnections);
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -38,7 +38,7 @@
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
 	/** A caller that sends more requests ahead of their answers is cut off. */
-	private static final int MOST_AHEAD = 16;
+	private static final int MAXIMUM_PIPELINED = 16;
 
 	private final CallerServer server;
 
@@ -121,7 +121,7 @@
 			if (whole != null) {
 				this.ahead.add(new CallerRequest(whole, this.body, this.server.clock().nanos()));
 			}
-			if (this.ahead.size() > MOST_AHEAD) {
+			if (this.ahead.size() > MAXIMUM_PIPELINED) {
 				close();
 				return;
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -37,11 +37,11 @@
 
 	private static final int PROBES = 2;
 
-	private static final int MOST_HEADER_BYTES = 64 * 1024;
+	private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
 
-	private static final int MOST_CHUNK_BYTES = 64 * 1024;
+	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
 
-	private static final int MOST_INITIAL_LINE_BYTES = 8 * 1024;
+	private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 * 1024;
 
 	private final EventLoop eventLoop;
 
@@ -76,7 +76,7 @@
 		if (kept != null) {
 			kept.begin(call);
 		}
-		else if (this.open.getOrDefault(address, 0) >= options.mostConnections()) {
+		else if (this.open.getOrDefault(address, 0) >= options.maximumConnections()) {
 			this.eventLoop.execute(() -> call.failed(CallFailure.NOT_SENT));
 		}
 		else {
@@ -100,7 +100,7 @@
 		Deque<ClientConnection> connections = this.idle.get(address);
 		while (connections != null && !connections.isEmpty()) {
 			ClientConnection newest = connections.pop();
-			if (newest.usable(this.clock.nanos(), options.longestIdle().toNanos())) {
+			if (newest.usable(this.clock.nanos(), options.maximumIdle().toNanos())) {
 				return newest;
 			}
 			newest.close();
@@ -122,7 +122,8 @@
 				@Override
 				protected void initChannel(Channel channel) {
 					channel.pipeline()
-						.addLast(new HttpClientCodec(MOST_INITIAL_LINE_BYTES, MOST_HEADER_BYTES, MOST_CHUNK_BYTES))
+						.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES,
+								MAXIMUM_CHUNK_BYTES))
 						.addLast(new ClientConnection(ClientConnections.this, address, channel));
 				}
 			});
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EventSplitter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EventSplitter.java
@@ -17,7 +17,7 @@
 	/**
 	 * An event this long is no event of a token stream; it would only fill the memory.
 	 */
-	private static final int MOST_EVENT_BYTES = 1 << 20;
+	private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
 	private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
@@ -49,15 +49,15 @@
 	}
 
 	/**
-	 * Takes in bytes.
+	 * Reads bytes.
 	 * @param content the bytes
 	 * @return the events that are whole now, as they came; empty if there are none
 	 * @throws IllegalStateException if an event is too long
 	 */
 	byte[] read(ByteBuf content) {
 		int added = content.readableBytes();
-		if (this.length + added > MOST_EVENT_BYTES) {
-			throw new IllegalStateException("event must have at most " + MOST_EVENT_BYTES + " bytes");
+		if (this.length + added > MAXIMUM_EVENT_BYTES) {
+			throw new IllegalStateException("event must have at most " + MAXIMUM_EVENT_BYTES + " bytes");
 		}
 		if (this.length + added > this.pending.length) {
 			this.pending = Arrays.copyOf(this.pending, Math.max(this.pending.length * 2, this.length + added));
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -48,10 +48,10 @@
 	private static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
 
 	/** A kept connection that has been idle for longer may have gone silent. */
-	private static final Duration LONGEST_IDLE = Duration.ofSeconds(10);
+	private static final Duration MAXIMUM_IDLE = Duration.ofSeconds(10);
 
 	/** The same for a request that cannot be sent again if the connection was dead. */
-	private static final Duration LONGEST_IDLE_ONCE = Duration.ofSeconds(2);
+	private static final Duration MAXIMUM_IDLE_ONCE = Duration.ofSeconds(2);
 
 	/** The time after which a request is retried that an endpoint rejected unrun. */
 	private static final Duration RETRY_AFTER = Duration.ofMillis(400);
@@ -94,7 +94,7 @@
 
 	private @Nullable ScheduledFuture<?> deadlineTimer;
 
-	private @Nullable ScheduledFuture<?> silenceTimer;
+	private @Nullable ScheduledFuture<?> responseTimer;
 
 	private @Nullable ScheduledFuture<?> waitTimer;
 
@@ -123,8 +123,6 @@
 		place();
 	}
 
-	// ---- placing
-
 	private void place() {
 		if (this.ended) {
 			return;
@@ -168,10 +166,10 @@
 		this.attempt = next;
 		boolean once = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.flow.admission().connectTimeout(this.route),
-				once ? LONGEST_IDLE_ONCE : LONGEST_IDLE, this.flow.connectionShare(this.service));
+				once ? MAXIMUM_IDLE_ONCE : MAXIMUM_IDLE, this.flow.connectionShare(this.service));
 		next.started(this.flow.connections()
 			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, next));
-		watchSilence(this.flow.admission().silenceBeforeAnswer(this.route));
+		watchResponse(this.flow.admission().responseTimeout(this.route));
 	}
 
 	private FullHttpRequest endpointRequest(Placement placement) {
@@ -199,8 +197,6 @@
 		return Math.clamp((ofAccount != null) ? ofAccount : this.route.priority(), 0, 9);
 	}
 
-	// ---- what attempts bring
-
 	boolean streams(Attempt from) {
 		return this.route.kind() == RouteKind.STREAMING && from.responseHeaders().sealed()
 				&& from.answerHead().status().equals(HttpResponseStatus.OK);
@@ -223,7 +219,7 @@
 		countBegun();
 		openStream(from);
 		this.caller.stream(whole);
-		watchSilence(this.flow.admission().silenceInStream(this.route));
+		watchResponse(this.flow.admission().streamTimeout(this.route));
 	}
 
 	private void openStream(Attempt from) {
@@ -362,17 +358,15 @@
 		}
 	}
 
-	// ---- time
-
-	private void watchSilence(Duration longest) {
-		cancel(this.silenceTimer);
-		this.silenceTimer = null;
+	private void watchResponse(Duration longest) {
+		cancel(this.responseTimer);
+		this.responseTimer = null;
 		if (this.route.repeatable() && this.attempts < this.route.maxAttempts()) {
-			this.silenceTimer = schedule(this::silent, longest.toNanos());
+			this.responseTimer = schedule(this::responseTimedOut, longest.toNanos());
 		}
 	}
 
-	private void silent() {
+	private void responseTimedOut() {
 		Attempt current = this.attempt;
 		if (this.ended || current == null || this.flow.budget(this.service.name()).left() < 1) {
 			return;
@@ -395,23 +389,22 @@
 		end("caller left", 0);
 	}
 
-	// An endpoint that was silent until the end has failed. Unless that is counted, one
-	// that a cut silenced gets request after request until its entry lapses.
+	// An endpoint that did not answer until the end has failed. Unless that is counted,
+	// one
+	// that is cut off gets request after request until its entry lapses.
 	private void giveUpAttempt() {
 		Attempt current = this.attempt;
 		if (current == null) {
 			return;
 		}
 		current.cancel();
-		if (current.silent()
-				&& current.elapsed().compareTo(this.flow.admission().silenceBeforeAnswer(this.route)) > 0) {
-			this.flow.requestLog().attemptFailed(current.facts(), "silent until the request was given up");
+		if (current.unanswered()
+				&& current.elapsed().compareTo(this.flow.admission().responseTimeout(this.route)) > 0) {
+			this.flow.requestLog().attemptFailed(current.facts(), "no answer until the request was given up");
 			current.endpoint().failed(now());
 		}
 	}
 
-	// ---- the end
-
 	// Ends a request that gets no endpoint's answer.
 	private void endWithout(ErrorKind kind) {
 		if (this.ended) {
@@ -441,7 +434,7 @@
 	private void end(String outcome, int status) {
 		this.ended = true;
 		cancel(this.deadlineTimer);
-		cancel(this.silenceTimer);
+		cancel(this.responseTimer);
 		cancel(this.waitTimer);
 		this.flow.ended();
 		Duration untilFirst = (this.firstByteAt != null) ? Duration.ofNanos(this.firstByteAt - this.request.arrivedAt())
@@ -452,8 +445,6 @@
 					this.attempts, untilFirst, elapsed(), this.version));
 	}
 
-	// ---- small things
-
 	String requestId() {
 		return this.requestId;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -30,7 +30,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Takes callers' requests in and keeps what all of them share.
+ * Accepts callers' requests in and keeps what all of them share.
  */
 public final class RequestFlow {
 
@@ -78,7 +78,7 @@
 
 	private @Nullable Configuration configuration;
 
-	private final Map<AccountName, Double> usedBefore = new HashMap<>();
+	private final Map<AccountName, Double> acceptedBefore = new HashMap<>();
 
 	private int gateways = 1;
 
@@ -119,7 +119,7 @@
 	}
 
 	/**
-	 * Takes in a configuration.
+	 * Notes a configuration.
 	 * @param newest the configuration
 	 */
 	public void configure(Configuration newest) {
@@ -129,7 +129,7 @@
 			TokenQuota quota = quota(name, newest);
 			if (quota == null) {
 				this.quotaLimiters.remove(name);
-				this.usedBefore.merge(name, limiter.used(), Double::sum);
+				this.acceptedBefore.merge(name, limiter.used(), Double::sum);
 			}
 			else if (!limiter.quota().equals(quota)) {
 				this.quotaLimiters.put(name, limiter.changedTo(quota, this.clock.nanos()));
@@ -150,7 +150,7 @@
 	}
 
 	/**
-	 * Takes in how much of the fleet there is.
+	 * Notes how much of the fleet there is.
 	 * @param newGateways the gateways, this one included
 	 * @param newReachableShare the part of them that is reachable now
 	 */
@@ -162,24 +162,24 @@
 	}
 
 	/**
-	 * Takes in what another gateway let in.
-	 * @param used what it let in since it told last, by client account
+	 * Notes what another gateway accepted.
+	 * @param used what it accepted since its last report, by client account
 	 */
-	public void usedElsewhere(Map<AccountName, Double> used) {
+	public void acceptedElsewhere(Map<AccountName, Double> used) {
 		used.forEach((name, amount) -> {
 			QuotaLimiter limiter = limiter(name);
 			if (limiter != null) {
-				limiter.usedElsewhere(amount, this.clock.nanos());
+				limiter.acceptedElsewhere(amount, this.clock.nanos());
 			}
 		});
 	}
 
 	/**
-	 * Returns all that this gateway let in.
+	 * Returns all that this gateway accepted.
 	 * @return the sums by client account
 	 */
 	public Map<AccountName, Double> used() {
-		Map<AccountName, Double> sums = new HashMap<>(this.usedBefore);
+		Map<AccountName, Double> sums = new HashMap<>(this.acceptedBefore);
 		this.quotaLimiters.forEach((name, limiter) -> sums.merge(name, limiter.used(), Double::sum));
 		return sums;
 	}
@@ -203,7 +203,7 @@
 	 * Changes which requests are accepted.
 	 * @param newPhase which ones
 	 */
-	public void take(DrainPhase newPhase) {
+	public void drain(DrainPhase newPhase) {
 		this.phase = newPhase;
 	}
 
@@ -270,7 +270,7 @@
 			return null;
 		}
 		return new RequestLog.RejectionFacts(requestHeaders.requestId(), ErrorKind.ACCOUNT_OVER_LIMIT,
-				limiter.retryAfter(), account.name(), Math.round(limiter.left()), version());
+				limiter.retryAfter(), account.name(), Math.round(limiter.available()), version());
 	}
 
 	private void reject(CallerConnection caller, RequestLog.RejectionFacts facts) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseSubscription.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseSubscription.java
@@ -9,7 +9,7 @@
 	ResponseSubscription BEGUN = () -> {
 	};
 
-	/** Hears that the caller closed its connection, so that the work can be stopped. */
+	/** Called when the caller closed its connection, so that the work can be stopped. */
 	void callerLeft();
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/QuotaLimiterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/QuotaLimiterTests.java
@@ -45,10 +45,10 @@
 		QuotaLimiter meter = new QuotaLimiter(QUOTA, 0);
 		TokenQuota lower = new TokenQuota(true, 30_000, 30_000, 200);
 		QuotaLimiter lowered = meter.changedTo(lower, SECOND);
-		assertThat(lowered.left()).isEqualTo(30_000);
+		assertThat(lowered.available()).isEqualTo(30_000);
 		lowered.tryAcquire(50_000, SECOND);
 		QuotaLimiter raised = lowered.changedTo(QUOTA, SECOND);
-		assertThat(raised.left()).isEqualTo(-20_000);
+		assertThat(raised.available()).isEqualTo(-20_000);
 		assertThat(raised.used()).isEqualTo(50_000);
 	}
 
@@ -139,7 +139,7 @@
 				this.told[from] += since;
 				for (int to = 0; to < this.meters.size(); to++) {
 					if (to != from && hears(from, to)) {
-						this.meters.get(to).usedElsewhere(since, now);
+						this.meters.get(to).acceptedElsewhere(since, now);
 					}
 				}
 			}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -172,11 +172,11 @@
 		Endpoint endpoint = endpoints(1).getFirst();
 		Prompt prompt = prompt(3, 5000);
 		endpoint.sent(prompt, prompt.tokensIn());
-		assertThat(endpoint.unreadTokens(prompt)).isZero();
+		assertThat(endpoint.uncachedTokens(prompt)).isZero();
 		EndpointEntry entry = endpoint.entry();
 		endpoint.update(new EndpointEntry(entry.id(), entry.service(), entry.address(), entry.zone(), entry.slots(),
 				false, false, 99));
-		assertThat(endpoint.unreadTokens(prompt)).isEqualTo(prompt.tokensIn());
+		assertThat(endpoint.uncachedTokens(prompt)).isEqualTo(prompt.tokensIn());
 	}
 
 	private Endpoint choose(List<Endpoint> endpoints, Prompt prompt) {
