Read the store less often while reads fail and others read for one

Every follower of every gateway tried again each 250 ms, up to 16 calls a second at each of 95. Test: readsLessAndLessOftenWhileReadsFail. Change: the delay after a failed read doubles from 250 ms up to two seconds; it stays at 250 ms for the configuration, the endpoints and the lease at aggregators, who pass on what they read. In a fleet of up to 16 all gateways are aggregators, so that only the reads of addresses change there.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -75,6 +75,14 @@
 	 */
 	private static final Duration LEASES_INTERVAL_OTHERS = Duration.ofSeconds(5);
 
+	/**
+	 * The most between two attempts while reads fail, at a gateway that others rely on.
+	 */
+	private static final Duration AGGREGATOR_RETRY_DELAY = Duration.ofMillis(250);
+
+	/** The same at any other. */
+	private static final Duration MAXIMUM_RETRY_DELAY = Duration.ofSeconds(2);
+
 	private static final Duration TICK = Duration.ofMillis(200);
 
 	private final GatewaySettings settings;
@@ -166,8 +174,8 @@
 		this.duties = new DutyWork(this.topics, ports.duties(), this.clock, clocks.wall(), keeper, this.usage,
 				this.peerTable, () -> this.others, this.work, this.endpoints);
 		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints,
-				() -> this.others.readingIsLeftToOthers(this.incarnation), this.fleet::relay, this.fleet::forward,
-				this::configure);
+				() -> this.others.readingIsLeftToOthers(this.incarnation), this::maximumRetryDelay, this.fleet::relay,
+				this.fleet::forward, this::configure);
 	}
 
 	/**
@@ -192,8 +200,8 @@
 
 	private void follow() {
 		this.state.start();
-		new TopicFollower(Topic.GATEWAYS, this.topics, this.eventLoop, this.clock, () -> GATEWAYS_INTERVAL,
-				GATEWAYS_WAIT, () -> false,
+		new TopicFollower(Topic.GATEWAYS, this.topics, this.eventLoop, this.clock,
+				new ReadPace(() -> GATEWAYS_INTERVAL, GATEWAYS_WAIT, () -> MAXIMUM_RETRY_DELAY), () -> false,
 				new AddressAnnouncement(this.address, this.fleet.directory(), this.topics, this.eventLoop))
 			.start();
 		if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
@@ -204,8 +212,9 @@
 	}
 
 	private TopicFollower leaseFollower() {
-		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock, this::leasesInterval,
-				Duration.ZERO, () -> !this.others.aggregates() && this.others.leaseHeld(), this.duties);
+		return new TopicFollower(Topic.LEASES, this.topics, this.eventLoop, this.clock,
+				new ReadPace(this::leasesInterval, Duration.ZERO, this::maximumRetryDelay),
+				() -> !this.others.aggregates() && this.others.leaseHeld(), this.duties);
 	}
 
 	private Duration leasesInterval() {
@@ -215,6 +224,11 @@
 		return (this.others.aggregates() || this.duties.holds()) ? LEASES_INTERVAL_UNHELD : LEASES_INTERVAL_OTHERS;
 	}
 
+	// An aggregator passes on what it reads, so that the rest need not ask as often.
+	private Duration maximumRetryDelay() {
+		return this.others.aggregates() ? AGGREGATOR_RETRY_DELAY : MAXIMUM_RETRY_DELAY;
+	}
+
 	private CallerLimits limits() {
 		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.banyancove.core.EndpointId;
@@ -116,13 +117,14 @@
 	 * @param reader reads records
 	 * @param endpoints the table that is kept up to date
 	 * @param leftToOthers whether other gateways read the store for this one
+	 * @param maximumRetryDelay the most between two attempts while reads fail
 	 * @param relay passes on what was read
 	 * @param forward passes on what another gateway read and was new here
 	 * @param configured hears of each configuration
 	 */
 	StateWatch(SharedTopics topics, EventLoop eventLoop, SteadyClock clock, StateReader reader, EndpointTable endpoints,
-			BooleanSupplier leftToOthers, Consumer<RelayedRecords> relay, Consumer<RelayedRecords> forward,
-			Consumer<Configuration> configured) {
+			BooleanSupplier leftToOthers, Supplier<Duration> maximumRetryDelay, Consumer<RelayedRecords> relay,
+			Consumer<RelayedRecords> forward, Consumer<Configuration> configured) {
 		this.reader = reader;
 		this.endpoints = endpoints;
 		this.clock = clock;
@@ -131,9 +133,11 @@
 		this.forward = forward;
 		this.configured = configured;
 		this.configurationFollower = new TopicFollower(Topic.CONFIGURATION, topics, eventLoop, clock,
-				() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, leftToOthers, this::configurationChanged);
-		this.endpointFollower = new TopicFollower(Topic.ENDPOINTS, topics, eventLoop, clock, () -> ENDPOINTS_INTERVAL,
-				Duration.ZERO, leftToOthers, new EndpointListener());
+				new ReadPace(() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, maximumRetryDelay), leftToOthers,
+				this::configurationChanged);
+		this.endpointFollower = new TopicFollower(Topic.ENDPOINTS, topics, eventLoop, clock,
+				new ReadPace(() -> ENDPOINTS_INTERVAL, Duration.ZERO, maximumRetryDelay), leftToOthers,
+				new EndpointListener());
 	}
 
 	void start() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.banyancove.gateway.shared.SharedTopics;
@@ -30,11 +29,6 @@
 
 	private static final Logger log = LoggerFactory.getLogger(TopicFollower.class);
 
-	/**
-	 * After a failed read: soon, since what is unknown may be a key that was taken away.
-	 */
-	private static final Duration AFTER_FAILURE = Duration.ofMillis(250);
-
 	/**
 	 * How often it looks whether reading is still left to others: a part of the half
 	 * second within which they are missed.
@@ -49,9 +43,7 @@
 
 	private final SteadyClock clock;
 
-	private final Supplier<Duration> interval;
-
-	private final Duration wait;
+	private final ReadPace pace;
 
 	private final BooleanSupplier leftToOthers;
 
@@ -65,7 +57,7 @@
 
 	private long failedAt = Long.MIN_VALUE;
 
-	private boolean failing;
+	private int failures;
 
 	private boolean complete;
 
@@ -77,14 +69,13 @@
 
 	private long listedEnd;
 
-	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, Supplier<Duration> interval,
-			Duration wait, BooleanSupplier leftToOthers, Listener listener) {
+	TopicFollower(Topic topic, SharedTopics topics, EventLoop eventLoop, SteadyClock clock, ReadPace pace,
+			BooleanSupplier leftToOthers, Listener listener) {
 		this.topic = topic;
 		this.topics = topics;
 		this.eventLoop = eventLoop;
 		this.clock = clock;
-		this.interval = interval;
-		this.wait = wait;
+		this.pace = pace;
 		this.leftToOthers = leftToOthers;
 		this.listener = listener;
 	}
@@ -104,7 +95,7 @@
 			readListed(null);
 		}
 		else {
-			this.topics.changes(this.topic, this.next, this.wait).whenComplete(this::readChanges);
+			this.topics.changes(this.topic, this.next, this.pace.hold()).whenComplete(this::readChanges);
 		}
 	}
 
@@ -145,7 +136,7 @@
 	 * @return whether it did
 	 */
 	boolean readWithin(Duration within) {
-		return this.complete && !this.failing && this.clock.nanos() - this.readAt < within.toNanos();
+		return this.complete && this.failures == 0 && this.clock.nanos() - this.readAt < within.toNanos();
 	}
 
 	/**
@@ -188,7 +179,7 @@
 		this.next = this.listedEnd;
 		this.complete = true;
 		this.listener.readThrough(this.next);
-		again(this.interval.get());
+		again(this.pace.interval().get());
 	}
 
 	private void readChanges(@Nullable TopicPage page, @Nullable Throwable failure) {
@@ -207,7 +198,7 @@
 		boolean more = page.next() > this.next;
 		this.next = page.next();
 		this.listener.readThrough(this.next);
-		again((more && page.more() != null) ? Duration.ZERO : this.interval.get());
+		again((more && page.more() != null) ? Duration.ZERO : this.pace.interval().get());
 	}
 
 	private void take(TopicRecord entry) {
@@ -222,22 +213,22 @@
 
 	private void succeeded() {
 		this.readAt = this.clock.nanos();
-		if (this.failing) {
-			this.failing = false;
+		if (this.failures > 0) {
+			this.failures = 0;
 			log.atInfo().addKeyValue("topic", this.topic).log("store answers again");
 		}
 	}
 
 	private void failed(@Nullable Throwable failure) {
 		this.failedAt = this.clock.nanos();
-		if (!this.failing) {
-			this.failing = true;
+		this.failures++;
+		if (this.failures == 1) {
 			log.atWarn()
 				.addKeyValue("topic", this.topic)
 				.addKeyValue("cause", String.valueOf(failure))
 				.log("store lost");
 		}
-		again(AFTER_FAILURE);
+		again(this.pace.retryDelay(this.failures));
 	}
 
 	private void again(Duration delay) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
@@ -30,8 +30,11 @@
 
 	private boolean leftToOthers;
 
+	private Duration maximumRetryDelay = Duration.ofMillis(250);
+
 	private final TopicFollower follower = new TopicFollower(Topic.ENDPOINTS, this.topics, this.channel.eventLoop(),
-			() -> 0, () -> Duration.ofMillis(10), Duration.ZERO, () -> this.leftToOthers, new TopicFollower.Listener() {
+			() -> 0, new ReadPace(() -> Duration.ofMillis(10), Duration.ZERO, () -> this.maximumRetryDelay),
+			() -> this.leftToOthers, new TopicFollower.Listener() {
 				@Override
 				public void changed(TopicRecord entry) {
 					byte[] value = entry.value();
@@ -124,6 +127,24 @@
 		assertThat(this.heard).contains("a=3");
 	}
 
+	// Guards against an outage in which a fleet spends its calls on reads that fail: at
+	// 95
+	// gateways, hundreds a second.
+	@Test
+	void readsLessAndLessOftenWhileReadsFail() {
+		this.topics.newest.add(page(1, entry(0, "a", "1")));
+		this.maximumRetryDelay = Duration.ofSeconds(2);
+		for (int i = 0; i < 100; i++) {
+			this.topics.changes.add(null);
+		}
+		play(10);
+		assertThat(this.topics.asked).hasSizeBetween(6, 8);
+		this.maximumRetryDelay = Duration.ofMillis(250);
+		this.topics.asked.clear();
+		advance(10);
+		assertThat(this.topics.asked).as("attempts of a gateway on which others rely").hasSizeBetween(30, 41);
+	}
+
 	private void play(int seconds) {
 		this.follower.start();
 		advance(seconds);
