--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -27,7 +27,8 @@
 		List<Long> readers, boolean aggregates) {
 
 	/** Of a gateway that knows no other one. */
-	public static final FleetView ALONE = of(FleetSummary.NONE, new DataCenterName("none"), true);
+	public static final FleetView ALONE = new FleetView(0, 1, Set.of(), Map.of(), Map.of(), false, KnownState.NONE,
+			List.of(), true);
 
 	/**
 	 * Gateways that read the store for all: with three, two may die at the same moment,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
@@ -26,6 +26,12 @@
 	/** The same after which it no longer belongs to the fleet: longer than most cuts. */
 	private static final Duration MEMBER_TIMEOUT = Duration.ofSeconds(12);
 
+	/**
+	 * Time without reports after which a gateway does not respond, until it is
+	 * configured.
+	 */
+	private static final Duration INITIAL_RESPONSE_TIMEOUT = Duration.ofMillis(600);
+
 	private final Map<Long, Member> members = new HashMap<>();
 
 	private final Map<String, SummarySource> groups = new HashMap<>();
@@ -44,7 +50,7 @@
 
 	private GatewayReport own;
 
-	private Duration responseTimeout = Duration.ofMillis(600);
+	private Duration responseTimeout = INITIAL_RESPONSE_TIMEOUT;
 
 	private boolean aggregates = true;
 
