--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -25,8 +25,7 @@
 	private static final double SHARE_OF_REMAINING = 0.7;
 
 	/**
-	 * Bounds of the time told to callers: below, nothing has changed; above, callers give
-	 * up.
+	 * Bounds of Retry-After: below, nothing has changed; above, callers give up.
 	 */
 	private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(200);
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/TokenQuota.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/TokenQuota.java
@@ -6,7 +6,7 @@
  * @param countsTokens whether the figures count tokens; requests otherwise
  * @param ratePerSecond what is earned a second
  * @param burst the most that is saved up
- * @param tokensWithoutUsage what a request counts that does not tell its tokens
+ * @param tokensWithoutUsage what a request counts that does not state its tokens
  */
 public record TokenQuota(boolean countsTokens, double ratePerSecond, double burst, long tokensWithoutUsage) {
 
@@ -22,7 +22,7 @@
 
 	/**
 	 * Returns what a request counts.
-	 * @param tokens its tokens in and out, or 0 if it tells none
+	 * @param tokens its tokens in and out, or 0 if it states none
 	 * @return the cost, in this quota's unit
 	 */
 	public double costOf(long tokens) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/AddressAnnouncement.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/AddressAnnouncement.java
@@ -38,7 +38,7 @@
 	/**
 	 * Creates the announcement.
 	 * @param own this gateway's address
-	 * @param directory hears of all addresses
+	 * @param directory receives all addresses
 	 * @param topics the store
 	 * @param eventLoop runs everything
 	 */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointScaling.java
@@ -37,8 +37,8 @@
 
 	/**
 	 * After a holder took over: all endpoints have written their entries, and the others
-	 * have told their loads by then. An order made before would replace endpoints that
-	 * are there.
+	 * have reported their loads by then. An order made before would replace endpoints
+	 * that are there.
 	 */
 	private static final Duration FIRST_LOOK = Duration.ofSeconds(3);
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EventLoopLag.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EventLoopLag.java
@@ -11,7 +11,7 @@
  * Measures how late the event loop runs its timers.
  * <p>
  * A VM that gets more work than its processor share allows shows nothing but late
- * answers; the lag tells it apart from slow endpoints and full links.
+ * answers; the lag distinguishes it from slow endpoints and full links.
  */
 final class EventLoopLag {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -196,7 +196,7 @@
 	/**
 	 * Passes on records that this gateway read: to the gateways that report here and to
 	 * the aggregators of all groups. One that is no aggregator gets no answers of other
-	 * groups, and cannot tell which of their members to ask.
+	 * groups, and does not know which of their members respond.
 	 * @param records the records
 	 */
 	void relay(RelayedRecords records) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayAddress.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayAddress.java
@@ -7,7 +7,7 @@
 import org.banyancove.program.SocketAddressText;
 
 /**
- * Where a gateway listens for the others, as its record in the gateways' topic tells.
+ * Where a gateway listens for the others, as its record in the gateways' topic states.
  *
  * @param name its VM's name
  * @param address where it listens
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -13,7 +13,7 @@
  * @param name the VM's name, unique among gateways
  * @param zone its data centre
  * @param callers where it listens for callers
- * @param readiness where it tells whether it takes requests
+ * @param readiness where it reports whether it accepts requests
  * @param metrics where it serves metrics, or {@code null}
  * @param peers where it listens for the other gateways
  * @param retryLimits what all gateways may send again
@@ -21,7 +21,7 @@
  * @param usageWindow the length of a window of the usage report
  * @param reportsUsage whether usage is to be reported
  * @param ordersEndpoints whether endpoints are to be ordered
- * @param stopTime from being told to stop to being killed
+ * @param stopTime from the signal to stop to being killed
  * @param processorShare the VM's processor share, in cores
  */
 public record GatewaySettings(String name, DataCenterName zone, InetSocketAddress callers, InetSocketAddress readiness,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderlyStop.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/OrderlyStop.java
@@ -50,7 +50,7 @@
 
 	/**
 	 * Returns when no connection is left or the time is up.
-	 * @param stopTime from being told to stop to being killed
+	 * @param stopTime from the signal to stop to being killed
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	void run(Duration stopTime) throws InterruptedException {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RelayedRecords.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RelayedRecords.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Records that changed something, as one gateway read them and tells the others.
+ * Records that changed something, as one gateway read them and passes them on.
  *
  * @param topic the topic
  * @param records the records
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -71,7 +71,7 @@
 
 	/**
 	 * A larger configuration is not passed on, as it would not fit into a datagram;
-	 * others read it when they hear of it.
+	 * others read it when a summary shows that it is newer.
 	 */
 	private static final int MAXIMUM_RELAYED_BYTES = 16 * 1024;
 
@@ -120,7 +120,7 @@
 	 * @param maximumRetryDelay the most between two attempts while reads fail
 	 * @param relay passes on what was read
 	 * @param forward passes on what another gateway read and was new here
-	 * @param configured hears of each configuration
+	 * @param configured receives each configuration
 	 */
 	StateWatch(SharedTopics topics, EventLoop eventLoop, SteadyClock clock, StateReader reader, EndpointTable endpoints,
 			BooleanSupplier leftToOthers, Supplier<Duration> maximumRetryDelay, Consumer<RelayedRecords> relay,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -60,7 +60,7 @@
 	 * <p>
 	 * Each gateway that polls costs calls, which are paid for and bounded; at 810
 	 * gateways the store's bound would be spent on polling alone. The aggregators with
-	 * the lowest identifiers read, as all can tell alike; a gateway that knows too few
+	 * the lowest identifiers read, as all compute alike; a gateway that knows too few
 	 * readers reads for itself.
 	 * @param own the gateway's incarnation
 	 * @return whether reading is left to others
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/KnownState.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/KnownState.java
@@ -1,8 +1,7 @@
 package org.banyancove.gateway.duty;
 
 /**
- * How far a gateway knows shared state, by which others can tell whether they know as
- * much.
+ * How far a gateway knows shared state, by which others see whether they know as much.
  *
  * @param reads whether it reads the store itself, and did so of late
  * @param endpointsNext up to where it knows the endpoints' topic
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/UsagePlan.java
@@ -10,13 +10,14 @@
  * Decides which windows are to be reported, and keeps what was written down.
  * <p>
  * A report is fixed once its window has been over for long enough that every gateway has
- * told its counts. It is written into the lease before it is sent, so that a successor
- * sends the same counts again instead of others.
+ * reported its counts. It is written into the lease before it is sent, so that a
+ * successor sends the same counts again instead of others.
  */
 public final class UsagePlan {
 
 	/**
-	 * From a window's end until all have told their counts: several times their interval.
+	 * From a window's end until all have reported their counts: several times their
+	 * interval.
 	 */
 	private static final Duration SETTLE = Duration.ofSeconds(2);
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/LoadReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/LoadReport.java
@@ -1,7 +1,7 @@
 package org.banyancove.gateway.endpoint;
 
 /**
- * What an endpoint tells of its load beside an answer.
+ * What an endpoint reports of its load beside an answer.
  *
  * @param running the requests that it runs
  * @param waiting the requests in its queue
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -12,11 +12,11 @@
  * Chooses an endpoint: the one that is predicted to answer soonest, weighed by how often
  * it fails and by the prompt parts that it would prefill although another holds them.
  * <p>
- * Sessions come back with a long shared prompt, to several gateways that don't tell each
- * other what they sent. All of them rank the endpoints of a session alike (rendezvous
- * hashing of the last shared part), so its parts are prefilled at the owner. Where the
- * owner is busy, or has just started, the endpoint that gets the request copies the parts
- * from the one that ranks highest of the others.
+ * Sessions come back with a long shared prompt, to several gateways that don't report to
+ * each other what they sent. All of them rank the endpoints of a session alike
+ * (rendezvous hashing of the last shared part), so its parts are prefilled at the owner.
+ * Where the owner is busy, or has just started, the endpoint that gets the request copies
+ * the parts from the one that ranks highest of the others.
  */
 public final class PlacementRule {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * What a request tells of its prompt.
+ * What a request states of its prompt.
  *
  * @param parts its parts in order; the last one belongs to the request alone
  * @param tokensIn the tokens of the prompt
@@ -11,7 +11,7 @@
  */
 public record Prompt(List<PromptPart> parts, int tokensIn, int mostTokensOut) {
 
-	/** The prompt of a request that tells nothing of it. */
+	/** The prompt of a request that states nothing of it. */
 	public static final Prompt NONE = new Prompt(List.of(), 0, 0);
 
 	/**
@@ -23,7 +23,7 @@
 
 	/**
 	 * Returns the tokens in and out, by which a client account is charged.
-	 * @return the tokens, 0 if the request tells none
+	 * @return the tokens, 0 if the request states none
 	 */
 	public long totalTokens() {
 		return (long) this.tokensIn + this.mostTokensOut;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -25,7 +25,7 @@
 
 	/**
 	 * Gives the call up. Resets its connection, by which the endpoint learns to stop; the
-	 * listener hears nothing more.
+	 * listener is not called again.
 	 */
 	public void cancel() {
 		if (this.ended) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -91,7 +91,7 @@
 	/**
 	 * Closes the connection and drops what has not reached the other side. Closed in
 	 * order, a request that a cut holds up would arrive when the cut ends, and run
-	 * seconds after its caller was told that nobody knows.
+	 * seconds after its caller got the answer that the outcome is unknown.
 	 */
 	void reset() {
 		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -62,11 +62,11 @@
 	}
 
 	/**
-	 * Makes a call. The listener hears of it on the event loop, never during this method.
+	 * Makes a call. The listener is called on the event loop, never during this method.
 	 * @param address where to call
 	 * @param request the request, which is released once it was written
 	 * @param options how to use connections
-	 * @param listener hears of the answer
+	 * @param listener receives the answer
 	 * @return the call
 	 */
 	public ClientCall call(InetSocketAddress address, FullHttpRequest request, CallOptions options,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -417,9 +417,9 @@
 		}
 		boolean sent = this.mayHaveRun || (kind == ErrorKind.OUTCOME_UNKNOWN && this.attempts > 0);
 		if (sent) {
-			ErrorKind told = (kind == ErrorKind.OUTCOME_UNKNOWN) ? kind : ErrorKind.ENDPOINT_FAILED;
-			end(told.code(), told.status());
-			this.caller.answer(FailureAnswer.of(told, null));
+			ErrorKind reported = (kind == ErrorKind.OUTCOME_UNKNOWN) ? kind : ErrorKind.ENDPOINT_FAILED;
+			end(reported.code(), reported.status());
+			this.caller.answer(FailureAnswer.of(reported, null));
 		}
 		else {
 			reject((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, RETRY_AFTER);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -99,7 +99,7 @@
 	 * @param endpoints the endpoints
 	 * @param placement chooses among them
 	 * @param meteredBy counts what ran and what work it was
-	 * @param requestLog tells what became of requests
+	 * @param requestLog records what became of requests
 	 * @param retryLimits the fleet's retry budget
 	 */
 	public RequestFlow(EventLoop eventLoop, SteadyClock clock, InstantSource wallClock, RandomGenerator random,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
@@ -8,7 +8,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the gateway tells an endpoint beside a request.
+ * What the gateway adds to a request for the endpoint.
  *
  * @param endpoint the endpoint that is meant
  * @param remaining how long the caller still waits, or {@code null} if it didn't say
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderCodec.java
@@ -23,9 +23,9 @@
 	boolean passesOn(String name);
 
 	/**
-	 * Adds what the gateway tells an endpoint.
+	 * Adds what the gateway passes to an endpoint.
 	 * @param headers the headers to add to
-	 * @param call what to tell
+	 * @param call what to pass
 	 */
 	void writeCall(HttpHeaders headers, EndpointCall call);
 
