Group the directory when it is asked, and say once what stands twice

Cause: the directory of gateways sorted all groups after each address, so that a start with n gateways sorted n times; it now does so when groups are asked for. The exchange named the other groups and their aggregators in two ways, and the table of peers compared ages in three places and built its view in two: one method each. The empty fleet summary is no longer needed, nor is a copy of the list of readers. Not measured: the start of 95 gateways before and after.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -139,7 +139,7 @@
 		this.peerTable.ownReport(own);
 		this.reporting.values().removeIf((at) -> now - at > MEMBER_TIMEOUT.toNanos());
 		String group = this.directory.ownGroup();
-		List<String> aggregators = this.selection.choose(this.directory.members(group), now);
+		List<String> aggregators = aggregators(group, now);
 		noteAggregators(group, aggregators);
 		boolean aggregates = aggregators.contains(this.name);
 		this.peerTable.configure(aggregates, this.directory.groups(), responseTimeout());
@@ -166,15 +166,18 @@
 	}
 
 	private void sendToOtherGroups(byte[] message, long now) {
-		String group = this.directory.ownGroup();
-		this.directory.groups()
-			.stream()
-			.filter((other) -> !other.equals(group))
-			.forEach((other) -> send(aggregators(other, now), message));
+		for (String group : otherGroups()) {
+			send(withProbes(group, aggregators(group, now), now), message);
+		}
+	}
+
+	private List<String> otherGroups() {
+		String own = this.directory.ownGroup();
+		return this.directory.groups().stream().filter((group) -> !group.equals(own)).toList();
 	}
 
 	private List<String> aggregators(String group, long now) {
-		return withProbes(group, this.selection.choose(this.directory.members(group), now), now);
+		return this.selection.choose(this.directory.members(group), now);
 	}
 
 	// Adds the candidates that were passed over and whose turn it is to be asked again.
@@ -202,14 +205,10 @@
 	void relay(RelayedRecords records) {
 		byte[] message = this.codec.write(new PeerMessage.Relay(records));
 		long now = this.clock.nanos();
-		String group = this.directory.ownGroup();
-		List<String> aggregators = this.selection.choose(this.directory.members(group), now);
+		List<String> aggregators = aggregators(this.directory.ownGroup(), now);
 		send(aggregators, message);
 		if (aggregators.contains(this.name)) {
-			this.directory.groups()
-				.stream()
-				.filter((other) -> !other.equals(group))
-				.forEach((other) -> send(this.selection.choose(this.directory.members(other), now), message));
+			otherGroups().forEach((group) -> send(aggregators(group, now), message));
 		}
 		sendToReporting(message);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -40,7 +40,7 @@
 
 	private final Map<InetSocketAddress, String> names = new HashMap<>();
 
-	private Map<String, List<String>> groups = Map.of();
+	private @Nullable Map<String, List<String>> groups;
 
 	/**
 	 * Creates the directory.
@@ -72,7 +72,18 @@
 			this.names.remove(before.address(), gateway.name());
 		}
 		this.names.put(gateway.address(), gateway.name());
-		this.groups = group();
+		this.groups = null;
+	}
+
+	// A process reads all addresses at its start; sorting after each one would take time
+	// that grows with the square of the fleet.
+	private Map<String, List<String>> membersByGroup() {
+		Map<String, List<String>> known = this.groups;
+		if (known == null) {
+			known = group();
+			this.groups = known;
+		}
+		return known;
 	}
 
 	private Map<String, List<String>> group() {
@@ -102,7 +113,7 @@
 	}
 
 	Set<String> groups() {
-		return this.groups.keySet();
+		return membersByGroup().keySet();
 	}
 
 	/**
@@ -111,11 +122,11 @@
 	 * @return the names of gateways
 	 */
 	List<String> members(String group) {
-		return this.groups.getOrDefault(group, List.of());
+		return membersByGroup().getOrDefault(group, List.of());
 	}
 
 	int largestGroup() {
-		return this.groups.values().stream().mapToInt(List::size).max().orElse(1);
+		return membersByGroup().values().stream().mapToInt(List::size).max().orElse(1);
 	}
 
 	@Nullable InetSocketAddress address(String name) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -1,6 +1,5 @@
 package org.banyancove.gateway.duty;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -112,7 +111,7 @@
 	 */
 	FleetSummary summary(long incarnation, @Nullable String group, Map<Long, Map<AccountName, Long>> counts,
 			Map<AccountName, Double> used) {
-		List<Long> lowest = new ArrayList<>(this.readers.stream().limit(MAXIMUM_READERS).toList());
+		List<Long> lowest = this.readers.stream().limit(MAXIMUM_READERS).toList();
 		return new FleetSummary(incarnation, group, List.copyOf(this.presence.values()),
 				new TrafficTotals(counts, used, this.work, this.loads), this.leaseHolder, this.known, lowest);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetSummary.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetSummary.java
@@ -18,10 +18,6 @@
 public record FleetSummary(long incarnation, @Nullable String group, List<DataCenterPresence> presence,
 		TrafficTotals traffic, long leaseHolder, KnownState known, List<Long> readers) {
 
-	/** Nothing known. */
-	static final FleetSummary NONE = new FleetSummary(0, null, List.of(), TrafficTotals.NONE, 0, KnownState.NONE,
-			List.of());
-
 	/**
 	 * Creates the summary.
 	 */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
@@ -89,7 +89,7 @@
 	}
 
 	/**
-	 * Notes a report of a gateway of the same group.
+	 * Notes a report of a gateway of the same group, or in a small fleet of any other.
 	 * @param report the report
 	 * @param now when it was received
 	 * @return what was accepted elsewhere and is to be charged here, by client account
@@ -177,49 +177,45 @@
 
 	private void addMembers(FleetAggregation aggregation, long now) {
 		for (Member member : this.members.values()) {
-			long age = now - member.at();
-			aggregation.add(member.report(), age < REACHABLE_TIMEOUT.toNanos(), age < this.responseTimeout.toNanos());
+			aggregation.add(member.report(), fresh(member.at(), now), responding(member.at(), now));
 		}
 	}
 
 	private void addGroups(FleetAggregation aggregation, long now) {
-		for (SummarySource source : this.groups.values()) {
-			SummarySource.Received best = source.best(now, this.responseTimeout);
-			if (best != null) {
-				long age = now - best.at();
-				aggregation.add(best.summary(), age < REACHABLE_TIMEOUT.toNanos(),
-						age < this.responseTimeout.toNanos());
-			}
+		this.groups.values().forEach((source) -> addNewest(source, aggregation, now));
+	}
+
+	private void addNewest(SummarySource source, FleetAggregation aggregation, long now) {
+		SummarySource.Received best = source.best(now, this.responseTimeout);
+		if (best != null) {
+			aggregation.add(best.summary(), fresh(best.at(), now), responding(best.at(), now));
 		}
 	}
 
+	private static boolean fresh(long at, long now) {
+		return now - at < REACHABLE_TIMEOUT.toNanos();
+	}
+
+	private boolean responding(long at, long now) {
+		return now - at < this.responseTimeout.toNanos();
+	}
+
 	/**
 	 * Returns what is known of the others.
 	 * @param now the present time
 	 * @return the view
 	 */
 	public FleetView view(long now) {
-		return this.aggregates ? aggregatedView(now) : receivedView(now);
-	}
-
-	private FleetView aggregatedView(long now) {
-		FleetAggregation aggregation = new FleetAggregation();
-		addMembers(aggregation, now);
-		addGroups(aggregation, now);
-		return FleetView.of(aggregation.summary(this.incarnation, null, Map.of(), Map.of()), this.dataCenter,
-				this.aggregates);
-	}
-
-	private FleetView receivedView(long now) {
-		SummarySource.Received newest = this.fleet.best(now, this.responseTimeout);
-		if (newest == null) {
-			return FleetView.of(FleetSummary.NONE, this.dataCenter, false);
+		FleetAggregation others = new FleetAggregation();
+		if (this.aggregates) {
+			addMembers(others, now);
+			addGroups(others, now);
 		}
-		FleetAggregation aggregation = new FleetAggregation();
-		long age = now - newest.at();
-		aggregation.add(newest.summary(), age < REACHABLE_TIMEOUT.toNanos(), age < this.responseTimeout.toNanos());
-		aggregation.remove(this.own);
-		return FleetView.of(aggregation.summary(this.incarnation, null, Map.of(), Map.of()), this.dataCenter,
+		else {
+			addNewest(this.fleet, others, now);
+			others.remove(this.own);
+		}
+		return FleetView.of(others.summary(this.incarnation, null, Map.of(), Map.of()), this.dataCenter,
 				this.aggregates);
 	}
 
