Report the age of what a gateway knows of endpoints

Cause looked for: a gateway sent a request to an endpoint 3.144 s after the store had its notice, while it served promptly. No log line or metric told how old its view of the endpoints was, so that a view that others kept (stale readers, a lost datagram) could not be told from a gateway that stood still. Change: each reader reports when it last asked the store, summaries age it, and whoever knows the same takes it over; a metric and two log events show it. No decision depends on it.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -187,7 +187,7 @@
 		this.delegation = new ReadingDelegation(this.clock, this.incarnation);
 		this.state = new StateWatch(this.topics, this.eventLoop, this.clock, reader, this.endpoints,
 				this.delegation::ofSharedState, this::maximumRetryDelay, this.fleet::relay, this.fleet::forward,
-				this::configure, this.rollouts::ordered);
+				this::configure, this.rollouts::ordered, settings.changeDeadline());
 	}
 
 	/**
@@ -304,6 +304,7 @@
 			this.peerTable.expire(now);
 			readOthers(now);
 			this.state.compare(this.others.known(), now);
+			this.metrics.endpointsAge(this.state.endpointsAge(now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.duties.tick();
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -1,6 +1,9 @@
 package org.banyancove.gateway.daemon;
 
+import java.time.Duration;
+
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.gateway.exchange.RequestLog;
@@ -39,6 +42,8 @@
 
 	private final Histogram whole;
 
+	private final Gauge endpointsAge;
+
 	private int linesLeft = MAXIMUM_LINES;
 
 	private long dropped;
@@ -69,6 +74,14 @@
 			.classicOnly()
 			.classicUpperBounds(BUCKETS)
 			.register(registry);
+		this.endpointsAge = Gauge.builder()
+			.name("banyancove_endpoints_age_seconds")
+			.help("Since the store was last asked for what is known of endpoints")
+			.register(registry);
+	}
+
+	void endpointsAge(Duration age) {
+		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
 
 	/** Gives back a tick's part of the bound on lines. */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -25,16 +25,17 @@
  * @param stopTime from the signal to stop to being killed
  * @param exposureLimits how many requests an unproven version may get
  * @param processorShare the VM's processor share, in cores
+ * @param changeDeadline the time within which a change in the store must be in force
  */
 public record GatewaySettings(String name, DataCenterName zone, InetSocketAddress callers, InetSocketAddress readiness,
 		@Nullable InetSocketAddress metrics, InetSocketAddress peers, RetryLimits retryLimits, Duration lease,
 		Duration usageWindow, boolean reportsUsage, boolean ordersEndpoints, Duration stopTime,
-		ExposureLimits exposureLimits, double processorShare) {
+		ExposureLimits exposureLimits, double processorShare, Duration changeDeadline) {
 
 	/**
 	 * Creates the settings.
-	 * @throws IllegalArgumentException if {@code name} is blank or {@code processorShare}
-	 * is not positive
+	 * @throws IllegalArgumentException if {@code name} is blank, or
+	 * {@code processorShare} or {@code changeDeadline} is not positive
 	 */
 	public GatewaySettings {
 		if (name.isBlank()) {
@@ -43,6 +44,9 @@
 		if (!(processorShare > 0)) {
 			throw new IllegalArgumentException("processorShare must be positive: " + processorShare);
 		}
+		if (!changeDeadline.isPositive()) {
+			throw new IllegalArgumentException("changeDeadline must be positive: " + changeDeadline);
+		}
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -74,6 +75,7 @@
 		out.writeBoolean(known.reads());
 		out.writeLong(known.endpointsNext());
 		out.writeLong(known.endpointsDigest());
+		BinaryFields.writeNumber(out, known.endpointsAge().toMillis());
 		out.writeLong(known.configurationOffset());
 	}
 
@@ -133,7 +135,8 @@
 	}
 
 	private static KnownState readKnown(ByteBuf in) {
-		return new KnownState(in.readBoolean(), in.readLong(), in.readLong(), in.readLong());
+		return new KnownState(in.readBoolean(), in.readLong(), in.readLong(),
+				Duration.ofMillis(BinaryFields.readNumber(in)), in.readLong());
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -93,6 +93,8 @@
 
 	private final Predicate<RolloutOrder> ordered;
 
+	private final Duration changeDeadline;
+
 	private final TopicFollower configurationFollower;
 
 	private final TopicFollower endpointFollower;
@@ -113,6 +115,8 @@
 
 	private @Nullable Long configurationMissingSince;
 
+	private boolean outdated;
+
 	/**
 	 * Creates the watch.
 	 * @param topics the store
@@ -126,10 +130,12 @@
 	 * @param forward passes on what another gateway read and was new here
 	 * @param configured receives each configuration
 	 * @param ordered receives each order of a rollout, and returns whether it is new
+	 * @param changeDeadline the time within which a change in the store must be in force
 	 */
 	StateWatch(SharedTopics topics, EventLoop eventLoop, SteadyClock clock, RecordCodec reader, EndpointTable endpoints,
 			BooleanSupplier leftToOthers, Supplier<Duration> maximumRetryDelay, Consumer<RelayedRecords> relay,
-			Consumer<RelayedRecords> forward, Consumer<Configuration> configured, Predicate<RolloutOrder> ordered) {
+			Consumer<RelayedRecords> forward, Consumer<Configuration> configured, Predicate<RolloutOrder> ordered,
+			Duration changeDeadline) {
 		this.reader = reader;
 		this.endpoints = endpoints;
 		this.clock = clock;
@@ -138,6 +144,7 @@
 		this.forward = forward;
 		this.configured = configured;
 		this.ordered = ordered;
+		this.changeDeadline = changeDeadline;
 		this.configurationFollower = new TopicFollower(Topic.CONFIGURATION, topics, eventLoop, clock,
 				new ReadPace(() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, maximumRetryDelay), leftToOthers,
 				this::configurationChanged);
@@ -163,7 +170,18 @@
 		boolean reads = this.endpointFollower.readWithin(FRESH_ENDPOINTS)
 				&& this.configurationFollower.readWithin(FRESH_CONFIGURATION);
 		long digest = this.digests.values().stream().mapToLong(Long::longValue).sum();
-		return new KnownState(reads, this.endpointFollower.knownThrough(), digest, this.configurationOffset);
+		return new KnownState(reads, this.endpointFollower.knownThrough(), digest, endpointsAge(this.clock.nanos()),
+				this.configurationOffset);
+	}
+
+	/**
+	 * Returns the age of what is known of endpoints.
+	 * @param now the present time
+	 * @return the time since the store was last asked for it
+	 */
+	Duration endpointsAge(long now) {
+		Duration age = this.endpointFollower.age(now);
+		return (age != null) ? age : KnownState.UNKNOWN_AGE;
 	}
 
 	/**
@@ -198,6 +216,10 @@
 	 */
 	void compare(KnownState furthest, long now) {
 		KnownState own = known();
+		if (own.confirmedBy(furthest)) {
+			this.endpointFollower.confirmed(now - furthest.endpointsAge().toNanos());
+		}
+		recordAge(now);
 		boolean following = furthest.reads() && this.leftToOthers.getAsBoolean();
 		this.endpointsMissingSince = missingSince(following && own.missesEndpointsOf(furthest),
 				this.endpointsMissingSince, this.endpointFollower, now);
@@ -206,6 +228,18 @@
 				this.configurationFollower, now);
 	}
 
+	private void recordAge(long now) {
+		Duration age = endpointsAge(now);
+		boolean tooOld = complete() && age.compareTo(this.changeDeadline) > 0;
+		if (tooOld != this.outdated) {
+			this.outdated = tooOld;
+			log.atWarn()
+				.addKeyValue("ageMs", age.toMillis())
+				.addKeyValue("readByOthers", this.leftToOthers.getAsBoolean())
+				.log(tooOld ? "endpoints outdated" : "endpoints confirmed again");
+		}
+	}
+
 	private static @Nullable Long missingSince(boolean missing, @Nullable Long since, TopicFollower follower,
 			long now) {
 		if (!missing) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -55,6 +55,10 @@
 
 	private long highest = -1;
 
+	private long askedAt;
+
+	private @Nullable Long confirmedAt;
+
 	private long failedAt = Long.MIN_VALUE;
 
 	private int failures;
@@ -88,6 +92,7 @@
 			again(POLL_INTERVAL);
 			return;
 		}
+		this.askedAt = this.clock.nanos();
 		if (this.next < 0 || this.readAnew) {
 			this.readAnew = false;
 			this.listed = new HashSet<>();
@@ -107,6 +112,26 @@
 		return this.complete;
 	}
 
+	/**
+	 * Returns the age of what is known: since the store was last asked for it, by this
+	 * gateway or by another that knows the same.
+	 * @param now the present time
+	 * @return the age, or {@code null} if the topic was never read
+	 */
+	@Nullable Duration age(long now) {
+		return (this.confirmedAt != null) ? Duration.ofNanos(now - this.confirmedAt) : null;
+	}
+
+	/**
+	 * Records that what is known was all that the store had at some time.
+	 * @param at when the store was asked
+	 */
+	void confirmed(long at) {
+		if (this.confirmedAt == null || at > this.confirmedAt) {
+			this.confirmedAt = at;
+		}
+	}
+
 	/**
 	 * Returns how long ago a read failed last.
 	 * @return the time, or {@code null} if none did
@@ -178,6 +203,7 @@
 		}
 		this.next = this.listedEnd;
 		this.complete = true;
+		confirmed(this.askedAt);
 		this.listener.readThrough(this.next);
 		again(this.pace.interval().get());
 	}
@@ -197,6 +223,9 @@
 		page.records().forEach(this::take);
 		boolean more = page.next() > this.next;
 		this.next = page.next();
+		if (!more || page.more() == null) {
+			confirmed(this.askedAt);
+		}
 		this.listener.readThrough(this.next);
 		again((more && page.more() != null) ? Duration.ZERO : this.pace.interval().get());
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.duty;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,8 +40,9 @@
 	 * @param report its newest report
 	 * @param fresh whether its loads still count
 	 * @param responding whether it reported within the failure detection timeout
+	 * @param elapsed since it was received
 	 */
-	void add(GatewayReport report, boolean fresh, boolean responding) {
+	void add(GatewayReport report, boolean fresh, boolean responding, Duration elapsed) {
 		addPresence(new DataCenterPresence(report.dataCenter(), 1, fresh ? 1 : 0, responding));
 		if (fresh) {
 			addTraffic(report.traffic());
@@ -48,7 +50,7 @@
 		}
 		if (responding && report.known().reads()) {
 			this.readers.add(report.incarnation());
-			addKnown(report.known());
+			addKnown(report.known().after(elapsed));
 		}
 	}
 
@@ -57,8 +59,9 @@
 	 * @param summary its newest summary
 	 * @param fresh whether its loads still count
 	 * @param responding whether it was reported within the failure detection timeout
+	 * @param elapsed since it was received
 	 */
-	void add(FleetSummary summary, boolean fresh, boolean responding) {
+	void add(FleetSummary summary, boolean fresh, boolean responding, Duration elapsed) {
 		FleetSummary current = fresh ? summary : summary.stale();
 		for (DataCenterPresence part : current.presence()) {
 			addPresence(new DataCenterPresence(part.dataCenter(), part.gateways(), part.reachable(),
@@ -68,7 +71,7 @@
 		this.leaseHolder = (current.leaseHolder() != 0) ? current.leaseHolder() : this.leaseHolder;
 		if (responding) {
 			this.readers.addAll(current.readers());
-			addKnown(current.known());
+			addKnown(current.known().after(elapsed));
 		}
 	}
 
@@ -101,7 +104,7 @@
 	}
 
 	private void addKnown(KnownState candidate) {
-		if (candidate.reads() && (!this.known.reads() || candidate.endpointsNext() > this.known.endpointsNext())) {
+		if (candidate.reads() && (!this.known.reads() || candidate.newerThan(this.known))) {
 			this.known = candidate;
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/PeerTable.java
@@ -150,7 +150,7 @@
 	 */
 	public FleetSummary groupSummary(String group, long now) {
 		FleetAggregation aggregation = new FleetAggregation();
-		aggregation.add(this.own, true, true);
+		aggregation.add(this.own, true, true, Duration.ZERO);
 		addMembers(aggregation, now);
 		return aggregation.summary(this.incarnation, group, this.ledger.newestOfGroup(), used(this.usedByMembers));
 	}
@@ -162,7 +162,7 @@
 	 */
 	public FleetSummary fleetSummary(long now) {
 		FleetAggregation aggregation = new FleetAggregation();
-		aggregation.add(this.own, true, true);
+		aggregation.add(this.own, true, true, Duration.ZERO);
 		addMembers(aggregation, now);
 		addGroups(aggregation, now);
 		Map<AccountName, Double> used = used(this.usedByMembers);
@@ -178,7 +178,8 @@
 
 	private void addMembers(FleetAggregation aggregation, long now) {
 		for (Member member : this.members.values()) {
-			aggregation.add(member.report(), fresh(member.at(), now), responding(member.at(), now));
+			aggregation.add(member.report(), fresh(member.at(), now), responding(member.at(), now),
+					Duration.ofNanos(now - member.at()));
 		}
 	}
 
@@ -189,7 +190,8 @@
 	private void addNewest(SummarySource source, FleetAggregation aggregation, long now) {
 		SummarySource.Received best = source.best(now, this.responseTimeout);
 		if (best != null) {
-			aggregation.add(best.summary(), fresh(best.at(), now), responding(best.at(), now));
+			aggregation.add(best.summary(), fresh(best.at(), now), responding(best.at(), now),
+					Duration.ofNanos(now - best.at()));
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -322,8 +322,7 @@
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(WINDOW, Map.of(ACCOUNT, this.counted)),
 					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)), RolloutReport.NONE);
-			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false,
-					new KnownState(false, 0, 0, -1));
+			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, KnownState.NONE);
 		}
 
 		FleetView view() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -43,7 +43,7 @@
 			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
 			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE);
 
-	private static final KnownState KNOWN = new KnownState(true, 5, -9, 2);
+	private static final KnownState KNOWN = new KnownState(true, 5, -9, Duration.ofMillis(350), 2);
 
 	private final PeerMessageCodec codec = new PeerMessageCodec();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
@@ -159,7 +159,8 @@
 	}
 
 	private static GatewayReport reading(long incarnation) {
-		return new GatewayReport(incarnation, NEAR, TrafficTotals.NONE, false, new KnownState(true, 5, 5, 5));
+		return new GatewayReport(incarnation, NEAR, TrafficTotals.NONE, false,
+				new KnownState(true, 5, 5, Duration.ZERO, 5));
 	}
 
 	private static GatewayReport report(long incarnation, String dataCenter) {
@@ -185,7 +186,7 @@
 
 	private static FleetSummary fleet(long incarnation, int gateways) {
 		return new FleetSummary(incarnation, null, List.of(new DataCenterPresence(NEAR, gateways, gateways, true)),
-				loads(gateways), 0, new KnownState(true, 5, 5, 5), List.of(1L, 2L, 3L));
+				loads(gateways), 0, new KnownState(true, 5, 5, Duration.ZERO, 5), List.of(1L, 2L, 3L));
 	}
 
 	private static TrafficTotals loads(int requests) {
