--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
@@ -0,0 +1,437 @@
+package org.banyancove.gateway.daemon;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.core.error.BanyancoveException;
+import org.banyancove.core.error.ErrorKind;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.duty.FleetView;
+import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.TrafficTotals;
+import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.rollout.Rollout;
+import org.banyancove.gateway.rollout.RolloutOrder;
+import org.banyancove.gateway.shared.AppendOutcome;
+import org.banyancove.gateway.shared.RecordCodec;
+import org.banyancove.gateway.shared.SharedTopics;
+import org.banyancove.gateway.shared.Topic;
+import org.banyancove.gateway.shared.TopicPage;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that every gateway of a fleet learns in time that an endpoint is draining.
+ */
+class DrainingNoticeTests {
+
+	private static final Duration DRAIN_TIME = Duration.ofSeconds(3);
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final String DRAINING = "draining";
+
+	private static final int STEP_MILLIS = 10;
+
+	private static final int ENDPOINTS = 20;
+
+	private static final int MAXIMUM_LAG_MILLIS = 2000;
+
+	private static final int LAG_EVERY_STEPS = 25;
+
+	private final Store store = new Store();
+
+	private final List<Node> fleet = new ArrayList<>();
+
+	private final Map<InetSocketAddress, Node> byAddress = new HashMap<>();
+
+	private SplittableRandom random = new SplittableRandom(1);
+
+	private double loss;
+
+	private boolean lagging;
+
+	private long now;
+
+	@Test
+	void everyGatewayLearnsOfItWhileNothingIsWrong() {
+		start(60, 0);
+		assertThat(drain(0, (node) -> true)).isLessThan(DRAIN_TIME);
+	}
+
+	// Guards against gateways that wait for others to read the store when none of these
+	// can.
+	@Test
+	void gatewaysThatReachTheStoreLearnOfItThoughAllAggregatorsAreRejected() {
+		start(60, 0);
+		aggregators().forEach((node) -> node.rejected = true);
+		assertThat(drain(0, (node) -> !node.rejected)).isLessThan(DRAIN_TIME);
+	}
+
+	// Guards against gateways that trust readers whose reads take longer and longer.
+	@Test
+	void gatewaysLearnOfItThoughTheReadersReadFromAStoreThatAnswersThemLate() {
+		start(60, 0);
+		aggregators().forEach((node) -> node.answerMillis = 1000);
+		play(Duration.ofSeconds(2));
+		assertThat(drain(0, (node) -> node.answerMillis < 1000)).isLessThan(DRAIN_TIME);
+	}
+
+	// Guards against a notice that is lost between gateways and missed for seconds.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 4, 5 })
+	void gatewaysLearnOfItThoughDatagramsAreLost(int seed) {
+		start(60, seed);
+		this.loss = 0.1;
+		for (int endpoint = 0; endpoint < 5; endpoint++) {
+			assertThat(drain(endpoint, (node) -> true)).isLessThan(DRAIN_TIME);
+		}
+	}
+
+	// Guards against views that grow old while every VM gets more work than its processor
+	// share allows, readers included.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 4, 5 })
+	void noGatewaySendsOnAnOldViewThoughAllOfThemLag(int seed) {
+		start(60, seed);
+		this.loss = 0.02;
+		this.lagging = true;
+		play(Duration.ofSeconds(2));
+		for (int endpoint = 0; endpoint < 5; endpoint++) {
+			assertThat(drain(endpoint, (node) -> true)).isLessThan(DRAIN_TIME);
+		}
+	}
+
+	private List<Node> aggregators() {
+		return this.fleet.stream().filter((node) -> node.view.aggregates()).toList();
+	}
+
+	// Returns how long the gateways that count may have sent requests to the endpoint.
+	private Duration drain(int endpoint, Predicate<Node> counted) {
+		this.store.put(endpoint, DRAINING);
+		long at = this.now;
+		play(Duration.ofSeconds(8));
+		EndpointId id = this.store.id(endpoint);
+		long latest = this.fleet.stream()
+			.filter(counted)
+			.mapToLong((node) -> node.lastSentAt.getOrDefault(id, at))
+			.max()
+			.orElseThrow();
+		return Duration.ofNanos(latest - at);
+	}
+
+	private void start(int gateways, int seed) {
+		this.random = new SplittableRandom(seed);
+		for (int i = 0; i < ENDPOINTS; i++) {
+			this.store.put(i, "ready");
+		}
+		for (int i = 0; i < gateways; i++) {
+			Node node = new Node(i);
+			this.fleet.add(node);
+			this.byAddress.put(node.address.address(), node);
+		}
+		this.fleet.forEach(Node::introduce);
+		this.fleet.forEach((node) -> node.state.start());
+		play(Duration.ofSeconds(6));
+	}
+
+	private void play(Duration time) {
+		for (long end = this.now + time.toNanos(); this.now < end;) {
+			this.now += Duration.ofMillis(STEP_MILLIS).toNanos();
+			this.store.heartbeat();
+			this.fleet.forEach(Node::advance);
+			deliver();
+		}
+	}
+
+	private void deliver() {
+		List<Message> messages = new ArrayList<>();
+		this.fleet.forEach((node) -> {
+			messages.addAll(node.outbox);
+			node.outbox.clear();
+		});
+		for (Message message : messages) {
+			if (this.random.nextDouble() >= this.loss) {
+				Node receiver = Objects.requireNonNull(this.byAddress.get(message.to()));
+				receiver.inbox.add(message);
+			}
+		}
+	}
+
+	@SuppressWarnings("ArrayRecordComponent")
+	private record Message(InetSocketAddress from, InetSocketAddress to, byte[] content) {
+	}
+
+	/**
+	 * The newest records of all endpoints, each of which writes once in 1.2 s.
+	 */
+	private final class Store {
+
+		private static final long HEARTBEAT_NANOS = 1_200_000_000L;
+
+		private final Map<String, TopicRecord> records = new TreeMap<>();
+
+		private final Map<Integer, String> states = new HashMap<>();
+
+		private final List<TopicRecord> log = new ArrayList<>();
+
+		private long heartbeats;
+
+		EndpointId id(int endpoint) {
+			return new EndpointId("e-" + (char) ('a' + endpoint));
+		}
+
+		void put(int endpoint, String state) {
+			String key = id(endpoint).value();
+			TopicRecord entry = new TopicRecord(this.log.size(), key, state.getBytes(StandardCharsets.US_ASCII));
+			this.log.add(entry);
+			this.records.put(key, entry);
+			this.states.put(endpoint, state);
+		}
+
+		void heartbeat() {
+			while (this.heartbeats < DrainingNoticeTests.this.now / (HEARTBEAT_NANOS / ENDPOINTS)) {
+				int endpoint = (int) (this.heartbeats++ % ENDPOINTS);
+				put(endpoint, Objects.requireNonNull(this.states.get(endpoint)));
+			}
+		}
+
+		TopicPage newest() {
+			return new TopicPage(List.copyOf(this.records.values()), this.log.size(), null, false);
+		}
+
+		TopicPage changes(long from) {
+			return new TopicPage(this.log.subList((int) from, this.log.size()), this.log.size(), null, false);
+		}
+
+	}
+
+	/**
+	 * A gateway without callers and sockets.
+	 */
+	private final class Node implements PeerTransport, SharedTopics {
+
+		private static final int TICK_MILLIS = 200;
+
+		private static final int READ_TIMEOUT_MILLIS = 1200;
+
+		private final EmbeddedChannel channel = new EmbeddedChannel();
+
+		private final GatewayAddress address;
+
+		private final long incarnation;
+
+		private final PeerTable table;
+
+		private final FleetExchange exchange;
+
+		private final ReadingDelegation delegation;
+
+		private final EndpointTable endpoints = new EndpointTable();
+
+		private final StateWatch state;
+
+		private final List<Message> inbox = new ArrayList<>();
+
+		private final List<Message> outbox = new ArrayList<>();
+
+		private final Map<EndpointId, Long> lastSentAt = new HashMap<>();
+
+		private FleetView view = FleetView.ALONE;
+
+		private boolean rejected;
+
+		private int answerMillis = 5;
+
+		private long standsStillUntil;
+
+		private long reportAt;
+
+		private long tickAt;
+
+		Node(int number) {
+			DataCenterName dataCenter = new DataCenterName("dc-" + number % 3);
+			this.incarnation = 1000L + (number * 37) % 101;
+			this.address = new GatewayAddress("gateway-" + number,
+					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, (number % 4 == 0) ? 1.5 : 0.27);
+			this.table = new PeerTable(this.incarnation, dataCenter);
+			this.delegation = new ReadingDelegation(() -> DrainingNoticeTests.this.now, this.incarnation);
+			this.exchange = new FleetExchange(this.address, this.channel.eventLoop(),
+					() -> DrainingNoticeTests.this.now, this, this.table, this::report, (used) -> {
+					}, (records) -> this.state().relayed(records));
+			this.state = new StateWatch(this, this.channel.eventLoop(), () -> DrainingNoticeTests.this.now,
+					new Records(), this.endpoints, this.delegation::ofSharedState,
+					() -> Duration.ofMillis(this.view.aggregates() ? 250 : 2000), this.exchange::relay,
+					this.exchange::forward, (configuration) -> {
+					}, (order) -> false, DRAIN_TIME);
+			this.reportAt = Duration.ofMillis(DrainingNoticeTests.this.random.nextInt(400)).toNanos();
+			this.tickAt = Duration.ofMillis(DrainingNoticeTests.this.random.nextInt(TICK_MILLIS)).toNanos();
+		}
+
+		private StateWatch state() {
+			return this.state;
+		}
+
+		void introduce() {
+			for (Node other : DrainingNoticeTests.this.fleet) {
+				byte[] value = other.address.format().getBytes(StandardCharsets.UTF_8);
+				this.exchange.directory().changed(new TopicRecord(0, other.address.name(), value));
+			}
+		}
+
+		void advance() {
+			this.channel.advanceTimeBy(STEP_MILLIS, TimeUnit.MILLISECONDS);
+			if (DrainingNoticeTests.this.now < this.standsStillUntil) {
+				return;
+			}
+			if (DrainingNoticeTests.this.lagging && DrainingNoticeTests.this.random.nextInt(LAG_EVERY_STEPS) == 0) {
+				this.standsStillUntil = DrainingNoticeTests.this.now
+						+ Duration.ofMillis(DrainingNoticeTests.this.random.nextInt(MAXIMUM_LAG_MILLIS)).toNanos();
+			}
+			sendRequests(DrainingNoticeTests.this.now);
+			this.inbox.forEach((message) -> this.exchange.received(message.from(), message.content()));
+			this.inbox.clear();
+			this.channel.runScheduledPendingTasks();
+			long time = DrainingNoticeTests.this.now;
+			if (time >= this.reportAt) {
+				this.reportAt = time + this.exchange.interval().toNanos();
+				this.exchange.report(time);
+			}
+			if (time >= this.tickAt) {
+				this.tickAt = time + Duration.ofMillis(TICK_MILLIS).toNanos();
+				this.table.expire(time);
+				this.view = this.table.view(time);
+				this.delegation.update(this.view);
+				this.state.compare(this.view.known(), time);
+			}
+		}
+
+		// Callers' requests that arrived meanwhile come first, before what others
+		// reported.
+		private void sendRequests(long time) {
+			for (Endpoint endpoint : this.endpoints.all()) {
+				if (!endpoint.entry().draining() && maySend()) {
+					this.lastSentAt.put(endpoint.id(), time);
+				}
+			}
+		}
+
+		private boolean maySend() {
+			return true;
+		}
+
+		private GatewayReport report() {
+			return new GatewayReport(this.incarnation, this.address.dataCenter(), TrafficTotals.NONE, false,
+					this.state.known());
+		}
+
+		@Override
+		public CompletableFuture<TopicPage> newest(Topic topic, @Nullable String after) {
+			return answer(topic, DrainingNoticeTests.this.store.newest());
+		}
+
+		@Override
+		public CompletableFuture<TopicPage> changes(Topic topic, long from, Duration wait) {
+			return answer(topic,
+					(topic == Topic.ENDPOINTS) ? DrainingNoticeTests.this.store.changes(from) : configuration());
+		}
+
+		private CompletableFuture<TopicPage> answer(Topic topic, TopicPage page) {
+			CompletableFuture<TopicPage> future = new CompletableFuture<>();
+			if (this.rejected) {
+				future.completeExceptionally(new BanyancoveException(ErrorKind.PLATFORM_UNREACHABLE, "rejected"));
+				return future;
+			}
+			int delay = Math.min(this.answerMillis, READ_TIMEOUT_MILLIS);
+			this.channel.eventLoop()
+				.schedule(() -> future.complete((topic == Topic.ENDPOINTS) ? page : configuration()), delay,
+						TimeUnit.MILLISECONDS);
+			return future;
+		}
+
+		private static TopicPage configuration() {
+			return new TopicPage(List.of(new TopicRecord(0, "configuration", new byte[0])), 1, null, false);
+		}
+
+		@Override
+		public CompletableFuture<AppendOutcome> append(Topic topic, String key, byte[] value) {
+			throw new UnsupportedOperationException("append");
+		}
+
+		@Override
+		public CompletableFuture<AppendOutcome> appendAt(Topic topic, String key, byte[] value, long expectedEnd) {
+			throw new UnsupportedOperationException("appendAt");
+		}
+
+		@Override
+		public void write(InetSocketAddress to, byte[] message) {
+			this.outbox.add(new Message(this.address.address(), to, message));
+		}
+
+		@Override
+		public void flush() {
+			// Messages are delivered at the end of each step.
+		}
+
+	}
+
+	/**
+	 * Reads records whose value is the endpoint's state.
+	 */
+	private static final class Records implements RecordCodec {
+
+		@Override
+		public Configuration readConfiguration(byte[] value) {
+			return new Configuration(1, List.of(), List.of(), List.of(), CallerLimits.DEFAULT);
+		}
+
+		@Override
+		public boolean isConfiguration(String key) {
+			return true;
+		}
+
+		@Override
+		public @Nullable RolloutOrder readRollout(String key, byte[] value, long offset) {
+			return null;
+		}
+
+		@Override
+		public StatusRecord writeStatus(Rollout rollout) {
+			throw new UnsupportedOperationException("writeStatus");
+		}
+
+		@Override
+		public EndpointEntry readEndpoint(EndpointId id, byte[] value) {
+			boolean draining = new String(value, StandardCharsets.US_ASCII).equals(DRAINING);
+			return new EndpointEntry(id, SERVICE, "v1", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+					new DataCenterName("dc-0"), 10, draining, false, 1);
+		}
+
+	}
+
+}
