Send no request on an outdated view of the endpoints

What callers saw: requests reached an endpoint more than its drain time after the store had the notice; it may stop then, and what cannot be repeated is lost. Cause: gateways rely on others to read the store (stale delegated view) and did not look at how old their own view was. Change: at 0.7 of the time within which a change must be in force a gateway reads the store itself; at 0.85 it sends nothing until the store has answered, unless the store failed twice or left a read unanswered for three ticks. The rest of the time is for the way to the endpoint. Why it works: the age counts from when the store was asked, wherever the time went since.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -168,7 +168,8 @@
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.placement = new PlacementRule(settings.zone());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, headerCodec, connections,
-				this.serving, this.placement, new Meters(this.usage, this.work), this.metrics, settings.retryLimits());
+				this.serving, this::endpointsCurrent, this.placement, new Meters(this.usage, this.work), this.metrics,
+				settings.retryLimits());
 		this.callers = new CallerServer(eventLoops, this.clock, this::limits, this.flow);
 		this.peerTable = new PeerTable(this.incarnation, settings.zone());
 		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.zone(),
@@ -241,6 +242,10 @@
 		return this.others.aggregates() ? AGGREGATOR_RETRY_DELAY : MAXIMUM_RETRY_DELAY;
 	}
 
+	private boolean endpointsCurrent() {
+		return this.state.endpointsCurrent(this.clock.nanos());
+	}
+
 	private CallerLimits limits() {
 		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -66,6 +66,24 @@
 	 */
 	private static final Duration MISSING_TIMEOUT = Duration.ofMillis(300);
 
+	/**
+	 * Of the time within which a change must be in force, the age of what is known after
+	 * which a gateway no longer relies on others to read.
+	 */
+	private static final double SHARE_TO_RELY = 0.7;
+
+	/**
+	 * Of that time, the age after which no request is sent until the store was read; the
+	 * rest is left for the way to the endpoint.
+	 */
+	private static final double SHARE_TO_SEND = 0.85;
+
+	/** Ticks without an answer after which the store counts as unavailable. */
+	private static final int UNANSWERED_TICKS = 3;
+
+	/** Failed reads in a row after which it does. */
+	private static final int FAILED_READS = 2;
+
 	/**
 	 * Records in one datagram; compressed, they take a part of the most that it holds.
 	 */
@@ -117,6 +135,8 @@
 
 	private boolean outdated;
 
+	private int unansweredTicks;
+
 	/**
 	 * Creates the watch.
 	 * @param topics the store
@@ -139,17 +159,17 @@
 		this.reader = reader;
 		this.endpoints = endpoints;
 		this.clock = clock;
-		this.leftToOthers = leftToOthers;
+		this.leftToOthers = () -> leftToOthers.getAsBoolean() && !olderThan(SHARE_TO_RELY, clock.nanos());
 		this.relay = relay;
 		this.forward = forward;
 		this.configured = configured;
 		this.ordered = ordered;
 		this.changeDeadline = changeDeadline;
 		this.configurationFollower = new TopicFollower(Topic.CONFIGURATION, topics, eventLoop, clock,
-				new ReadPace(() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, maximumRetryDelay), leftToOthers,
+				new ReadPace(() -> CONFIGURATION_INTERVAL, CONFIGURATION_WAIT, maximumRetryDelay), this.leftToOthers,
 				this::configurationChanged);
 		this.endpointFollower = new TopicFollower(Topic.ENDPOINTS, topics, eventLoop, clock,
-				new ReadPace(() -> ENDPOINTS_INTERVAL, Duration.ZERO, maximumRetryDelay), leftToOthers,
+				new ReadPace(() -> ENDPOINTS_INTERVAL, Duration.ZERO, maximumRetryDelay), this.leftToOthers,
 				new EndpointListener());
 	}
 
@@ -219,6 +239,7 @@
 		if (own.confirmedBy(furthest)) {
 			this.endpointFollower.confirmed(now - furthest.endpointsAge().toNanos());
 		}
+		countUnansweredTicks();
 		recordAge(now);
 		boolean following = furthest.reads() && this.leftToOthers.getAsBoolean();
 		this.endpointsMissingSince = missingSince(following && own.missesEndpointsOf(furthest),
@@ -228,6 +249,47 @@
 				this.configurationFollower, now);
 	}
 
+	private boolean olderThan(double shareOfDeadline, long now) {
+		return endpointsAge(now).toNanos() > this.changeDeadline.toNanos() * shareOfDeadline;
+	}
+
+	/**
+	 * Returns whether the endpoints are known recently enough to send them requests, and
+	 * if not, reads them.
+	 * <p>
+	 * A gateway that stood still, or that others stopped reading for, would send to an
+	 * endpoint that has left. While the store is unavailable there is nothing newer to
+	 * wait for.
+	 * @param now the present time
+	 * @return whether requests may be sent
+	 */
+	boolean endpointsCurrent(long now) {
+		if (!complete() || !olderThan(SHARE_TO_SEND, now)) {
+			return true;
+		}
+		if (storeUnavailable()) {
+			return true;
+		}
+		this.endpointFollower.refresh();
+		return false;
+	}
+
+	// One failed read is not enough: it may have timed out while this gateway stood
+	// still.
+	private boolean storeUnavailable() {
+		return this.endpointFollower.failuresSinceConfirmed() >= FAILED_READS
+				|| this.unansweredTicks >= UNANSWERED_TICKS;
+	}
+
+	private void countUnansweredTicks() {
+		if (this.endpointFollower.reading()) {
+			this.unansweredTicks++;
+		}
+		else if (this.endpointFollower.failuresSinceConfirmed() == 0) {
+			this.unansweredTicks = 0;
+		}
+	}
+
 	private void recordAge(long now) {
 		Duration age = endpointsAge(now);
 		boolean tooOld = complete() && age.compareTo(this.changeDeadline) > 0;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -69,6 +70,10 @@
 
 	private boolean readAnew;
 
+	private boolean reading;
+
+	private @Nullable ScheduledFuture<?> nextStart;
+
 	private Set<String> listed = new HashSet<>();
 
 	private long listedEnd;
@@ -93,6 +98,7 @@
 			return;
 		}
 		this.askedAt = this.clock.nanos();
+		this.reading = true;
 		if (this.next < 0 || this.readAnew) {
 			this.readAnew = false;
 			this.listed = new HashSet<>();
@@ -155,6 +161,34 @@
 		this.readAnew = true;
 	}
 
+	/** Reads the store now, unless a read is in progress. */
+	void refresh() {
+		if (this.reading || !this.complete) {
+			return;
+		}
+		if (this.nextStart != null) {
+			this.nextStart.cancel(false);
+		}
+		this.readAnew = this.next < 0 || this.leftToOthers.getAsBoolean();
+		start();
+	}
+
+	/**
+	 * Returns whether a read is in progress.
+	 * @return whether it is
+	 */
+	boolean reading() {
+		return this.reading;
+	}
+
+	/**
+	 * Returns the reads in a row that have failed since what is known was confirmed.
+	 * @return the number
+	 */
+	int failuresSinceConfirmed() {
+		return (this.confirmedAt == null || this.failedAt > this.confirmedAt) ? this.failures : 0;
+	}
+
 	/**
 	 * Returns whether it reads the store and did so of late.
 	 * @param within how late
@@ -261,7 +295,8 @@
 	}
 
 	private void again(Duration delay) {
-		this.eventLoop.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
+		this.reading = false;
+		this.nextStart = this.eventLoop.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -45,6 +45,9 @@
 	/** How often a request looks again while there is no endpoint. */
 	private static final Duration POLL_INTERVAL = Duration.ofMillis(40);
 
+	/** How often a request looks whether the endpoints have been read again. */
+	private static final Duration REFRESH_POLL_INTERVAL = Duration.ofMillis(10);
+
 	/**
 	 * From an answer's deadline to giving it up: an endpoint's last word is on its way.
 	 */
@@ -133,6 +136,10 @@
 		if (this.ended) {
 			return;
 		}
+		if (!this.flow.endpointsCurrent()) {
+			this.waitTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
+			return;
+		}
 		Placement placement = this.flow.placement().choose(eligible(), prompt(), this.tried, now());
 		if (placement == null) {
 			waitForEndpoint();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestFlow.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -60,6 +61,8 @@
 
 	private final ServingEndpoints endpoints;
 
+	private final BooleanSupplier endpointsCurrent;
+
 	private final PlacementRule placement;
 
 	private final Meters meteredBy;
@@ -97,14 +100,16 @@
 	 * @param headerCodec reads and writes headers
 	 * @param connections the connections to endpoints
 	 * @param endpoints the endpoints
+	 * @param endpointsCurrent whether they are known recently enough
 	 * @param placement chooses among them
 	 * @param meteredBy counts what ran and what work it was
 	 * @param requestLog records what became of requests
 	 * @param retryLimits the fleet's retry budget
 	 */
 	public RequestFlow(EventLoop eventLoop, SteadyClock clock, InstantSource wallClock, RandomGenerator random,
-			HeaderCodec headerCodec, ClientConnections connections, ServingEndpoints endpoints, PlacementRule placement,
-			Meters meteredBy, RequestLog requestLog, RetryLimits retryLimits) {
+			HeaderCodec headerCodec, ClientConnections connections, ServingEndpoints endpoints,
+			BooleanSupplier endpointsCurrent, PlacementRule placement, Meters meteredBy, RequestLog requestLog,
+			RetryLimits retryLimits) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -112,6 +117,7 @@
 		this.headerCodec = headerCodec;
 		this.connections = connections;
 		this.endpoints = endpoints;
+		this.endpointsCurrent = endpointsCurrent;
 		this.placement = placement;
 		this.meteredBy = meteredBy;
 		this.requestLog = requestLog;
@@ -329,6 +335,10 @@
 		return this.connections;
 	}
 
+	boolean endpointsCurrent() {
+		return this.endpointsCurrent.getAsBoolean();
+	}
+
 	ServingEndpoints endpoints() {
 		return this.endpoints;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
@@ -342,7 +342,7 @@
 		}
 
 		private boolean maySend() {
-			return true;
+			return this.state.endpointsCurrent(DrainingNoticeTests.this.now);
 		}
 
 		private GatewayReport report() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
@@ -127,6 +127,19 @@
 		assertThat(this.heard).contains("a=3");
 	}
 
+	// Guards against a gateway that stood still and waits for its next turn to read.
+	@Test
+	void refreshesAtOnceThoughReadingIsLeftToOthers() {
+		this.topics.newest.add(page(1, entry(0, "a", "1")));
+		this.leftToOthers = true;
+		play(1);
+		this.topics.newest.add(page(9, entry(8, "a", "2")));
+		this.follower.refresh();
+		assertThat(this.heard).containsExactly("a=1", "a=2");
+		advance(1);
+		assertThat(this.topics.newest).isEmpty();
+	}
+
 	// Guards against an outage in which a fleet spends its calls on reads that fail: at
 	// 95
 	// gateways, hundreds a second.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -70,6 +70,8 @@
 
 	private final RolloutTable rollouts = new RolloutTable();
 
+	private volatile boolean endpointsCurrent = true;
+
 	private final RequestFlow flow = newFlow();
 
 	private final CallerServer callers = newServer(this.flow);
@@ -81,8 +83,9 @@
 	private RequestFlow newFlow() {
 		return new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
 				new TestWords(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
-				new PlacementRule(ZONE), new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()),
-				new SilentLog(), new RetryLimits(1, 100));
+				() -> this.endpointsCurrent, new PlacementRule(ZONE),
+				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new SilentLog(),
+				new RetryLimits(1, 100));
 	}
 
 	private CallerServer newServer(RequestFlow served) {
@@ -140,6 +143,20 @@
 			.endsWith("\r\n\r\nbody");
 	}
 
+	// Guards against requests at endpoints that left while the gateway stood still.
+	@Test
+	void aRequestWaitsUntilTheEndpointsAreCurrent() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").thenAnswer(WHOLE);
+		this.endpointsCurrent = false;
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "", ""));
+			TimeUnit.MILLISECONDS.sleep(200);
+			assertThat(endpoint.waitingRequests()).isZero();
+			this.endpointsCurrent = true;
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+	}
+
 	// The endpoint answers twice. The second answer lies in the kept connection when the
 	// next request is sent there. Its caller must get the answer that bears its own
 	// identifier.
