Log the rate limit that an endpoint names

Cause looked for: endpoints that name a limit get more. Nothing told whether gateways read the limit at all. Change: the header is read, and a log event shows each change of it at each gateway. No decision depends on it.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -6,7 +6,9 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.banyancove.core.EndpointId;
 import org.banyancove.gateway.exchange.RequestLog;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -156,4 +158,12 @@
 		}
 	}
 
+	@Override
+	public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
+		log.atInfo()
+			.addKeyValue("endpoint", endpoint)
+			.addKeyValue("requestsPerSecond", requestsPerSecond)
+			.log("endpoint rate limit changed");
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -99,6 +99,8 @@
 
 	private long pausedUntil = Long.MIN_VALUE;
 
+	private @Nullable Double rateLimit;
+
 	private @Nullable Long goneAt;
 
 	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefill) {
@@ -153,6 +155,7 @@
 			this.failuresInRow = 0;
 			this.failureRate = 0;
 			this.pausedUntil = Long.MIN_VALUE;
+			this.rateLimit = null;
 		}
 		this.entry = newer;
 		this.goneAt = null;
@@ -245,6 +248,18 @@
 		this.reportedAt = now;
 	}
 
+	/**
+	 * Records the rate limit that the endpoint names in an answer.
+	 * @param requestsPerSecond the requests a second that it accepts from all gateways
+	 * together, or {@code null} if it names no limit
+	 * @return whether the limit has changed
+	 */
+	public boolean rateLimited(@Nullable Double requestsPerSecond) {
+		boolean changed = !Objects.equals(requestsPerSecond, this.rateLimit);
+		this.rateLimit = requestsPerSecond;
+		return changed;
+	}
+
 	/**
 	 * Learns from the time to a first token.
 	 * @param elapsed from sending to the token
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -152,6 +152,10 @@
 		if (headers.load() != null) {
 			this.endpoint.reported(headers.load(), this.exchange.now());
 		}
+		// Bytes that are no answer of the endpoint don't tell that a limit has ended.
+		if (headers.sealed() || headers.notRun()) {
+			this.exchange.rateLimited(this.endpoint, headers.rateLimit());
+		}
 		return true;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -218,6 +218,12 @@
 		return Math.clamp((ofAccount != null) ? ofAccount : this.route.priority(), 0, 9);
 	}
 
+	void rateLimited(Endpoint endpoint, @Nullable Double requestsPerSecond) {
+		if (endpoint.rateLimited(requestsPerSecond)) {
+			this.flow.requestLog().rateLimitChanged(endpoint.id(), requestsPerSecond);
+		}
+	}
+
 	boolean streams(Attempt from) {
 		return this.route.kind() == RouteKind.STREAMING && from.responseHeaders().sealed()
 				&& from.answerHead().status().equals(HttpResponseStatus.OK);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,13 @@
 	 */
 	void ended(RequestFacts facts);
 
+	/**
+	 * Tells that an endpoint named another rate limit than before.
+	 * @param endpoint the endpoint
+	 * @param requestsPerSecond the limit, or {@code null} if it has ended
+	 */
+	void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond);
+
 	/**
 	 * A refusal.
 	 *
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -521,6 +521,10 @@
 		public void ended(RequestFacts facts) {
 		}
 
+		@Override
+		public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
+		}
+
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestWords.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestWords.java
@@ -37,7 +37,8 @@
 
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
-		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null);
+		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
+				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null);
 	}
 
 }
