--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -0,0 +1,258 @@
+package org.banyancove.gateway.daemon;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.duty.KnownState;
+import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.duty.TrafficTotals;
+import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.Placement;
+import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.shared.TopicRecord;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that a fleet keeps the rate limit that an endpoint names to some of its gateways.
+ */
+class EndpointRateLimitTests {
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final EndpointId LIMITED = new EndpointId("limited");
+
+	private static final EndpointId OTHER = new EndpointId("other");
+
+	private static final Duration STEP = Duration.ofMillis(10);
+
+	private static final Duration ANSWER_TIME = Duration.ofMillis(60);
+
+	/** Time from which the limit binds after an endpoint first named it. */
+	private static final Duration CONTACT = Duration.ofSeconds(3);
+
+	private static final Duration WINDOW = Duration.ofSeconds(4);
+
+	private static final double MAXIMUM_OVERSHOOT = 1.5;
+
+	private static final int SLACK = 5;
+
+	private final List<Node> fleet = new ArrayList<>();
+
+	private final Map<InetSocketAddress, Node> byAddress = new HashMap<>();
+
+	private final List<Long> arrivals = new ArrayList<>();
+
+	private final SplittableRandom random = new SplittableRandom(7);
+
+	private @Nullable Double limit;
+
+	private long now;
+
+	// Guards against an endpoint that gets its limit from each gateway, or regardless of
+	// it.
+	@ParameterizedTest
+	@CsvSource({ "9, 1, 30", "9, 1.4, 30", "9, 0.3, 30", "9, 12, 60", "60, 1, 300", "60, 5, 300", "60, 40, 300" })
+	void anEndpointGetsNoMoreThanItsLimitFromAllGatewaysTogether(int gateways, double requestsPerSecond,
+			int requestsOfTheFleet) {
+		start(gateways);
+		this.limit = requestsPerSecond;
+		play(Duration.ofSeconds(2), requestsOfTheFleet);
+		play(CONTACT, requestsOfTheFleet);
+		this.arrivals.clear();
+		play(Duration.ofSeconds(30), requestsOfTheFleet);
+		assertThat(most(WINDOW))
+			.isLessThanOrEqualTo((int) (MAXIMUM_OVERSHOOT * requestsPerSecond * WINDOW.toSeconds() + SLACK));
+		assertThat(this.arrivals.size()).as("use of the limit").isGreaterThan((int) (requestsPerSecond * 30 * 0.4));
+	}
+
+	// Guards against an endpoint that is avoided for good after its need has ended.
+	@Test
+	void anEndpointGetsItsShareAgainWhenItNamesNoLimitAnyMore() {
+		start(9);
+		this.limit = 1.0;
+		play(Duration.ofSeconds(10), 30);
+		this.limit = null;
+		play(Duration.ofSeconds(8), 30);
+		this.arrivals.clear();
+		play(Duration.ofSeconds(10), 30);
+		assertThat(this.arrivals.size()).isGreaterThan(100);
+	}
+
+	private int most(Duration window) {
+		int most = 0;
+		Deque<Long> inWindow = new ArrayDeque<>();
+		for (long at : this.arrivals) {
+			inWindow.add(at);
+			while (at - inWindow.getFirst() >= window.toNanos()) {
+				inWindow.removeFirst();
+			}
+			most = Math.max(most, inWindow.size());
+		}
+		return most;
+	}
+
+	private void start(int gateways) {
+		for (int i = 0; i < gateways; i++) {
+			Node node = new Node(i);
+			this.fleet.add(node);
+			this.byAddress.put(node.address.address(), node);
+		}
+		this.fleet.forEach(Node::introduce);
+		play(Duration.ofSeconds(3), 0);
+	}
+
+	private void play(Duration time, int requestsPerSecond) {
+		double perStep = requestsPerSecond * STEP.toNanos() / 1e9;
+		for (long end = this.now + time.toNanos(); this.now < end; this.now += STEP.toNanos()) {
+			for (double due = perStep; this.random.nextDouble() < due; due -= 1) {
+				this.fleet.get(this.random.nextInt(this.fleet.size())).request();
+			}
+			this.fleet.forEach(Node::advance);
+			deliver();
+		}
+	}
+
+	private void deliver() {
+		List<Message> messages = new ArrayList<>();
+		this.fleet.forEach((node) -> {
+			messages.addAll(node.outbox);
+			node.outbox.clear();
+		});
+		messages.forEach((message) -> Objects.requireNonNull(this.byAddress.get(message.to())).exchange
+			.received(message.from(), message.content()));
+	}
+
+	@SuppressWarnings("ArrayRecordComponent")
+	private record Message(InetSocketAddress from, InetSocketAddress to, byte[] content) {
+	}
+
+	private record Running(Endpoint endpoint, long until) {
+	}
+
+	/**
+	 * A gateway without callers and sockets.
+	 */
+	private final class Node implements PeerTransport {
+
+		private final GatewayAddress address;
+
+		private final long incarnation;
+
+		private final PeerTable table;
+
+		private final FleetExchange exchange;
+
+		private final EndpointTable endpoints = new EndpointTable();
+
+		private final PlacementRule placement;
+
+		private final List<Message> outbox = new ArrayList<>();
+
+		private final Deque<Running> running = new ArrayDeque<>();
+
+		private long reportAt;
+
+		private long tickAt;
+
+		Node(int number) {
+			DataCenterName dataCenter = new DataCenterName("dc-" + number % 3);
+			this.incarnation = 1000L + number;
+			this.address = new GatewayAddress("gateway-" + number,
+					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, 1);
+			this.table = new PeerTable(this.incarnation, dataCenter);
+			this.placement = new PlacementRule(dataCenter);
+			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
+					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
+					}, (records) -> {
+					});
+			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
+			this.endpoints.put(entry(LIMITED, dataCenter));
+			this.endpoints.put(entry(OTHER, dataCenter));
+		}
+
+		private static EndpointEntry entry(EndpointId id, DataCenterName dataCenter) {
+			return new EndpointEntry(id, SERVICE, "v1", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+					dataCenter, 100, false, false, 1);
+		}
+
+		void introduce() {
+			for (Node other : EndpointRateLimitTests.this.fleet) {
+				byte[] value = other.address.format().getBytes(StandardCharsets.UTF_8);
+				this.exchange.directory().changed(new TopicRecord(0, other.address.name(), value));
+			}
+		}
+
+		void request() {
+			long time = EndpointRateLimitTests.this.now;
+			Placement placed = this.placement.choose(this.endpoints.listed(SERVICE), Prompt.NONE, Set.of(), time);
+			if (placed == null) {
+				return;
+			}
+			placed.endpoint().sent(Prompt.NONE, 0);
+			this.running.add(new Running(placed.endpoint(), time + ANSWER_TIME.toNanos()));
+			if (placed.endpoint().id().equals(LIMITED)) {
+				EndpointRateLimitTests.this.arrivals.add(time);
+			}
+		}
+
+		void advance() {
+			long time = EndpointRateLimitTests.this.now;
+			while (!this.running.isEmpty() && this.running.getFirst().until() <= time) {
+				Endpoint endpoint = this.running.removeFirst().endpoint();
+				endpoint.left();
+				endpoint.answered(true, time);
+				boolean limited = endpoint.id().equals(LIMITED);
+				endpoint.rateLimited(limited ? EndpointRateLimitTests.this.limit : null);
+			}
+			if (time >= this.reportAt) {
+				this.reportAt = time + this.exchange.interval().toNanos();
+				this.exchange.report(time);
+			}
+			if (time >= this.tickAt) {
+				this.tickAt = time + Duration.ofMillis(200).toNanos();
+				this.table.expire(time);
+			}
+		}
+
+		private GatewayReport report() {
+			return new GatewayReport(this.incarnation, this.address.dataCenter(), TrafficTotals.NONE, false,
+					KnownState.NONE);
+		}
+
+		@Override
+		public void write(InetSocketAddress to, byte[] message) {
+			this.outbox.add(new Message(this.address.address(), to, message));
+		}
+
+		@Override
+		public void flush() {
+			// Messages are delivered at the end of each step.
+		}
+
+	}
+
+}
