Keep the rate limits that endpoints name, over all gateways together

What happened: an endpoint that named 1 request a second got 12 to 17 in four seconds (allowed 11). Cause: no gateway read the limit (a signal of an overloaded endpoint that is passed on instead of obeyed). Ruled out: a limit kept by each gateway for itself (one of them sent eight in two seconds), and one learned too late. Change: a limit is allotted to two gateways and one more for each request a second, ranked alike by rendezvous hashing; each keeps its share by a token bucket that starts empty. Observations travel in the gateways' reports, the newest counts, its end too; without an answer for ten seconds other gateways get the share. What no endpoint accepts is rejected at once with the time to retry. Why it works: with s = 2 + limit senders of one token each, a window of four seconds holds at most s + 4 limit, below 6 limit + 5. Weighed: a share for each gateway (in a fleet of 87 each bucket of one token exceeds the limit at once), the whole limit at each less what others report (exceeded within the time of a report).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -86,6 +86,15 @@
 		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
 	}
 
+	/**
+	 * Returns how long a caller is to stay away whose request no endpoint accepts yet.
+	 * @param untilAccepted the time until one does
+	 * @return the time, within the bounds of Retry-After
+	 */
+	public Duration retryAfter(Duration untilAccepted) {
+		return clamp(untilAccepted, MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
+	}
+
 	/**
 	 * Returns how long a request may wait for an endpoint while there is none.
 	 * @param route its route
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -106,6 +107,14 @@
 		return this.directory;
 	}
 
+	/**
+	 * Returns the names of all gateways of the fleet.
+	 * @return the names, this gateway's included
+	 */
+	Collection<String> gateways() {
+		return this.directory.names();
+	}
+
 	/** Reports now, and from now on at each interval. */
 	void start() {
 		try {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -25,7 +25,9 @@
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ClientConnections;
 import org.banyancove.gateway.exchange.Meters;
@@ -100,11 +102,13 @@
 
 	private final long incarnation;
 
-	private final EndpointTable endpoints = new EndpointTable();
+	private final RateLimitAllotment rateLimitAllotment;
+
+	private final EndpointTable endpoints;
 
 	private final RolloutTable rollouts = new RolloutTable();
 
-	private final ServingEndpoints serving = new ServingEndpoints(this.endpoints, this.rollouts);
+	private final ServingEndpoints serving;
 
 	private final PeerTable peerTable;
 
@@ -166,6 +170,9 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.lag = new EventLoopLag(TICK, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
+		this.rateLimitAllotment = new RateLimitAllotment(settings.name());
+		this.endpoints = new EndpointTable(this.rateLimitAllotment);
+		this.serving = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placement = new PlacementRule(settings.zone());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, headerCodec, connections,
 				this.serving, this::endpointsCurrent, this.placement, new Meters(this.usage, this.work), this.metrics,
@@ -271,7 +278,8 @@
 
 	private GatewayReport report() {
 		TrafficTotals traffic = new TrafficTotals(this.usage.counts(), this.flow.used(),
-				this.work.perService(this.clock.nanos()), loads(), this.rollouts.report());
+				this.work.perService(this.clock.nanos()), loads(), this.rollouts.report(),
+				rateLimits(this.clock.nanos()));
 		return new GatewayReport(this.incarnation, this.settings.zone(), traffic, this.duties.holds(),
 				this.state.known());
 	}
@@ -286,11 +294,35 @@
 		return loads;
 	}
 
+	private Map<EndpointId, ObservedRateLimit> rateLimits(long now) {
+		Map<EndpointId, ObservedRateLimit> limits = new HashMap<>();
+		for (Endpoint endpoint : this.endpoints.all()) {
+			ObservedRateLimit observed = endpoint.rateLimiter().observed(now);
+			if (observed != null) {
+				limits.put(endpoint.id(), observed);
+			}
+		}
+		return limits;
+	}
+
+	private void readRateLimits(long now) {
+		this.rateLimitAllotment.gateways(this.fleet.gateways());
+		this.others.rateLimits().forEach((id, limit) -> {
+			Endpoint endpoint = this.endpoints.get(id);
+			Double requestsPerSecond = limit.requestsPerSecond();
+			if (endpoint != null
+					&& endpoint.rateLimiter().observe(requestsPerSecond, now - limit.age().toNanos(), now)) {
+				this.metrics.rateLimitChanged(id, requestsPerSecond);
+			}
+		});
+	}
+
 	private void readOthers(long now) {
 		this.others = this.peerTable.view(now);
 		this.delegation.update(this.others);
 		this.flow.fleet(this.others.others() + 1, this.others.reachableShare());
 		this.placement.unreachable(this.others.unreachableDataCenters());
+		readRateLimits(now);
 		this.rollouts.decided(this.others.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.serving.noteVersions(this.configuration.serviceNames());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -125,6 +125,10 @@
 		return membersByGroup().getOrDefault(group, List.of());
 	}
 
+	Set<String> names() {
+		return this.gateways.keySet();
+	}
+
 	int largestGroup() {
 		return membersByGroup().values().stream().mapToInt(List::size).max().orElse(1);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.TrafficTotals;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 
 /**
  * Writes and reads traffic totals in binary form. Names of client accounts stand once,
@@ -42,6 +44,18 @@
 		});
 		writeLoads(out, traffic.loads());
 		RolloutReportCodec.write(out, traffic.rollouts());
+		writeRateLimits(out, traffic.rateLimits());
+	}
+
+	private static void writeRateLimits(ByteBuf out, Map<EndpointId, ObservedRateLimit> limits) {
+		BinaryFields.writeNumber(out, limits.size());
+		limits.forEach((endpoint, limit) -> {
+			BinaryFields.writeText(out, endpoint.value());
+			Double requestsPerSecond = limit.requestsPerSecond();
+			out.writeBoolean(requestsPerSecond != null);
+			out.writeDouble((requestsPerSecond != null) ? requestsPerSecond : 0);
+			BinaryFields.writeNumber(out, limit.age().toMillis());
+		});
 	}
 
 	private static void writeLoads(ByteBuf out, Map<EndpointId, EndpointLoad> loads) {
@@ -75,7 +89,19 @@
 		for (int left = BinaryFields.readCount(in); left > 0; left--) {
 			work.put(new ServiceName(BinaryFields.readText(in)), (double) BinaryFields.readNumber(in));
 		}
-		return new TrafficTotals(counts, used, work, readLoads(in), RolloutReportCodec.read(in));
+		return new TrafficTotals(counts, used, work, readLoads(in), RolloutReportCodec.read(in), readRateLimits(in));
+	}
+
+	private static Map<EndpointId, ObservedRateLimit> readRateLimits(ByteBuf in) {
+		Map<EndpointId, ObservedRateLimit> limits = new HashMap<>();
+		for (int left = BinaryFields.readCount(in); left > 0; left--) {
+			EndpointId endpoint = new EndpointId(BinaryFields.readText(in));
+			boolean limited = in.readBoolean();
+			double requestsPerSecond = in.readDouble();
+			limits.put(endpoint, new ObservedRateLimit(limited ? requestsPerSecond : null,
+					Duration.ofMillis(BinaryFields.readNumber(in))));
+		}
+		return limits;
 	}
 
 	private static Map<EndpointId, EndpointLoad> readLoads(ByteBuf in) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -10,6 +10,7 @@
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,8 @@
 
 	private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
 
+	private final Map<EndpointId, ObservedRateLimit> rateLimits = new HashMap<>();
+
 	private final TreeSet<Long> readers = new TreeSet<>();
 
 	private RolloutReport rollouts = RolloutReport.NONE;
@@ -45,7 +48,7 @@
 	void add(GatewayReport report, boolean fresh, boolean responding, Duration elapsed) {
 		addPresence(new DataCenterPresence(report.dataCenter(), 1, fresh ? 1 : 0, responding));
 		if (fresh) {
-			addTraffic(report.traffic());
+			addTraffic(report.traffic(), elapsed);
 			this.leaseHolder = report.holdsLease() ? report.incarnation() : this.leaseHolder;
 		}
 		if (responding && report.known().reads()) {
@@ -67,7 +70,7 @@
 			addPresence(new DataCenterPresence(part.dataCenter(), part.gateways(), part.reachable(),
 					part.responding() && responding));
 		}
-		addTraffic(current.traffic());
+		addTraffic(current.traffic(), elapsed);
 		this.leaseHolder = (current.leaseHolder() != 0) ? current.leaseHolder() : this.leaseHolder;
 		if (responding) {
 			this.readers.addAll(current.readers());
@@ -97,10 +100,13 @@
 		this.presence.merge(part.dataCenter(), part, DataCenterPresence::plus);
 	}
 
-	private void addTraffic(TrafficTotals traffic) {
+	private void addTraffic(TrafficTotals traffic, Duration elapsed) {
 		traffic.work().forEach((service, millis) -> this.work.merge(service, millis, Double::sum));
 		traffic.loads().forEach((endpoint, load) -> this.loads.merge(endpoint, load, EndpointLoad::plus));
 		this.rollouts = this.rollouts.plus(traffic.rollouts());
+		traffic.rateLimits()
+			.forEach((endpoint, limit) -> this.rateLimits.merge(endpoint, limit.after(elapsed),
+					ObservedRateLimit::newerOf));
 	}
 
 	private void addKnown(KnownState candidate) {
@@ -121,8 +127,8 @@
 			Map<AccountName, Double> used) {
 		List<Long> lowest = this.readers.stream().limit(MAXIMUM_READERS).toList();
 		return new FleetSummary(incarnation, group, List.copyOf(this.presence.values()),
-				new TrafficTotals(counts, used, this.work, this.loads, this.rollouts), this.leaseHolder, this.known,
-				lowest);
+				new TrafficTotals(counts, used, this.work, this.loads, this.rollouts, this.rateLimits),
+				this.leaseHolder, this.known, lowest);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -8,6 +8,7 @@
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.rollout.RolloutReport;
 
 /**
@@ -19,18 +20,20 @@
  * @param loads what the others have at endpoints
  * @param work the engine time that the others' requests need, in ms a second, by service
  * @param rollouts what the others report of rollouts
+ * @param rateLimits the newest rate limits that endpoints named to any gateway
  * @param leaseHeld whether another gateway does the shared duties
  * @param known what the reader knows whose state is most recent
  * @param readers the processes that read the store, the lowest first
  * @param aggregates whether the gateway itself is an aggregator of its group
  */
 public record FleetView(int others, double reachableShare, Set<DataCenterName> unreachableDataCenters,
-		Map<EndpointId, EndpointLoad> loads, Map<ServiceName, Double> work, RolloutReport rollouts, boolean leaseHeld,
-		KnownState known, List<Long> readers, boolean aggregates) {
+		Map<EndpointId, EndpointLoad> loads, Map<ServiceName, Double> work, RolloutReport rollouts,
+		Map<EndpointId, ObservedRateLimit> rateLimits, boolean leaseHeld, KnownState known, List<Long> readers,
+		boolean aggregates) {
 
 	/** Of a gateway that knows no other one. */
-	public static final FleetView ALONE = new FleetView(0, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE, false,
-			KnownState.NONE, List.of(), true);
+	public static final FleetView ALONE = new FleetView(0, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE,
+			Map.of(), false, KnownState.NONE, List.of(), true);
 
 	/**
 	 * Gateways that read the store for all: with three, two may die at the same moment,
@@ -54,7 +57,7 @@
 		}
 		return new FleetView(others.gateways(), (others.reachable() + 1.0) / (others.gateways() + 1), unreachable,
 				others.traffic().loads(), others.traffic().work(), others.traffic().rollouts(),
-				others.leaseHolder() != 0, others.known(), others.readers(), aggregates);
+				others.traffic().rateLimits(), others.leaseHolder() != 0, others.known(), others.readers(), aggregates);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -99,12 +99,16 @@
 
 	private long pausedUntil = Long.MIN_VALUE;
 
-	private @Nullable Double rateLimit;
+	private final RateLimitAllotment allotment;
+
+	private EndpointRateLimiter rateLimiter;
 
 	private @Nullable Long goneAt;
 
-	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefill) {
+	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefill, RateLimitAllotment allotment) {
 		this.entry = entry;
+		this.allotment = allotment;
+		this.rateLimiter = new EndpointRateLimiter(entry.id(), allotment);
 		this.prefill = prefill;
 		this.memory = memory;
 		this.cache = emptyCache();
@@ -155,7 +159,7 @@
 			this.failuresInRow = 0;
 			this.failureRate = 0;
 			this.pausedUntil = Long.MIN_VALUE;
-			this.rateLimit = null;
+			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allotment);
 		}
 		this.entry = newer;
 		this.goneAt = null;
@@ -249,15 +253,11 @@
 	}
 
 	/**
-	 * Records the rate limit that the endpoint names in an answer.
-	 * @param requestsPerSecond the requests a second that it accepts from all gateways
-	 * together, or {@code null} if it names no limit
-	 * @return whether the limit has changed
+	 * Returns what keeps the rate limit that the endpoint names.
+	 * @return the limiter
 	 */
-	public boolean rateLimited(@Nullable Double requestsPerSecond) {
-		boolean changed = !Objects.equals(requestsPerSecond, this.rateLimit);
-		this.rateLimit = requestsPerSecond;
-		return changed;
+	public EndpointRateLimiter rateLimiter() {
+		return this.rateLimiter;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -36,8 +36,18 @@
 
 	private final Map<ServiceName, PrefillLatency> prefills = new HashMap<>();
 
+	private final RateLimitAllotment rateLimitAllotment;
+
 	private @Nullable Configuration configuration;
 
+	/**
+	 * Creates the table.
+	 * @param rateLimitAllotment allots the rate limits of endpoints
+	 */
+	public EndpointTable(RateLimitAllotment rateLimitAllotment) {
+		this.rateLimitAllotment = rateLimitAllotment;
+	}
+
 	/**
 	 * Records a new configuration, which says what the services are. Endpoints may have
 	 * been listed before it was read.
@@ -68,7 +78,8 @@
 		}
 		else {
 			Endpoint listed = new Endpoint(entry, null,
-					this.prefills.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()));
+					this.prefills.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()),
+					this.rateLimitAllotment);
 			describe(listed);
 			this.endpoints.put(entry.id(), listed);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.endpoint;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -87,7 +88,7 @@
 				(endpoint) -> endpoint != holder && copiable(endpoint, now));
 		Choice best = null;
 		for (Endpoint candidate : endpoints) {
-			if (tried.contains(candidate.id()) || candidate.entry().draining() || candidate.paused(now)) {
+			if (!available(candidate, tried, now) || !candidate.rateLimiter().permits(now)) {
 				continue;
 			}
 			Endpoint source = (candidate != holder) ? holder : nextHolder;
@@ -99,6 +100,34 @@
 		return (best != null) ? best.placement() : null;
 	}
 
+	private static boolean available(Endpoint candidate, Set<EndpointId> tried, long now) {
+		return !tried.contains(candidate.id()) && !candidate.entry().draining() && !candidate.paused(now);
+	}
+
+	/**
+	 * Returns when a request may be retried that no endpoint accepts because of the rate
+	 * limits that they name.
+	 * @param endpoints the service's endpoints
+	 * @param tried the endpoints that it has been sent to
+	 * @param now the present time
+	 * @return the time until then, or {@code null} if there is an endpoint without a
+	 * limit or none at all
+	 */
+	public @Nullable Duration rateLimitedFor(Collection<Endpoint> endpoints, Set<EndpointId> tried, long now) {
+		Duration soonest = null;
+		for (Endpoint candidate : endpoints) {
+			if (!available(candidate, tried, now)) {
+				continue;
+			}
+			Duration wait = candidate.rateLimiter().retryAfter(now);
+			if (wait.isZero()) {
+				return null;
+			}
+			soonest = (soonest == null || wait.compareTo(soonest) < 0) ? wait : soonest;
+		}
+		return soonest;
+	}
+
 	private Choice weigh(Endpoint candidate, @Nullable Endpoint owner, @Nullable Endpoint source, Prompt prompt,
 			long now) {
 		int missing = candidate.missingPrefix(prompt);
@@ -143,7 +172,7 @@
 		Endpoint highest = null;
 		long highestWeight = Long.MIN_VALUE;
 		for (Endpoint endpoint : endpoints) {
-			long weight = mix(key ^ mix(endpoint.id().value().hashCode()));
+			long weight = RendezvousHash.weight(key, endpoint.id().value());
 			if ((highest == null || weight > highestWeight) && eligible.test(endpoint)) {
 				highest = endpoint;
 				highestWeight = weight;
@@ -152,13 +181,6 @@
 		return highest;
 	}
 
-	// The finalizer of SplitMix64, which spreads neighbouring keys evenly.
-	private static long mix(long value) {
-		long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-		mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
-		return mixed ^ (mixed >>> 31);
-	}
-
 	private record Choice(Placement placement, double cost) {
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -59,6 +59,7 @@
 		this.tokensAhead = this.endpoint.queuedTokens();
 		this.prefillTokens = placement.prefillTokens();
 		this.endpoint.sent(exchange.prompt(), this.prefillTokens);
+		this.endpoint.rateLimiter().sent(sentAt);
 	}
 
 	void started(ClientCall started) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -142,7 +142,13 @@
 		}
 		Placement placement = this.flow.placement().choose(eligible(), prompt(), this.tried, now());
 		if (placement == null) {
-			waitForEndpoint();
+			Duration rateLimited = this.flow.placement().rateLimitedFor(eligible(), this.tried, now());
+			if (rateLimited != null && this.attempts == 0) {
+				reject(ErrorKind.OVERLOADED, this.flow.admission().retryAfter(rateLimited));
+			}
+			else {
+				waitForEndpoint();
+			}
 			return;
 		}
 		if (this.attempts == 0) {
@@ -219,7 +225,7 @@
 	}
 
 	void rateLimited(Endpoint endpoint, @Nullable Double requestsPerSecond) {
-		if (endpoint.rateLimited(requestsPerSecond)) {
+		if (endpoint.rateLimiter().observe(requestsPerSecond, now(), now())) {
 			this.flow.requestLog().rateLimitChanged(endpoint.id(), requestsPerSecond);
 		}
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
@@ -30,6 +30,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
 import org.banyancove.gateway.shared.AppendOutcome;
@@ -252,7 +253,7 @@
 
 		private final ReadingDelegation delegation;
 
-		private final EndpointTable endpoints = new EndpointTable();
+		private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
 
 		private final StateWatch state;
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -25,9 +25,12 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
+import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
@@ -166,7 +169,9 @@
 
 		private final FleetExchange exchange;
 
-		private final EndpointTable endpoints = new EndpointTable();
+		private final RateLimitAllotment allotment;
+
+		private final EndpointTable endpoints;
 
 		private final PlacementRule placement;
 
@@ -185,6 +190,8 @@
 					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, 1);
 			this.table = new PeerTable(this.incarnation, dataCenter);
 			this.placement = new PlacementRule(dataCenter);
+			this.allotment = new RateLimitAllotment(this.address.name());
+			this.endpoints = new EndpointTable(this.allotment);
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
@@ -213,6 +220,7 @@
 				return;
 			}
 			placed.endpoint().sent(Prompt.NONE, 0);
+			placed.endpoint().rateLimiter().sent(time);
 			this.running.add(new Running(placed.endpoint(), time + ANSWER_TIME.toNanos()));
 			if (placed.endpoint().id().equals(LIMITED)) {
 				EndpointRateLimitTests.this.arrivals.add(time);
@@ -226,7 +234,7 @@
 				endpoint.left();
 				endpoint.answered(true, time);
 				boolean limited = endpoint.id().equals(LIMITED);
-				endpoint.rateLimited(limited ? EndpointRateLimitTests.this.limit : null);
+				endpoint.rateLimiter().observe(limited ? EndpointRateLimitTests.this.limit : null, time, time);
 			}
 			if (time >= this.reportAt) {
 				this.reportAt = time + this.exchange.interval().toNanos();
@@ -235,12 +243,23 @@
 			if (time >= this.tickAt) {
 				this.tickAt = time + Duration.ofMillis(200).toNanos();
 				this.table.expire(time);
+				this.allotment.gateways(this.exchange.gateways());
+				this.table.view(time)
+					.rateLimits()
+					.forEach((id, observed) -> endpoint(id).rateLimiter()
+						.observe(observed.requestsPerSecond(), time - observed.age().toNanos(), time));
 			}
 		}
 
+		private Endpoint endpoint(EndpointId id) {
+			return Objects.requireNonNull(this.endpoints.get(id));
+		}
+
 		private GatewayReport report() {
-			return new GatewayReport(this.incarnation, this.address.dataCenter(), TrafficTotals.NONE, false,
-					KnownState.NONE);
+			ObservedRateLimit observed = endpoint(LIMITED).rateLimiter().observed(EndpointRateLimitTests.this.now);
+			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
+					(observed != null) ? Map.of(LIMITED, observed) : Map.of());
+			return new GatewayReport(this.incarnation, this.address.dataCenter(), traffic, false, KnownState.NONE);
 		}
 
 		@Override
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
@@ -17,6 +17,7 @@
 import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.Duties;
@@ -35,7 +36,8 @@
 	private final ScriptedDuties duties = new ScriptedDuties();
 
 	private final EndpointScaling orders = new EndpointScaling(this.duties, () -> FleetView.ALONE,
-			new DemandEstimator(), new ServingEndpoints(new EndpointTable(), new RolloutTable()));
+			new DemandEstimator(),
+			new ServingEndpoints(new EndpointTable(new RateLimitAllotment("gateway")), new RolloutTable()));
 
 	// Guards against on-demand endpoints that stand in, at several times the price, for
 	// seconds after reclaimable ones are available again.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -321,7 +321,8 @@
 
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(WINDOW, Map.of(ACCOUNT, this.counted)),
-					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)), RolloutReport.NONE);
+					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)), RolloutReport.NONE,
+					Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, KnownState.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -22,6 +22,7 @@
 import org.banyancove.gateway.duty.LeaseRecord;
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.duty.UsageReport;
+import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
 import org.banyancove.gateway.rollout.RolloutReport;
@@ -41,7 +42,9 @@
 
 	private static final TrafficTotals TRAFFIC = new TrafficTotals(Map.of(9L, Map.of(ACCOUNT, 3L)),
 			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
-			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE);
+			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE,
+			Map.of(new EndpointId("e"), new ObservedRateLimit(1.4, Duration.ofMillis(250)), new EndpointId("f"),
+					new ObservedRateLimit(null, Duration.ZERO)));
 
 	private static final KnownState KNOWN = new KnownState(true, 5, -9, Duration.ofMillis(350), 2);
 
@@ -53,7 +56,7 @@
 		Rollout rollout = new Rollout(order, "v1", Instant.ofEpochMilli(99), -3, new RolloutStage.InProgress(0.04, 1));
 		RolloutReport report = new RolloutReport(List.of(rollout),
 				Map.of(new SampleKey(7, "chat", true), new VersionSamples(300, 200, 1)));
-		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report);
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of());
 		GatewayReport sent = new GatewayReport(7, new DataCenterName("a"), traffic, true, KNOWN);
 		assertThat(this.codec.read(this.codec.write(new PeerMessage.Report(sent))))
 			.isEqualTo(new PeerMessage.Report(sent));
@@ -126,7 +129,7 @@
 			loads.put(new EndpointId("i-7f3a91c2" + i), new EndpointLoad(2, 9000));
 		}
 		return new TrafficTotals(Map.of(1L, counts, 2L, counts, 3L, counts, 4L, counts), used,
-				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE);
+				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of());
 	}
 
 	// Guards against relayed records that fill a small VM's link for seconds when all
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReadingDelegationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReadingDelegationTests.java
@@ -74,8 +74,8 @@
 	}
 
 	private static FleetView fleet(List<Long> readers, boolean leaseHeld, boolean aggregates) {
-		return new FleetView(5, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE, leaseHeld, KnownState.NONE,
-				readers, aggregates);
+		return new FleetView(5, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE, Map.of(), leaseHeld,
+				KnownState.NONE, readers, aggregates);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutWorkTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutWorkTests.java
@@ -15,6 +15,7 @@
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
 import org.banyancove.gateway.rollout.AnswerTimes;
 import org.banyancove.gateway.rollout.ExposureLimits;
 import org.banyancove.gateway.rollout.Rollout;
@@ -48,7 +49,7 @@
 
 	private final ScriptedStatusTopic topics = new ScriptedStatusTopic();
 
-	private final EndpointTable endpoints = new EndpointTable();
+	private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
 
 	private final RolloutTable table = new RolloutTable();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -132,11 +132,10 @@
 	void aDataCentreThatMayBeCutOffIsUsedOnlyIfNothingElseIsLeft() {
 		List<Endpoint> endpoints = endpoints(1);
 		EndpointEntry near = endpoints.getFirst().entry();
-		endpoints.add(
-				new Endpoint(
-						new EndpointEntry(new EndpointId("far"), SERVICE, "v1", near.address(),
-								new DataCenterName("far"), 64, false, false, 1),
-						new EngineMemory(600_000, 0.0005), new PrefillLatency()));
+		endpoints.add(new Endpoint(
+				new EndpointEntry(new EndpointId("far"), SERVICE, "v1", near.address(), new DataCenterName("far"), 64,
+						false, false, 1),
+				new EngineMemory(600_000, 0.0005), new PrefillLatency(), new RateLimitAllotment("gateway")));
 		endpoints.getFirst().others(5, 40_000);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 		this.rule.unreachable(Set.of(new DataCenterName("far")));
@@ -201,7 +200,8 @@
 		for (int i = 0; i < count; i++) {
 			EndpointEntry entry = new EndpointEntry(new EndpointId("e" + i), SERVICE, "v1",
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1);
-			endpoints.add(new Endpoint(entry, new EngineMemory(600_000, 0.0005), new PrefillLatency()));
+			endpoints.add(new Endpoint(entry, new EngineMemory(600_000, 0.0005), new PrefillLatency(),
+					new RateLimitAllotment("gateway")));
 		}
 		return endpoints;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -12,6 +12,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,7 @@
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.endpoint.RateLimitAllotment;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.jspecify.annotations.Nullable;
@@ -62,7 +64,7 @@
 
 	private final EventLoop eventLoop = this.eventLoops.next();
 
-	private final EndpointTable endpoints = new EndpointTable();
+	private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
 
 	private final List<ScriptedEndpoint> scripted = new ArrayList<>();
 
@@ -143,6 +145,20 @@
 			.endsWith("\r\n\r\nbody");
 	}
 
+	// Guards against callers that wait for an endpoint whose rate limit is used up.
+	@Test
+	void aRequestBeyondTheRateLimitOfAllEndpointsIsRejectedAtOnceWithTheTimeToRetry() throws Exception {
+		endpoint("a").thenAnswer(WHOLE.replace("seal: s", "seal: s\r\nrate-limit: 0.5")).thenAnswer(WHOLE);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "", ""));
+			assertThat(caller.read().status()).isEqualTo(200);
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 2", "", ""));
+			Answer answer = caller.read();
+			assertThat(answer.status()).isEqualTo(503);
+			assertThat(answer.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: (1|2)");
+		}
+	}
+
 	// Guards against requests at endpoints that left while the gateway stood still.
 	@Test
 	void aRequestWaitsUntilTheEndpointsAreCurrent() throws Exception {
