Hold no request while the store is silent

Cause: in a fleet of 60 a gateway reads for itself at 0.7 of the time and counted the store as unavailable three ticks later, after 0.85 of the time, from which on it holds requests: for up to 0.25 s at the start of each silence of the store. Evidence: gatewaysGoOnSendingWhileTheStoreIsSilent(60), red before, green now. Change: two ticks, and requests are held from 0.9 of the time on. The store answers within some ms, so that two ticks still tell a silent store from a gateway that stood still.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StateWatch.java
@@ -76,10 +76,10 @@
 	 * Of that time, the age after which no request is sent until the store was read; the
 	 * rest is left for the way to the endpoint.
 	 */
-	private static final double SHARE_TO_SEND = 0.85;
+	private static final double SHARE_TO_SEND = 0.9;
 
 	/** Ticks without an answer after which the store counts as unavailable. */
-	private static final int UNANSWERED_TICKS = 3;
+	private static final int UNANSWERED_TICKS = 2;
 
 	/** Failed reads in a row after which it does. */
 	private static final int FAILED_READS = 2;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
@@ -128,6 +128,25 @@
 		}
 	}
 
+	// Guards against gateways that stop serving because the store does not answer.
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 60 })
+	void gatewaysGoOnSendingWhileTheStoreIsSilent(int gateways) {
+		start(gateways, 0);
+		this.fleet.forEach((node) -> node.answerMillis = 60_000);
+		play(Duration.ofSeconds(10));
+		assertThat(this.fleet).allMatch((node) -> node.heldSteps == 0, "held no request");
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 60 })
+	void gatewaysGoOnSendingWhileTheStoreRejectsAll(int gateways) {
+		start(gateways, 0);
+		this.fleet.forEach((node) -> node.rejected = true);
+		play(Duration.ofSeconds(10));
+		assertThat(this.fleet).allMatch((node) -> node.heldSteps == 0, "held no request");
+	}
+
 	private List<Node> aggregators() {
 		return this.fleet.stream().filter((node) -> node.view.aggregates()).toList();
 	}
@@ -269,6 +288,8 @@
 
 		private int answerMillis = 5;
 
+		private int heldSteps;
+
 		private long standsStillUntil;
 
 		private long reportAt;
@@ -335,17 +356,17 @@
 		// Callers' requests that arrived meanwhile come first, before what others
 		// reported.
 		private void sendRequests(long time) {
+			if (!this.state.endpointsCurrent(time)) {
+				this.heldSteps++;
+				return;
+			}
 			for (Endpoint endpoint : this.endpoints.all()) {
-				if (!endpoint.entry().draining() && maySend()) {
+				if (!endpoint.entry().draining()) {
 					this.lastSentAt.put(endpoint.id(), time);
 				}
 			}
 		}
 
-		private boolean maySend() {
-			return this.state.endpointsCurrent(DrainingNoticeTests.this.now);
-		}
-
 		private GatewayReport report() {
 			return new GatewayReport(this.incarnation, this.address.dataCenter(), TrafficTotals.NONE, false,
 					this.state.known());
@@ -368,10 +389,13 @@
 				future.completeExceptionally(new BanyancoveException(ErrorKind.PLATFORM_UNREACHABLE, "rejected"));
 				return future;
 			}
-			int delay = Math.min(this.answerMillis, READ_TIMEOUT_MILLIS);
+			TopicPage answer = (topic == Topic.ENDPOINTS) ? page : configuration();
+			this.channel.eventLoop().schedule(() -> future.complete(answer), this.answerMillis, TimeUnit.MILLISECONDS);
 			this.channel.eventLoop()
-				.schedule(() -> future.complete((topic == Topic.ENDPOINTS) ? page : configuration()), delay,
-						TimeUnit.MILLISECONDS);
+				.schedule(
+						() -> future.completeExceptionally(
+								new BanyancoveException(ErrorKind.PLATFORM_UNREACHABLE, "no answer in time")),
+						READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 			return future;
 		}
 
