Fill the bucket of an endpoint's rate limit from its first observation

Cause: the bucket began to fill at the first request after the limit was named, so that Retry-After was too long. Evidence: EndpointRateLimiterTests, red before (0.5 s instead of 0.25 s), green now.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointRateLimiter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointRateLimiter.java
@@ -73,6 +73,7 @@
 		}
 		this.limit = requestsPerSecond;
 		this.observedAt = at;
+		refill(now);
 		return changed;
 	}
 
