Look at an endpoint again once its connection stands

A connection may take up to 0.3 s, more than is left of a drain time of two seconds when the view was nearly too old at the choice. Evidence: aRequestGoesElsewhereIfItsEndpointDrainsWhileTheConnectionIsMade, red before, green now. Change: before the request is written on a new connection, the endpoint must still be listed, not draining, and known recently enough; if not, no byte leaves, the connection is kept, and the request is placed again.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/AnswerListener.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/AnswerListener.java
@@ -8,6 +8,14 @@
  */
 public interface AnswerListener {
 
+	/**
+	 * Returns whether the call may still be made, now that its connection stands.
+	 * @return whether it may
+	 */
+	default boolean mayBegin() {
+		return true;
+	}
+
 	/**
 	 * Receives the status and headers of an answer.
 	 * @param head the status and headers
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -142,6 +142,11 @@
 		}
 	}
 
+	@Override
+	public boolean mayBegin() {
+		return this.exchange.maySend(this.endpoint);
+	}
+
 	@Override
 	public boolean head(HttpResponse answer) {
 		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(answer.headers());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
@@ -8,6 +8,9 @@
 	/** No byte of the request left: the connection could not be made. */
 	NOT_SENT(false),
 
+	/** No byte of the request left: the endpoint may not be used any more. */
+	WITHDRAWN(false),
+
 	/** The connection ended, or was given up, before an answer began. */
 	NO_ANSWER(true),
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -41,6 +41,10 @@
 		return this.ended;
 	}
 
+	boolean mayBegin() {
+		return this.listener.mayBegin();
+	}
+
 	FullHttpRequest began(ClientConnection on) {
 		this.connection = on;
 		return this.request.retain();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnections.java
@@ -138,6 +138,10 @@
 			if (call.ended()) {
 				keep(connection);
 			}
+			else if (!call.mayBegin()) {
+				keep(connection);
+				call.failed(CallFailure.WITHDRAWN);
+			}
 			else {
 				connection.begin(call);
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -224,6 +224,11 @@
 		return Math.clamp((ofAccount != null) ? ofAccount : this.route.priority(), 0, 9);
 	}
 
+	// A connection may take as long as is left of an endpoint's drain time.
+	boolean maySend(Endpoint endpoint) {
+		return this.flow.endpointsCurrent() && this.flow.endpoints().accepts(endpoint);
+	}
+
 	void rateLimited(Endpoint endpoint, @Nullable Double requestsPerSecond) {
 		if (endpoint.rateLimiter().observe(requestsPerSecond, now(), now())) {
 			this.flow.requestLog().rateLimitChanged(endpoint.id(), requestsPerSecond);
@@ -366,7 +371,9 @@
 		this.flow.requestLog().attemptFailed(from.facts(), failure.name());
 		if (!failure.mayHaveRun()) {
 			this.attempts--;
-			from.endpoint().unreachable(now());
+			if (failure == CallFailure.NOT_SENT) {
+				from.endpoint().unreachable(now());
+			}
 			place();
 			return;
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -55,6 +55,15 @@
 		return forRequest(service, false, BASELINE_ONLY, now);
 	}
 
+	/**
+	 * Returns whether an endpoint accepts requests.
+	 * @param endpoint the endpoint
+	 * @return whether it is still listed and not draining
+	 */
+	public boolean accepts(Endpoint endpoint) {
+		return this.endpoints.get(endpoint.id()) == endpoint && !endpoint.entry().draining();
+	}
+
 	/**
 	 * Returns whether a rollout is replacing a service's endpoints.
 	 * @param service the service
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -16,6 +16,8 @@
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -72,7 +74,7 @@
 
 	private final RolloutTable rollouts = new RolloutTable();
 
-	private volatile boolean endpointsCurrent = true;
+	private volatile BooleanSupplier endpointsCurrent = () -> true;
 
 	private final RequestFlow flow = newFlow();
 
@@ -85,7 +87,7 @@
 	private RequestFlow newFlow() {
 		return new RequestFlow(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
 				new TestWords(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
-				() -> this.endpointsCurrent, new PlacementRule(ZONE),
+				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(ZONE),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new SilentLog(),
 				new RetryLimits(1, 100));
 	}
@@ -145,6 +147,29 @@
 			.endsWith("\r\n\r\nbody");
 	}
 
+	// Guards against a request that is written to a draining endpoint because its
+	// connection took long.
+	@Test
+	void aRequestGoesElsewhereIfItsEndpointDrainsWhileTheConnectionIsMade() throws Exception {
+		ScriptedEndpoint first = endpoint("a").thenAnswer(WHOLE);
+		ScriptedEndpoint second = endpoint("b").thenAnswer(WHOLE);
+		EndpointEntry draining = new EndpointEntry(new EndpointId("a"), SERVICE, "v1", first.address(), ZONE, 10, true,
+				false, 1);
+		AtomicInteger checks = new AtomicInteger();
+		this.endpointsCurrent = () -> {
+			if (checks.incrementAndGet() == 2) {
+				this.endpoints.put(draining);
+			}
+			return true;
+		};
+		try (Caller caller = new Caller()) {
+			caller.send(lines("POST /once/x HTTP/1.1", "host: host", "id: 1", "", ""));
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+		assertThat(second.waitingRequests()).isEqualTo(1);
+		assertThat(first.waitingRequests()).isZero();
+	}
+
 	// Guards against callers that wait for an endpoint whose rate limit is used up.
 	@Test
 	void aRequestBeyondTheRateLimitOfAllEndpointsIsRejectedAtOnceWithTheTimeToRetry() throws Exception {
@@ -163,12 +188,12 @@
 	@Test
 	void aRequestWaitsUntilTheEndpointsAreCurrent() throws Exception {
 		ScriptedEndpoint endpoint = endpoint("a").thenAnswer(WHOLE);
-		this.endpointsCurrent = false;
+		this.endpointsCurrent = () -> false;
 		try (Caller caller = new Caller()) {
 			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "", ""));
 			TimeUnit.MILLISECONDS.sleep(200);
 			assertThat(endpoint.waitingRequests()).isZero();
-			this.endpointsCurrent = true;
+			this.endpointsCurrent = () -> true;
 			assertThat(caller.read().status()).isEqualTo(200);
 		}
 	}
