Look for rate limits only where a request may be rejected for them

Found by reading the change again: a request that was sent before walked over all endpoints once more, and the result was not used. Behaviour is unchanged.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -142,8 +142,9 @@
 		}
 		Placement placement = this.flow.placement().choose(eligible(), prompt(), this.tried, now());
 		if (placement == null) {
-			Duration rateLimited = this.flow.placement().rateLimitedFor(eligible(), this.tried, now());
-			if (rateLimited != null && this.attempts == 0) {
+			Duration rateLimited = (this.attempts == 0)
+					? this.flow.placement().rateLimitedFor(eligible(), this.tried, now()) : null;
+			if (rateLimited != null) {
 				reject(ErrorKind.OVERLOADED, this.flow.admission().retryAfter(rateLimited));
 			}
 			else {
