Let the allotment of rate limits ask the fleet for its gateways

Found by reading the change again: each gateway copied the names of the whole fleet five times a second, also where no endpoint names a limit. The allotment asks the directory when it computes a share. Tests pass the names to the constructor; their assertions are unchanged, and so is behaviour.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -4,6 +4,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -102,8 +103,6 @@
 
 	private final long incarnation;
 
-	private final RateLimitAllotment rateLimitAllotment;
-
 	private final EndpointTable endpoints;
 
 	private final RolloutTable rollouts = new RolloutTable();
@@ -170,8 +169,7 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.lag = new EventLoopLag(TICK, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
-		this.rateLimitAllotment = new RateLimitAllotment(settings.name());
-		this.endpoints = new EndpointTable(this.rateLimitAllotment);
+		this.endpoints = new EndpointTable(new RateLimitAllotment(settings.name(), this::gateways));
 		this.serving = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placement = new PlacementRule(settings.zone());
 		this.flow = new RequestFlow(this.eventLoop, this.clock, clocks.wall(), random, headerCodec, connections,
@@ -249,6 +247,10 @@
 		return this.others.aggregates() ? AGGREGATOR_RETRY_DELAY : MAXIMUM_RETRY_DELAY;
 	}
 
+	private Collection<String> gateways() {
+		return this.fleet.gateways();
+	}
+
 	private boolean endpointsCurrent() {
 		return this.state.endpointsCurrent(this.clock.nanos());
 	}
@@ -306,7 +308,6 @@
 	}
 
 	private void readRateLimits(long now) {
-		this.rateLimitAllotment.gateways(this.fleet.gateways());
 		this.others.rateLimits().forEach((id, limit) -> {
 			Endpoint endpoint = this.endpoints.get(id);
 			Double requestsPerSecond = limit.requestsPerSecond();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RateLimitAllotment.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RateLimitAllotment.java
@@ -1,7 +1,7 @@
 package org.banyancove.gateway.endpoint;
 
 import java.util.Collection;
-import java.util.List;
+import java.util.function.Supplier;
 
 import org.banyancove.core.EndpointId;
 
@@ -20,22 +20,16 @@
 
 	private final String own;
 
-	private List<String> others = List.of();
+	private final Supplier<? extends Collection<String>> gateways;
 
 	/**
-	 * Creates the allotment of a gateway that knows no other one.
+	 * Creates the allotment.
 	 * @param own the gateway's name
+	 * @param gateways returns the names of all gateways, this one's included
 	 */
-	public RateLimitAllotment(String own) {
+	public RateLimitAllotment(String own, Supplier<? extends Collection<String>> gateways) {
 		this.own = own;
-	}
-
-	/**
-	 * Records which gateways there are.
-	 * @param names the names of all gateways
-	 */
-	public void gateways(Collection<String> names) {
-		this.others = names.stream().filter((name) -> !name.equals(this.own)).toList();
+		this.gateways = gateways;
 	}
 
 	/**
@@ -46,10 +40,11 @@
 	 * @return the requests a second, 0 if this gateway has no share
 	 */
 	double share(EndpointId endpoint, double requestsPerSecond, long rotation) {
-		int senders = (int) Math.min(this.others.size() + 1.0, MINIMUM_SENDERS + Math.floor(requestsPerSecond));
+		Collection<String> names = this.gateways.get();
+		int senders = (int) Math.min(names.size(), MINIMUM_SENDERS + Math.floor(requestsPerSecond));
 		long key = endpoint.value().hashCode() + rotation;
 		long ownWeight = RendezvousHash.weight(key, this.own);
-		long before = this.others.stream().filter((name) -> RendezvousHash.weight(key, name) > ownWeight).count();
+		long before = names.stream().filter((name) -> RendezvousHash.weight(key, name) > ownWeight).count();
 		return (before < senders) ? requestsPerSecond / senders : 0;
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingNoticeTests.java
@@ -272,7 +272,8 @@
 
 		private final ReadingDelegation delegation;
 
-		private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
+		private final EndpointTable endpoints = new EndpointTable(
+				new RateLimitAllotment("gateway", () -> List.of("gateway")));
 
 		private final StateWatch state;
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -169,8 +169,6 @@
 
 		private final FleetExchange exchange;
 
-		private final RateLimitAllotment allotment;
-
 		private final EndpointTable endpoints;
 
 		private final PlacementRule placement;
@@ -190,8 +188,8 @@
 					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, 1);
 			this.table = new PeerTable(this.incarnation, dataCenter);
 			this.placement = new PlacementRule(dataCenter);
-			this.allotment = new RateLimitAllotment(this.address.name());
-			this.endpoints = new EndpointTable(this.allotment);
+			this.endpoints = new EndpointTable(
+					new RateLimitAllotment(this.address.name(), () -> this.exchange().gateways()));
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
@@ -201,6 +199,10 @@
 			this.endpoints.put(entry(OTHER, dataCenter));
 		}
 
+		private FleetExchange exchange() {
+			return this.exchange;
+		}
+
 		private static EndpointEntry entry(EndpointId id, DataCenterName dataCenter) {
 			return new EndpointEntry(id, SERVICE, "v1", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
 					dataCenter, 100, false, false, 1);
@@ -243,7 +245,6 @@
 			if (time >= this.tickAt) {
 				this.tickAt = time + Duration.ofMillis(200).toNanos();
 				this.table.expire(time);
-				this.allotment.gateways(this.exchange.gateways());
 				this.table.view(time)
 					.rateLimits()
 					.forEach((id, observed) -> endpoint(id).rateLimiter()
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointScalingTests.java
@@ -37,7 +37,8 @@
 
 	private final EndpointScaling orders = new EndpointScaling(this.duties, () -> FleetView.ALONE,
 			new DemandEstimator(),
-			new ServingEndpoints(new EndpointTable(new RateLimitAllotment("gateway")), new RolloutTable()));
+			new ServingEndpoints(new EndpointTable(new RateLimitAllotment("gateway", () -> List.of("gateway"))),
+					new RolloutTable()));
 
 	// Guards against on-demand endpoints that stand in, at several times the price, for
 	// seconds after reclaimable ones are available again.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutWorkTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutWorkTests.java
@@ -49,7 +49,8 @@
 
 	private final ScriptedStatusTopic topics = new ScriptedStatusTopic();
 
-	private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
+	private final EndpointTable endpoints = new EndpointTable(
+			new RateLimitAllotment("gateway", () -> List.of("gateway")));
 
 	private final RolloutTable table = new RolloutTable();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointRateLimiterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointRateLimiterTests.java
@@ -24,7 +24,8 @@
 
 	private final List<String> names = IntStream.range(0, 87).mapToObj((number) -> "gateway-" + number).toList();
 
-	private final EndpointRateLimiter limiter = new EndpointRateLimiter(ENDPOINT, new RateLimitAllotment("own"));
+	private final EndpointRateLimiter limiter = new EndpointRateLimiter(ENDPOINT,
+			new RateLimitAllotment("own", () -> List.of("own")));
 
 	// Guards against a limit that is allotted twice, or in part to nobody.
 	@ParameterizedTest
@@ -44,9 +45,7 @@
 	}
 
 	private double share(String name, double requestsPerSecond, long rotation) {
-		RateLimitAllotment allotment = new RateLimitAllotment(name);
-		allotment.gateways(this.names);
-		return allotment.share(ENDPOINT, requestsPerSecond, rotation);
+		return new RateLimitAllotment(name, () -> this.names).share(ENDPOINT, requestsPerSecond, rotation);
 	}
 
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -26,7 +26,7 @@
 
 	private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
 
-	private final EndpointTable table = new EndpointTable(new RateLimitAllotment("gateway"));
+	private final EndpointTable table = new EndpointTable(new RateLimitAllotment("gateway", () -> List.of("gateway")));
 
 	@BeforeEach
 	void configure() {
@@ -86,7 +86,7 @@
 	// for a plain service, an engine would get prompts regardless of what waits there.
 	@Test
 	void anEndpointThatIsListedBeforeTheConfigurationIsReadCountsAsWhatItIs() {
-		EndpointTable early = new EndpointTable(new RateLimitAllotment("gateway"));
+		EndpointTable early = new EndpointTable(new RateLimitAllotment("gateway", () -> List.of("gateway")));
 		early.put(entry(false));
 		Endpoint endpoint = early.listed(SERVICE).getFirst();
 		Prompt prompt = new Prompt(List.of(), 10_000, 100);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -66,7 +66,8 @@
 
 	private final EventLoop eventLoop = this.eventLoops.next();
 
-	private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
+	private final EndpointTable endpoints = new EndpointTable(
+			new RateLimitAllotment("gateway", () -> List.of("gateway")));
 
 	private final List<ScriptedEndpoint> scripted = new ArrayList<>();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
@@ -27,7 +27,8 @@
 
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-	private final EndpointTable endpoints = new EndpointTable(new RateLimitAllotment("gateway"));
+	private final EndpointTable endpoints = new EndpointTable(
+			new RateLimitAllotment("gateway", () -> List.of("gateway")));
 
 	private final RolloutTable table = new RolloutTable();
 
