Log a request's fingerprint where an endpoint ended its connection

The logs of a request that ended many endpoints could not tell its copies from other requests: a line has the identifier of one copy, and a timeout of the gateway had the same reason (NO_ANSWER) as a connection that the endpoint ended.

A failed attempt whose connection the endpoint ended now has a fingerprint of method, host, path, account and body, which all copies have in common at all gateways, and a timeout has its own reason (TIMED_OUT).

--- a/banyancove-core/src/main/java/org/banyancove/core/suspect/Fingerprint.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/suspect/Fingerprint.java
@@ -4,12 +4,13 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 import org.banyancove.core.AccountName;
 
 /**
- * A digest of account and body that identifies a request when its caller repeats it under
- * another identifier or at another entry.
+ * A digest of account and content that identifies a request when its caller repeats it
+ * under another identifier or at another entry.
  *
  * @param high the first 64 bits of the digest
  * @param low the next 64 bits
@@ -30,6 +31,31 @@
 		return new Fingerprint(bytes.getLong(), bytes.getLong());
 	}
 
+	/**
+	 * Computes the fingerprint of content that consists of several parts.
+	 * @param parts the parts, from their position to their limit, whose boundaries are
+	 * part of the content
+	 * @return the fingerprint
+	 */
+	public static Fingerprint of(ByteBuffer... parts) {
+		MessageDigest digest = sha256();
+		for (ByteBuffer part : parts) {
+			digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.remaining()).flip());
+			digest.update(part);
+		}
+		ByteBuffer bytes = ByteBuffer.wrap(digest.digest());
+		return new Fingerprint(bytes.getLong(), bytes.getLong());
+	}
+
+	/**
+	 * Returns the fingerprint in hexadecimal.
+	 * @return 32 digits
+	 */
+	public String toHex() {
+		HexFormat format = HexFormat.of();
+		return format.toHexDigits(this.high) + format.toHexDigits(this.low);
+	}
+
 	private static MessageDigest sha256() {
 		try {
 			return MessageDigest.getInstance("SHA-256");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -132,6 +132,7 @@
 				.addKeyValue("predictedMs", Math.round(attempt.predictedMillis()))
 				.addKeyValue("elapsedMs", attempt.elapsed().toMillis())
 				.addKeyValue("reason", reason)
+				.addKeyValue("fingerprint", (attempt.fingerprint() != null) ? attempt.fingerprint().toHex() : null)
 				.log("attempt failed");
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -92,7 +92,7 @@
 
 	RequestLog.FailedAttempt describe() {
 		return new RequestLog.FailedAttempt(this.exchange.requestId(), this.endpoint.id().value(), this.number,
-				this.predictedMillis, elapsed());
+				this.predictedMillis, elapsed(), null);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
@@ -6,24 +6,30 @@
 public enum CallFailure {
 
 	/** The connection could not be established; no byte of the request was sent. */
-	NOT_SENT(false),
+	NOT_SENT(false, false),
 
 	/** The endpoint may no longer be used; no byte of the request was sent. */
-	WITHDRAWN(false),
+	WITHDRAWN(false, false),
 
-	/** The connection was closed, or the call cancelled, before a response began. */
-	NO_ANSWER(true),
+	/** The connection was closed before a response began. */
+	NO_ANSWER(true, true),
 
 	/** The response was interrupted before its end. */
-	BROKEN_ANSWER(true),
+	BROKEN_ANSWER(true, true),
+
+	/** The response, or its next event, did not arrive in time. */
+	TIMED_OUT(true, false),
 
 	/** The response cannot be decoded, or exceeds the size limit. */
-	UNREADABLE(true);
+	UNREADABLE(true, false);
 
 	private final boolean mayHaveRun;
 
-	CallFailure(boolean mayHaveRun) {
+	private final boolean connectionLost;
+
+	CallFailure(boolean mayHaveRun, boolean connectionLost) {
 		this.mayHaveRun = mayHaveRun;
+		this.connectionLost = connectionLost;
 	}
 
 	/**
@@ -34,4 +40,12 @@
 		return this.mayHaveRun;
 	}
 
+	/**
+	 * Returns whether the connection ended while the endpoint had the request.
+	 * @return {@code true} if the endpoint may have crashed
+	 */
+	public boolean connectionLost() {
+		return this.connectionLost;
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
+import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.RouteKind;
@@ -96,6 +97,8 @@
 
 	private boolean ended;
 
+	private @Nullable Fingerprint fingerprint;
+
 	private @Nullable Attempt currentAttempt;
 
 	private @Nullable Long firstByteAt;
@@ -217,6 +220,15 @@
 		return copy;
 	}
 
+	private Fingerprint fingerprint() {
+		Fingerprint computed = this.fingerprint;
+		if (computed == null) {
+			computed = this.request.fingerprint((this.account != null) ? this.account.name() : null);
+			this.fingerprint = computed;
+		}
+		return computed;
+	}
+
 	private @Nullable Integer priority() {
 		if (!this.service.generatesTokens()) {
 			return null;
@@ -372,7 +384,10 @@
 		if (this.ended) {
 			return;
 		}
-		this.dispatcher.requestLog().attemptFailed(attempt.describe(), failure.name());
+		this.dispatcher.requestLog()
+			.attemptFailed(
+					failure.connectionLost() ? attempt.describe().withFingerprint(fingerprint()) : attempt.describe(),
+					failure.name());
 		if (!failure.mayHaveRun()) {
 			this.attempts--;
 			if (failure == CallFailure.NOT_SENT) {
@@ -424,7 +439,7 @@
 			return;
 		}
 		current.cancel();
-		failed(current, CallFailure.NO_ANSWER);
+		failed(current, CallFailure.TIMED_OUT);
 	}
 
 	private void deadlineExceeded() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -5,6 +5,7 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
+import org.banyancove.core.suspect.Fingerprint;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -61,8 +62,17 @@
 	 * @param number the attempt number, starting at 1 for each request
 	 * @param predictedMillis the predicted response time, in ms
 	 * @param elapsed the time since the request was sent
+	 * @param fingerprint the fingerprint that copies of the request have in common, or
+	 * {@code null} if the endpoint did not end the connection
 	 */
-	record FailedAttempt(String requestId, String endpoint, int number, double predictedMillis, Duration elapsed) {
+	record FailedAttempt(String requestId, String endpoint, int number, double predictedMillis, Duration elapsed,
+			@Nullable Fingerprint fingerprint) {
+
+		FailedAttempt withFingerprint(Fingerprint known) {
+			return new FailedAttempt(this.requestId, this.endpoint, this.number, this.predictedMillis, this.elapsed,
+					known);
+		}
+
 	}
 
 	/**
