--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -185,6 +185,25 @@
 		}
 	}
 
+	// Guards against a request that crashes each endpoint it is sent to and is repeated
+	// by
+	// its caller until none is left.
+	@Test
+	void requestThatCrashedThreeEndpointsIsNotSentAgain() throws Exception {
+		for (int i = 0; i < 8; i++) {
+			endpoint("crashing-" + i).thenCrash(STREAM_HEAD);
+		}
+		try (Caller caller = new Caller()) {
+			for (int i = 0; i < 4; i++) {
+				caller.call("GET /again/crash HTTP/1.1", "crash-" + i);
+			}
+			Response response = caller.call("GET /again/crash HTTP/1.1", "crash");
+			assertThat(this.scriptedEndpoints.stream().mapToInt(ScriptedEndpoint::unreadRequests).sum()).isEqualTo(3);
+			assertThat(response.status()).isEqualTo(503);
+			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [1-9]");
+		}
+	}
+
 	// Guards against requests to endpoints that were removed while the gateway was
 	// paused.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
@@ -62,6 +62,16 @@
 		});
 	}
 
+	/** Adds a partial response, after which no process listens any more. */
+	ScriptedEndpoint thenCrash(String prefix) {
+		return then((connection, id) -> {
+			write(connection, prefix.replace("ID", id));
+			close();
+			connection.setSoLinger(true, 0);
+			connection.close();
+		});
+	}
+
 	static void write(Socket connection, String text) throws IOException {
 		OutputStream output = connection.getOutputStream();
 		output.write(text.getBytes(StandardCharsets.US_ASCII));
