Quarantine a request that crashed three endpoints in succession

Cause: gateways remembered failures of endpoints, but not of requests. A copy at any gateway was a new request and went to the endpoint with the lowest prediction.

A connection that an endpoint ended is now recorded against the fingerprint that all copies have in common, and travels with its age in the gateways' reports. Three crashes in succession quarantine the fingerprint at all gateways for a minute; copies are rejected at once with the time to retry. Memory is bounded by 1,024 suspects, 5 minutes, and 4,096 completions of 30 s.

Why innocent requests go on: only attempts that were sent after the previous endpoint had ended count as successive, so that a lost data center counts once; a completed response clears a request; an endpoint that answers later requests did not crash; and a request that was completed lately has two seconds in which other gateways' responses arrive.

--- a/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
@@ -80,6 +80,10 @@
 	/** No eligible endpoint is available. */
 	NO_ENDPOINT(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY, "No endpoint that may take the request is alive"),
 
+	/** Copies of the request crashed several endpoints; it is not sent for now. */
+	REQUEST_QUARANTINED(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
+			"Copies of the request crashed several endpoints; it is not sent for now"),
+
 	/** A call that must not be repeated cannot be claimed without the log. */
 	LOG_UNREACHABLE(503, CallExecution.NOT_RUN, Repetition.SAME_KEY_AFTER_DELAY,
 			"A call that may not be repeated cannot be claimed without the log"),
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -33,6 +33,7 @@
 import org.banyancove.gateway.exchange.ConnectionPool;
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestDispatcher;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutController;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
@@ -125,6 +126,8 @@
 
 	private final PlacementRule placementRule;
 
+	private final RequestQuarantine quarantine;
+
 	private final RequestDispatcher requestDispatcher;
 
 	private final CallerServer callerServer;
@@ -178,9 +181,10 @@
 		this.endpoints = new EndpointTable(new RateLimitAllocation(settings.name(), this::gateways));
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placementRule = new PlacementRule(settings.dataCenter());
+		this.quarantine = new RequestQuarantine(this.endpoints);
 		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
 				connections, this.servingEndpoints, this::endpointsCurrent, this.placementRule,
-				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits());
+				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits(), this.quarantine);
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.peerTable = new PeerTable(this.incarnation, settings.dataCenter());
 		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.dataCenter(),
@@ -292,7 +296,7 @@
 	private GatewayReport report() {
 		TrafficTotals traffic = new TrafficTotals(this.usage.counts(), this.requestDispatcher.quotaUsage(),
 				this.demandEstimator.demandByService(this.clock.nanos()), endpointLoads(), this.rollouts.report(),
-				rateLimits(this.clock.nanos()));
+				rateLimits(this.clock.nanos()), this.quarantine.report(this.clock.nanos()));
 		return new GatewayReport(this.incarnation, this.settings.dataCenter(), traffic,
 				this.leaseHolderDuties.holdsLease(), this.sharedState.sharedStateVersion());
 	}
@@ -335,6 +339,7 @@
 		this.requestDispatcher.updateFleet(this.fleetView.otherGateways() + 1, this.fleetView.reachableShare());
 		this.placementRule.setUnreachableDataCenters(this.fleetView.unreachableDataCenters());
 		applyRateLimits(now);
+		this.quarantine.merge(this.fleetView.suspects(), now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.servingEndpoints.recordVersions(this.configuration.serviceNames());
@@ -353,6 +358,8 @@
 				.forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
 			this.peerTable.expire(now);
 			applyFleetView(now);
+			this.quarantine.expire(now);
+			this.metrics.quarantined(this.quarantine.quarantined(now));
 			this.sharedState.reconcile(this.fleetView.sharedState(), now);
 			this.metrics.endpointsAge(this.sharedState.endpointsAge(now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -1,12 +1,16 @@
 package org.banyancove.gateway.daemon;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.core.EndpointId;
+import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.exchange.RequestLog;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -46,6 +50,10 @@
 
 	private final Gauge endpointsAge;
 
+	private final Gauge quarantinedRequests;
+
+	private Set<Fingerprint> quarantined = Set.of();
+
 	private int availableLines = MAXIMUM_LINES_PER_SECOND;
 
 	private long unreportedDrops;
@@ -80,6 +88,32 @@
 			.name("banyancove_endpoints_age_seconds")
 			.help("Since the store was last asked for what is known of endpoints")
 			.register(registry);
+		this.quarantinedRequests = Gauge.builder()
+			.name("banyancove_quarantined_requests")
+			.help("Requests that are rejected because they crashed several endpoints in succession")
+			.register(registry);
+	}
+
+	/**
+	 * Counts the requests in quarantine and logs each that is added or released.
+	 * @param current the endpoints that each of them crashed, by fingerprint
+	 */
+	void quarantined(Map<Fingerprint, List<EndpointId>> current) {
+		current.forEach((request, crashed) -> {
+			if (!this.quarantined.contains(request)) {
+				log.atWarn()
+					.addKeyValue("fingerprint", request.toHex())
+					.addKeyValue("crashedEndpoints", crashed)
+					.log("request quarantined");
+			}
+		});
+		this.quarantined.stream()
+			.filter((request) -> !current.containsKey(request))
+			.forEach((request) -> log.atInfo()
+				.addKeyValue("fingerprint", request.toHex())
+				.log("request released from quarantine"));
+		this.quarantined = Set.copyOf(current.keySet());
+		this.quarantinedRequests.set(current.size());
 	}
 
 	void endpointsAge(Duration age) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -109,6 +109,8 @@
 
 	private @Nullable Long unlistedAt;
 
+	private @Nullable Long latestAnsweredSentAt;
+
 	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefillLatency,
 			RateLimitAllocation allocation) {
 		this.entry = entry;
@@ -165,6 +167,7 @@
 			this.consecutiveFailures = 0;
 			this.failureRate = 0;
 			this.backoffUntil = Long.MIN_VALUE;
+			this.latestAnsweredSentAt = null;
 			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allocation);
 		}
 		this.entry = newer;
@@ -248,6 +251,26 @@
 		requestFailed(now);
 	}
 
+	/**
+	 * Records that the endpoint itself began to answer a request.
+	 * @param sentAt when the request was sent
+	 */
+	public void answerBegan(long sentAt) {
+		if (this.latestAnsweredSentAt == null || sentAt > this.latestAnsweredSentAt) {
+			this.latestAnsweredSentAt = sentAt;
+		}
+	}
+
+	/**
+	 * Returns whether the endpoint answered a request that was sent after a time, and was
+	 * therefore alive then.
+	 * @param time the time
+	 * @return whether it answered such a request
+	 */
+	public boolean answeredRequestSentAfter(long time) {
+		return this.latestAnsweredSentAt != null && this.latestAnsweredSentAt > time;
+	}
+
 	/**
 	 * Records a load report of the endpoint.
 	 * @param report the report
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.rollout.AnswerTimes;
@@ -78,6 +79,10 @@
 		return Objects.requireNonNull(this.responseHeaders, "no response has been received");
 	}
 
+	long sentAt() {
+		return this.sentAt;
+	}
+
 	boolean awaitingResponse() {
 		return this.head == null;
 	}
@@ -157,6 +162,9 @@
 			return false;
 		}
 		this.head = response;
+		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+			this.endpoint.answerBegan(this.sentAt);
+		}
 		this.responseHeaders = headers;
 		if (headers.load() != null) {
 			this.endpoint.updateLoad(headers.load(), this.exchange.now());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -28,6 +28,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.EndpointCall;
@@ -139,6 +140,11 @@
 		if (this.ended) {
 			return;
 		}
+		Duration quarantine = quarantine();
+		if (quarantine.isPositive()) {
+			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
+			return;
+		}
 		if (!this.dispatcher.endpointsCurrent()) {
 			this.placementTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
 			return;
@@ -220,6 +226,22 @@
 		return copy;
 	}
 
+	private Duration quarantine() {
+		RequestQuarantine quarantine = this.dispatcher.quarantine();
+		return quarantine.isEmpty() ? Duration.ZERO : quarantine.remaining(fingerprint(), now());
+	}
+
+	private void recordLoss(Attempt attempt) {
+		// A draining endpoint ends its connections without a crash.
+		if (this.dispatcher.endpoints().accepts(attempt.endpoint())) {
+			this.dispatcher.quarantine().recordLoss(fingerprint(), attempt.endpoint().id(), attempt.sentAt(), now());
+		}
+	}
+
+	private void recordSuccess() {
+		this.dispatcher.quarantine().recordAnswer(fingerprint(), now());
+	}
+
 	private Fingerprint fingerprint() {
 		Fingerprint computed = this.fingerprint;
 		if (computed == null) {
@@ -293,6 +315,7 @@
 				return;
 			}
 			attempt.endpoint().requestAnswered(true, now());
+			recordSuccess();
 			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
 					attempt.responseTimes());
 			startStream(attempt);
@@ -316,6 +339,7 @@
 		attempt.endpoint().requestAnswered(valid, now());
 		if (valid && success) {
 			attempt.endpoint().recordResponseTime(attempt.elapsed());
+			recordSuccess();
 		}
 		if (valid) {
 			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
@@ -396,6 +420,9 @@
 			place();
 			return;
 		}
+		if (failure.connectionLost()) {
+			recordLoss(attempt);
+		}
 		this.mayHaveRun = true;
 		if (this.route.kind() != RouteKind.STREAMING) {
 			recordUsage();
@@ -411,7 +438,8 @@
 
 	private boolean retryIfAllowed() {
 		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
-		if (!allowed || !remaining().isPositive() || !this.dispatcher.retryBudget(this.service.name()).tryRetry()) {
+		if (!allowed || !remaining().isPositive() || quarantine().isPositive()
+				|| !this.dispatcher.retryBudget(this.service.name()).tryRetry()) {
 			return false;
 		}
 		place();
@@ -483,6 +511,10 @@
 
 	// Ends a request for which no endpoint response can be forwarded.
 	private void endWithError(ErrorKind kind) {
+		endWithError(kind, RETRY_AFTER);
+	}
+
+	private void endWithError(ErrorKind kind, Duration retryAfter) {
 		if (this.ended) {
 			return;
 		}
@@ -498,7 +530,7 @@
 			this.caller.respond(ErrorResponse.of(reported, null));
 		}
 		else {
-			reject((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, RETRY_AFTER);
+			reject((kind == ErrorKind.OUTCOME_UNKNOWN) ? ErrorKind.NO_ENDPOINT : kind, retryAfter);
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -24,6 +24,7 @@
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.configuration.TokenQuota;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
@@ -72,6 +73,8 @@
 
 	private final RetryLimits retryLimits;
 
+	private final RequestQuarantine quarantine;
+
 	private final AdmissionRule admission = new AdmissionRule();
 
 	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
@@ -106,11 +109,12 @@
 	 * @param meters count the requests that ran and estimate their demand
 	 * @param requestLog receives the outcomes of requests
 	 * @param retryLimits the retry limits of the fleet
+	 * @param quarantine the requests that crash endpoints
 	 */
 	public RequestDispatcher(EventLoop eventLoop, MonotonicClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderCodec headerCodec, ConnectionPool connections, ServingEndpoints endpoints,
 			BooleanSupplier endpointsCurrent, PlacementRule placement, Meters meters, RequestLog requestLog,
-			RetryLimits retryLimits) {
+			RetryLimits retryLimits, RequestQuarantine quarantine) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -123,6 +127,7 @@
 		this.meters = meters;
 		this.requestLog = requestLog;
 		this.retryLimits = retryLimits;
+		this.quarantine = quarantine;
 	}
 
 	/**
@@ -348,6 +353,10 @@
 		return this.placement;
 	}
 
+	RequestQuarantine quarantine() {
+		return this.quarantine;
+	}
+
 	AdmissionRule admission() {
 		return this.admission;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -14,6 +14,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.BanyancoveException;
+import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.duty.DataCenterPresence;
 import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.FleetSummary;
@@ -23,6 +24,8 @@
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.duty.UsageReport;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.quarantine.CrashObservation;
+import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
 import org.banyancove.gateway.rollout.RolloutReport;
@@ -44,7 +47,11 @@
 			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
 			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE,
 			Map.of(new EndpointId("e"), new ObservedRateLimit(1.4, Duration.ofMillis(250)), new EndpointId("f"),
-					new ObservedRateLimit(null, Duration.ZERO)));
+					new ObservedRateLimit(null, Duration.ZERO)),
+			Map.of(new Fingerprint(5, -6), new SuspectReport(
+					List.of(new CrashObservation(new EndpointId("e"), Duration.ofMillis(400), Duration.ofMillis(300)),
+							new CrashObservation(new EndpointId("f"), Duration.ofMillis(300), Duration.ZERO)),
+					null), new Fingerprint(-7, 8), new SuspectReport(List.of(), Duration.ofMillis(700))));
 
 	private static final SharedStateVersion SHARED_STATE = new SharedStateVersion(true, 5, -9, Duration.ofMillis(350),
 			2);
@@ -57,7 +64,7 @@
 		Rollout rollout = new Rollout(order, "v1", Instant.ofEpochMilli(99), -3, new RolloutStage.InProgress(0.04, 1));
 		RolloutReport report = new RolloutReport(List.of(rollout),
 				Map.of(new SampleKey(7, "chat", true), new VersionSamples(300, 200, 1)));
-		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of());
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of(), Map.of());
 		GatewayReport sent = new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE);
 		assertThat(this.codec.read(this.codec.write(new PeerMessage.Report(sent))))
 			.isEqualTo(new PeerMessage.Report(sent));
@@ -130,7 +137,7 @@
 			loads.put(new EndpointId("i-7f3a91c2" + i), new EndpointLoad(2, 9000));
 		}
 		return new TrafficTotals(Map.of(1L, counts, 2L, counts, 3L, counts, 4L, counts), used,
-				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of());
+				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of(), Map.of());
 	}
 
 	// Guards against relayed records that saturate the link of a small VM for seconds
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -38,6 +38,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.jspecify.annotations.Nullable;
@@ -90,7 +91,7 @@
 				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
 				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(DATA_CENTER),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
-				new RetryLimits(1, 100));
+				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints));
 	}
 
 	private CallerServer newServer(RequestDispatcher servedDispatcher) {
