Log the time for which an endpoint asks for no requests

The logs of an endpoint that had asked for rest show that it turned a request away, but not that it asked for anything: whether its Retry-After is not read, or is read for one request only, looks the same. Nothing acts on it yet.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -166,6 +166,7 @@
 				.addKeyValue("predictedMs", Math.round(attempt.predictedMillis()))
 				.addKeyValue("elapsedMs", attempt.elapsed().toMillis())
 				.addKeyValue("reason", reason)
+				.addKeyValue("retryAfterMs", (attempt.retryAfter() != null) ? attempt.retryAfter().toMillis() : null)
 				.addKeyValue("fingerprint", (attempt.fingerprint() != null) ? attempt.fingerprint().toHex() : null)
 				.log("attempt failed");
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -97,7 +97,8 @@
 
 	RequestLog.FailedAttempt describe() {
 		return new RequestLog.FailedAttempt(this.exchange.requestId(), this.endpoint.id().value(), this.number,
-				this.predictedMillis, elapsed(), null);
+				this.predictedMillis, elapsed(), null,
+				(this.responseHeaders != null) ? this.responseHeaders.retryAfter() : null);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -64,13 +64,15 @@
 	 * @param elapsed the time since the request was sent
 	 * @param fingerprint the fingerprint that copies of the request have in common, or
 	 * {@code null} if the endpoint did not end the connection
+	 * @param retryAfter the time for which the endpoint asked for no further requests, or
+	 * {@code null}
 	 */
 	record FailedAttempt(String requestId, String endpoint, int number, double predictedMillis, Duration elapsed,
-			@Nullable Fingerprint fingerprint) {
+			@Nullable Fingerprint fingerprint, @Nullable Duration retryAfter) {
 
 		FailedAttempt withFingerprint(Fingerprint known) {
 			return new FailedAttempt(this.requestId, this.endpoint, this.number, this.predictedMillis, this.elapsed,
-					known);
+					known, this.retryAfter);
 		}
 
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -1,5 +1,7 @@
 package org.banyancove.gateway.shared;
 
+import java.time.Duration;
+
 import org.banyancove.gateway.endpoint.LoadReport;
 import org.jspecify.annotations.Nullable;
 
@@ -13,7 +15,9 @@
  * @param load the load of the endpoint, or {@code null} if it is not stated
  * @param rateLimit the requests per second that the endpoint accepts from all gateways
  * together, or {@code null} if there is no limit
+ * @param retryAfter the time for which the endpoint asks this gateway for no further
+ * requests, or {@code null} if it is not stated
  */
 public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load,
-		@Nullable Double rateLimit) {
+		@Nullable Double rateLimit, @Nullable Duration retryAfter) {
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -38,7 +38,9 @@
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
 		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
-				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null);
+				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
+				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after")))
+						: null);
 	}
 
 }
