Add failing tests of endpoints that asked for a pause

An endpoint that answers fastest turns a request away with Retry-After: 3 and gets 9 of the next 9 requests (10 in all, expected 2). If both endpoints of a service asked for 3 s, each goes on getting requests and the caller is told to come back after 0.4 s.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -60,6 +60,8 @@
 
 	private static final String NOT_RUN = "HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 
+	private static final String PAUSE = NOT_RUN.replace("not-run: 1", "not-run: 1\r\nretry-after: 3");
+
 	private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 
 	private final MultiThreadIoEventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1,
@@ -205,6 +207,44 @@
 		}
 	}
 
+	// Guards against an overloaded endpoint that asks for a pause and goes on receiving
+	// requests, each of which costs an attempt.
+	@Test
+	void endpointThatAskedForAPauseGetsNoRequests() throws Exception {
+		ScriptedEndpoint paused = endpoint("a").thenRespond(COMPLETE);
+		ScriptedEndpoint other = endpoint("b");
+		for (int i = 0; i < 20; i++) {
+			paused.thenRespond(PAUSE);
+			other.then((connection, id) -> {
+				TimeUnit.MILLISECONDS.sleep(50);
+				ScriptedEndpoint.write(connection, COMPLETE.replace("ID", id));
+			});
+		}
+		try (Caller caller = new Caller()) {
+			for (int i = 0; i < 10; i++) {
+				assertThat(caller.call("GET /again/x HTTP/1.1", "r" + i).status()).isEqualTo(200);
+			}
+		}
+		assertThat(paused.unreadRequests()).isEqualTo(2);
+	}
+
+	// Guards against callers that wait for endpoints which have all asked for a pause, or
+	// return before it ends.
+	@Test
+	void requestIsRejectedAtOnceIfAllEndpointsAskedForAPause() throws Exception {
+		List<ScriptedEndpoint> paused = List.of(endpoint("a").thenRespond(PAUSE).thenRespond(PAUSE),
+				endpoint("b").thenRespond(PAUSE).thenRespond(PAUSE));
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("GET /again/x HTTP/1.1", "1").status()).isEqualTo(503);
+			long start = System.nanoTime();
+			Response response = caller.call("GET /again/x HTTP/1.1", "2");
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(1));
+			assertThat(response.status()).isEqualTo(503);
+			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [2-4]");
+		}
+		assertThat(paused).allSatisfy((endpoint) -> assertThat(endpoint.unreadRequests()).isEqualTo(1));
+	}
+
 	// Guards against requests to endpoints that were removed while the gateway was
 	// paused.
 	@Test
