Send no requests to an endpoint that asked for a pause

Cause: the endpoint's Retry-After was not read, as the postmortem on rate limits had noted.

A 503 with Retry-After now pauses the endpoint at this gateway; placement, connections that are still being established, and copies of cached prompts pass over it. An answer to an earlier request does not end the pause (it ends a backoff), a shorter one does not cut it, and an endpoint that is removed from the list and listed again keeps it, unless its process is a new one. Removed endpoints are remembered for five minutes, 512 at most; a pause lasts an hour at most.

If all endpoints of a service are paused, requests are rejected at once with the time until the first pause ends, in the order in which they came, spread over a quarter of the pause; a known time to retry is no longer cut to 4 s, after which the caller would be rejected again.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -99,12 +99,13 @@
 
 	/**
 	 * Returns the time after which a caller may retry a request that no endpoint accepts
-	 * now.
+	 * now. Unlike a prediction, the time until one does is known, and a caller that
+	 * returned earlier would be rejected again.
 	 * @param untilAccepted the time until an endpoint accepts it
-	 * @return the time, within the bounds of Retry-After
+	 * @return the time, at least the minimum of Retry-After
 	 */
 	public Duration retryAfter(Duration untilAccepted) {
-		return clamp(untilAccepted, MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
+		return (untilAccepted.compareTo(MINIMUM_RETRY_AFTER) < 0) ? MINIMUM_RETRY_AFTER : untilAccepted;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -42,6 +42,8 @@
 
 	private final Counter failedAttempts;
 
+	private final Counter requestedPauses;
+
 	private final Counter droppedLines;
 
 	private final Histogram firstByteLatency;
@@ -68,6 +70,10 @@
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
 			.register(registry);
+		this.requestedPauses = Counter.builder()
+			.name("banyancove_requested_pauses_total")
+			.help("Pauses that endpoints asked this gateway for")
+			.register(registry);
 		this.droppedLines = Counter.builder()
 			.name("banyancove_dropped_log_lines_total")
 			.help("Log lines left out to bound their volume")
@@ -195,6 +201,17 @@
 		}
 	}
 
+	@Override
+	public void pauseRequested(EndpointId endpoint, Duration duration) {
+		this.requestedPauses.inc();
+		if (tryAcquireLine()) {
+			log.atInfo()
+				.addKeyValue("endpoint", endpoint)
+				.addKeyValue("durationMs", duration.toMillis())
+				.log("endpoint requested pause");
+		}
+	}
+
 	@Override
 	public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
 		log.atInfo()
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
@@ -432,7 +432,7 @@
 			}
 			catch (RuntimeException ex) {
 				log.atWarn().addKeyValue("endpoint", id).addKeyValue("cause", ex.toString()).log("endpoint unreadable");
-				SharedStateFollower.this.endpoints.remove(id);
+				SharedStateFollower.this.endpoints.remove(id, SharedStateFollower.this.clock.nanos());
 				SharedStateFollower.this.digests.remove(id);
 				return;
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -67,6 +67,14 @@
 
 	private static final Duration MAXIMUM_BACKOFF = Duration.ofSeconds(4);
 
+	/** Bounds the effect of a pause that an endpoint requested by mistake. */
+	private static final Duration MAXIMUM_PAUSE = Duration.ofHours(1);
+
+	/**
+	 * The share of a pause over which the callers that were rejected during it return.
+	 */
+	private static final int RETURN_SPREAD_DIVISOR = 4;
+
 	private EndpointEntry entry;
 
 	private PromptCache cache;
@@ -107,6 +115,10 @@
 
 	private EndpointRateLimiter rateLimiter;
 
+	private long pauseStartedAt;
+
+	private @Nullable Long pausedUntil;
+
 	private @Nullable Long unlistedAt;
 
 	private @Nullable Long latestAnsweredSentAt;
@@ -168,6 +180,7 @@
 			this.failureRate = 0;
 			this.backoffUntil = Long.MIN_VALUE;
 			this.latestAnsweredSentAt = null;
+			this.pausedUntil = null;
 			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allocation);
 		}
 		this.entry = newer;
@@ -251,6 +264,60 @@
 		requestFailed(now);
 	}
 
+	/**
+	 * Stops sending requests, as the endpoint asked this gateway to do. Other than the
+	 * backoff after failures, a pause does not end with an answer to an earlier request.
+	 * @param duration the time for which to send no requests
+	 * @param now the current time
+	 * @return whether the endpoint was not paused before
+	 */
+	public boolean requestPause(Duration duration, long now) {
+		boolean started = pauseRemaining(now).isZero();
+		if (started) {
+			this.pauseStartedAt = now;
+		}
+		Duration bounded = (duration.compareTo(MAXIMUM_PAUSE) < 0) ? duration : MAXIMUM_PAUSE;
+		long until = now + bounded.toNanos();
+		if (this.pausedUntil == null || until > this.pausedUntil) {
+			this.pausedUntil = until;
+		}
+		return started;
+	}
+
+	/**
+	 * Returns the rest of the pause that the endpoint asked for.
+	 * @param now the current time
+	 * @return the time, zero if requests may be sent
+	 */
+	public Duration pauseRemaining(long now) {
+		return (this.pausedUntil != null) ? Duration.ofNanos(Math.max(0, this.pausedUntil - now)) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns the time after which a caller that is rejected now may retry. Callers that
+	 * were rejected first return first, and not all of them at the end of a pause, which
+	 * would overload the endpoint again.
+	 * @param now the current time
+	 * @return the time, zero if requests may be sent
+	 */
+	Duration retryAfter(long now) {
+		Duration pause = pauseRemaining(now);
+		if (!pause.isZero()) {
+			pause = pause.plusNanos((now - this.pauseStartedAt) / RETURN_SPREAD_DIVISOR);
+		}
+		Duration rateLimit = this.rateLimiter.retryAfter(now);
+		return (pause.compareTo(rateLimit) > 0) ? pause : rateLimit;
+	}
+
+	/**
+	 * Returns whether the endpoint accepts a request now.
+	 * @param now the current time
+	 * @return whether neither a pause nor a rate limit forbids it
+	 */
+	boolean permitsRequest(long now) {
+		return pauseRemaining(now).isZero() && this.rateLimiter.permits(now);
+	}
+
 	/**
 	 * Records that the endpoint itself began to answer a request.
 	 * @param sentAt when the request was sent
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -33,8 +33,16 @@
 	 */
 	private static final Duration POST_OUTAGE_PERIOD = Duration.ofSeconds(2);
 
+	/** Time for which a removed endpoint is remembered. */
+	private static final Duration REMOVED_RETENTION = Duration.ofMinutes(5);
+
+	private static final int MAXIMUM_REMOVED = 512;
+
 	private final Map<EndpointId, Endpoint> endpoints = new LinkedHashMap<>();
 
+	/** Removed endpoints, the oldest first. */
+	private final Map<EndpointId, RemovedEndpoint> removed = new LinkedHashMap<>();
+
 	private final Map<ServiceName, List<Endpoint>> byService = new HashMap<>();
 
 	private final Map<ServiceName, PrefillLatency> prefillLatencies = new HashMap<>();
@@ -70,10 +78,12 @@
 	}
 
 	/**
-	 * Adds or updates an endpoint.
+	 * Adds or updates an endpoint. One that was removed lately, such as during an outage
+	 * of the store, keeps the pause that it asked for.
 	 * @param entry the endpoint's entry
 	 */
 	public void put(EndpointEntry entry) {
+		restore(entry);
 		Endpoint existing = this.endpoints.get(entry.id());
 		boolean changed = existing == null || !existing.entry().equals(entry);
 		if (existing != null && existing.entry().service().equals(entry.service())) {
@@ -91,13 +101,29 @@
 		}
 	}
 
+	private void restore(EndpointEntry entry) {
+		RemovedEndpoint earlier = this.removed.remove(entry.id());
+		if (earlier != null && earlier.endpoint().entry().service().equals(entry.service())) {
+			applyConfiguration(earlier.endpoint());
+			this.endpoints.put(entry.id(), earlier.endpoint());
+			this.byService.clear();
+		}
+	}
+
 	/**
 	 * Removes an endpoint, if it is present.
 	 * @param id the endpoint's identifier
+	 * @param now the current time
 	 */
-	public void remove(EndpointId id) {
-		if (this.endpoints.remove(id) != null) {
-			this.byService.clear();
+	public void remove(EndpointId id, long now) {
+		Endpoint endpoint = this.endpoints.remove(id);
+		if (endpoint == null) {
+			return;
+		}
+		this.byService.clear();
+		this.removed.put(id, new RemovedEndpoint(endpoint, now));
+		if (this.removed.size() > MAXIMUM_REMOVED) {
+			this.removed.remove(this.removed.keySet().iterator().next());
 		}
 	}
 
@@ -118,7 +144,7 @@
 			endpoint.markUnlisted(now);
 		}
 		else {
-			remove(id);
+			remove(id, now);
 		}
 	}
 
@@ -135,7 +161,8 @@
 				expired.add(endpoint.id());
 			}
 		}
-		expired.forEach(this::remove);
+		expired.forEach((id) -> remove(id, now));
+		this.removed.values().removeIf((endpoint) -> now - endpoint.at() > REMOVED_RETENTION.toNanos());
 		return expired;
 	}
 
@@ -172,4 +199,7 @@
 		return this.endpoints.get(id);
 	}
 
+	private record RemovedEndpoint(Endpoint endpoint, long at) {
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -90,7 +90,7 @@
 				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
 		Candidate best = null;
 		for (Endpoint endpoint : endpoints) {
-			if (!available(endpoint, tried, now) || !endpoint.rateLimiter().permits(now)) {
+			if (!available(endpoint, tried, now) || !endpoint.permitsRequest(now)) {
 				continue;
 			}
 			Endpoint source = (endpoint != firstSource) ? firstSource : secondSource;
@@ -107,21 +107,21 @@
 	}
 
 	/**
-	 * Returns the time until an endpoint's rate limit permits a request, if all available
-	 * endpoints are rate limited.
+	 * Returns the time after which a caller may retry, if all available endpoints have
+	 * asked for a pause or are rate limited.
 	 * @param endpoints the service's endpoints
 	 * @param tried the endpoints that the request has been sent to
 	 * @param now the current time
 	 * @return the time, or {@code null} if an endpoint permits a request now or none is
 	 * available
 	 */
-	public @Nullable Duration rateLimitRetryAfter(Collection<Endpoint> endpoints, Set<EndpointId> tried, long now) {
+	public @Nullable Duration retryAfter(Collection<Endpoint> endpoints, Set<EndpointId> tried, long now) {
 		Duration shortest = null;
 		for (Endpoint candidate : endpoints) {
 			if (!available(candidate, tried, now)) {
 				continue;
 			}
-			Duration wait = candidate.rateLimiter().retryAfter(now);
+			Duration wait = candidate.retryAfter(now);
 			if (wait.isZero()) {
 				return null;
 			}
@@ -160,7 +160,8 @@
 	}
 
 	private boolean isEligibleSource(Endpoint endpoint, long now) {
-		return !endpoint.backedOff(now) && endpoint.failureRate(now) < MAXIMUM_SOURCE_FAILURE_RATE
+		return !endpoint.backedOff(now) && endpoint.pauseRemaining(now).isZero()
+				&& endpoint.failureRate(now) < MAXIMUM_SOURCE_FAILURE_RATE
 				&& !this.unreachableDataCenters.contains(endpoint.entry().dataCenter());
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -170,6 +170,9 @@
 		if (headers.load() != null) {
 			this.endpoint.updateLoad(headers.load(), this.exchange.now());
 		}
+		if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && headers.retryAfter() != null) {
+			this.exchange.requestPause(this.endpoint, headers.retryAfter());
+		}
 		// A response that the endpoint did not produce itself is no evidence that a limit
 		// has been lifted.
 		if (headers.sealed() || headers.notRun()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -151,14 +151,7 @@
 		}
 		Placement placement = this.dispatcher.placement().choose(eligible(), prompt(), this.triedEndpoints, now());
 		if (placement == null) {
-			Duration rateLimitDelay = (this.attempts == 0)
-					? this.dispatcher.placement().rateLimitRetryAfter(eligible(), this.triedEndpoints, now()) : null;
-			if (rateLimitDelay != null) {
-				reject(ErrorKind.OVERLOADED, this.dispatcher.admission().retryAfter(rateLimitDelay));
-			}
-			else {
-				waitForEndpoint();
-			}
+			placementFailed();
 			return;
 		}
 		if (this.attempts == 0) {
@@ -176,6 +169,17 @@
 		send(placement);
 	}
 
+	private void placementFailed() {
+		Duration retryAfter = (this.attempts == 0)
+				? this.dispatcher.placement().retryAfter(eligible(), this.triedEndpoints, now()) : null;
+		if (retryAfter != null) {
+			reject(ErrorKind.OVERLOADED, this.dispatcher.admission().retryAfter(retryAfter));
+		}
+		else {
+			waitForEndpoint();
+		}
+	}
+
 	// Retries go to a version that has proved stable.
 	private List<Endpoint> eligible() {
 		boolean boundToEndpoint = this.route.kind() == RouteKind.STREAMING && !this.route.resumable();
@@ -261,7 +265,14 @@
 
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
 	boolean maySend(Endpoint endpoint) {
-		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint);
+		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint)
+				&& endpoint.pauseRemaining(now()).isZero();
+	}
+
+	void requestPause(Endpoint endpoint, Duration duration) {
+		if (endpoint.requestPause(duration, now())) {
+			this.dispatcher.requestLog().pauseRequested(endpoint.id(), duration);
+		}
 	}
 
 	void updateRateLimit(Endpoint endpoint, @Nullable Double requestsPerSecond) {
@@ -511,7 +522,14 @@
 
 	// Ends a request for which no endpoint response can be forwarded.
 	private void endWithError(ErrorKind kind) {
-		endWithError(kind, RETRY_AFTER);
+		endWithError(kind, (kind == ErrorKind.OVERLOADED) ? retryAfterOverload() : RETRY_AFTER);
+	}
+
+	// Any endpoint may be available to the caller's next request, also one that this
+	// request was sent to.
+	private Duration retryAfterOverload() {
+		Duration retryAfter = this.dispatcher.placement().retryAfter(eligible(), Set.of(), now());
+		return (retryAfter != null) ? this.dispatcher.admission().retryAfter(retryAfter) : RETRY_AFTER;
 	}
 
 	private void endWithError(ErrorKind kind, Duration retryAfter) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -39,6 +39,13 @@
 	 */
 	void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond);
 
+	/**
+	 * Called when an endpoint has asked this gateway for a pause.
+	 * @param endpoint the endpoint
+	 * @param duration the time for which to send no requests
+	 */
+	void pauseRequested(EndpointId endpoint, Duration duration);
+
 	/**
 	 * A rejected request.
 	 *
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutExecutorTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutExecutorTests.java
@@ -122,8 +122,8 @@
 		list("a", "v2");
 		list("c", "v3");
 		this.table.addOrder(new RolloutOrder(SERVICE, "v3", Duration.ofSeconds(12), 8));
-		this.endpoints.remove(new EndpointId("a"));
-		this.endpoints.remove(new EndpointId("b"));
+		this.endpoints.remove(new EndpointId("a"), 0);
+		this.endpoints.remove(new EndpointId("b"), 0);
 		Rollout decision = null;
 		for (int ticks = 0; decision == null && ticks < 10; ticks++) {
 			tick(this.executor.rolloutsToPersist(), 0);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 import org.banyancove.core.DataCenterName;
@@ -83,6 +84,36 @@
 		assertThat(this.table.all()).isEmpty();
 	}
 
+	// Guards against requests to an endpoint that asked for a pause, because its entry
+	// expired during an outage of the store and was listed again.
+	@Test
+	void anEndpointThatIsListedAgainKeepsThePauseItAskedFor() {
+		endpoint().requestPause(Duration.ofSeconds(10), 0);
+		this.table.unlisted(ID, null, 1000 * MILLISECOND);
+		this.table.put(entry(false));
+		assertThat(endpoint().pauseRemaining(2000 * MILLISECOND)).isEqualTo(Duration.ofSeconds(8));
+	}
+
+	// Guards against an endpoint that stays unused because a process that was replaced
+	// asked for a pause.
+	@Test
+	void aNewIncarnationOfAnEndpointIsNotPaused() {
+		endpoint().requestPause(Duration.ofSeconds(10), 0);
+		this.table.put(new EndpointEntry(ID, SERVICE, "v1", endpoint().entry().address(), new DataCenterName("a"), 10,
+				false, false, 2));
+		assertThat(endpoint().pauseRemaining(0)).isZero();
+	}
+
+	// Guards against memory that grows with the endpoints that were removed.
+	@Test
+	void aRemovedEndpointIsForgotten() {
+		endpoint().requestPause(Duration.ofHours(1), 0);
+		this.table.unlisted(ID, null, 0);
+		this.table.removeExpired(Duration.ofMinutes(6).toNanos());
+		this.table.put(entry(false));
+		assertThat(endpoint().pauseRemaining(0)).isZero();
+	}
+
 	// Guards against treating an engine as a plain service, which would place prompts
 	// regardless of its queue, when a starting process reads the list of endpoints before
 	// the configuration.
@@ -100,6 +131,10 @@
 		assertThat(endpoint.serviceTimeMillis(20_000)).isEqualTo(2 * endpoint.serviceTimeMillis(prompt.inputTokens()));
 	}
 
+	private Endpoint endpoint() {
+		return Objects.requireNonNull(this.table.get(ID));
+	}
+
 	private static EndpointEntry entry(boolean draining) {
 		return new EndpointEntry(ID, SERVICE, "v1", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
 				new DataCenterName("a"), 10, draining, false, 1);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -627,6 +627,10 @@
 		public void ended(EndedRequest request) {
 		}
 
+		@Override
+		public void pauseRequested(EndpointId endpoint, Duration duration) {
+		}
+
 		@Override
 		public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
 		}
