Send no requests to an endpoint that announced its shutdown in an answer

Callers of requests that can't be repeated lose them when an endpoint exits that still got them. An endpoint that leaves says so in its answers; its entry in the list shows it later or, for some endpoints, never. The header was not read.

An endpoint now counts as draining if its entry or one of its answers says so, until another process has its identifier, also if it is removed from the list and listed again. An answer of another process at the address (421) does not count.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -201,6 +201,11 @@
 		}
 	}
 
+	@Override
+	public void shutdownAnnounced(EndpointId endpoint) {
+		log.atInfo().addKeyValue("endpoint", endpoint).log("endpoint announced shutdown");
+	}
+
 	@Override
 	public void pauseRequested(EndpointId endpoint, Duration duration) {
 		this.requestedPauses.inc();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RolloutExecutor.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RolloutExecutor.java
@@ -166,7 +166,7 @@
 		int candidate = 0;
 		int baseline = 0;
 		for (Endpoint endpoint : this.endpoints.endpointsOf(order.service())) {
-			if (endpoint.entry().draining()) {
+			if (endpoint.draining()) {
 				continue;
 			}
 			if (endpoint.entry().version().equals(order.candidate())) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -115,6 +115,8 @@
 
 	private EndpointRateLimiter rateLimiter;
 
+	private boolean shutdownAnnounced;
+
 	private long pauseStartedAt;
 
 	private @Nullable Long pausedUntil;
@@ -181,6 +183,7 @@
 			this.backoffUntil = Long.MIN_VALUE;
 			this.latestAnsweredSentAt = null;
 			this.pausedUntil = null;
+			this.shutdownAnnounced = false;
 			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allocation);
 		}
 		this.entry = newer;
@@ -264,6 +267,25 @@
 		requestFailed(now);
 	}
 
+	/**
+	 * Records that the endpoint stated in an answer that it is shutting down. Its entry
+	 * in the list may show this later or never.
+	 * @return whether this was not known before
+	 */
+	public boolean announceShutdown() {
+		boolean known = draining();
+		this.shutdownAnnounced = true;
+		return !known;
+	}
+
+	/**
+	 * Returns whether the endpoint is shutting down and accepts no new requests.
+	 * @return whether its entry or one of its answers says so
+	 */
+	public boolean draining() {
+		return this.shutdownAnnounced || this.entry.draining();
+	}
+
 	/**
 	 * Stops sending requests, as the endpoint asked this gateway to do. Other than the
 	 * backoff after failures, a pause does not end with an answer to an earlier request.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -140,7 +140,7 @@
 		if (endpoint == null) {
 			return;
 		}
-		if (sinceOutage != null && sinceOutage.compareTo(POST_OUTAGE_PERIOD) < 0 && !endpoint.entry().draining()) {
+		if (sinceOutage != null && sinceOutage.compareTo(POST_OUTAGE_PERIOD) < 0 && !endpoint.draining()) {
 			endpoint.markUnlisted(now);
 		}
 		else {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -84,7 +84,7 @@
 	 * @return the placement, or {@code null} if no endpoint is available
 	 */
 	public @Nullable Placement choose(Collection<Endpoint> endpoints, Prompt prompt, Set<EndpointId> tried, long now) {
-		Endpoint owner = highestRanked(endpoints, prompt, (endpoint) -> !endpoint.entry().draining());
+		Endpoint owner = highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
 		Endpoint firstSource = highestRanked(endpoints, prompt, (endpoint) -> isEligibleSource(endpoint, now));
 		Endpoint secondSource = highestRanked(endpoints, prompt,
 				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
@@ -103,7 +103,7 @@
 	}
 
 	private static boolean available(Endpoint candidate, Set<EndpointId> tried, long now) {
-		return !tried.contains(candidate.id()) && !candidate.entry().draining() && !candidate.backedOff(now);
+		return !tried.contains(candidate.id()) && !candidate.draining() && !candidate.backedOff(now);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -165,6 +165,9 @@
 		this.head = response;
 		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			this.endpoint.answerBegan(this.sentAt);
+			if (headers.leaving()) {
+				this.exchange.shutdownAnnounced(this.endpoint);
+			}
 		}
 		this.responseHeaders = headers;
 		if (headers.load() != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -269,6 +269,12 @@
 				&& endpoint.pauseRemaining(now()).isZero();
 	}
 
+	void shutdownAnnounced(Endpoint endpoint) {
+		if (endpoint.announceShutdown()) {
+			this.dispatcher.requestLog().shutdownAnnounced(endpoint.id());
+		}
+	}
+
 	void requestPause(Endpoint endpoint, Duration duration) {
 		if (endpoint.requestPause(duration, now())) {
 			this.dispatcher.requestLog().pauseRequested(endpoint.id(), duration);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -39,6 +39,12 @@
 	 */
 	void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond);
 
+	/**
+	 * Called when an endpoint has stated in an answer that it is shutting down.
+	 * @param endpoint the endpoint
+	 */
+	void shutdownAnnounced(EndpointId endpoint);
+
 	/**
 	 * Called when an endpoint has asked this gateway for a pause.
 	 * @param endpoint the endpoint
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -63,7 +63,7 @@
 	 * @return {@code true} if it is still listed and not draining
 	 */
 	public boolean accepts(Endpoint endpoint) {
-		return this.endpoints.get(endpoint.id()) == endpoint && !endpoint.entry().draining();
+		return this.endpoints.get(endpoint.id()) == endpoint && !endpoint.draining();
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -17,7 +17,8 @@
  * together, or {@code null} if there is no limit
  * @param retryAfter the time for which the endpoint asks this gateway for no further
  * requests, or {@code null} if it is not stated
+ * @param leaving whether the endpoint states that it is shutting down
  */
 public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load,
-		@Nullable Double rateLimit, @Nullable Duration retryAfter) {
+		@Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving) {
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -94,14 +94,31 @@
 		assertThat(endpoint().pauseRemaining(2000 * MILLISECOND)).isEqualTo(Duration.ofSeconds(8));
 	}
 
+	// Guards against requests to an endpoint that announced its shutdown in an answer,
+	// and
+	// whose entry does not show it and is removed and listed again.
+	@Test
+	void anEndpointThatAnnouncedItsShutdownStaysDrainingWhenItIsListedAgain() {
+		endpoint().announceShutdown();
+		this.table.put(entry(false));
+		assertThat(endpoint().draining()).isTrue();
+		this.table.unlisted(ID, null, 0);
+		this.table.put(entry(false));
+		assertThat(endpoint().draining()).isTrue();
+		PlacementRule placement = new PlacementRule(new DataCenterName("a"));
+		assertThat(placement.choose(this.table.endpointsOf(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
+	}
+
 	// Guards against an endpoint that stays unused because a process that was replaced
-	// asked for a pause.
+	// asked for a pause or announced its shutdown.
 	@Test
-	void aNewIncarnationOfAnEndpointIsNotPaused() {
+	void aNewIncarnationOfAnEndpointIsNeitherPausedNorDraining() {
 		endpoint().requestPause(Duration.ofSeconds(10), 0);
+		endpoint().announceShutdown();
 		this.table.put(new EndpointEntry(ID, SERVICE, "v1", endpoint().entry().address(), new DataCenterName("a"), 10,
 				false, false, 2));
 		assertThat(endpoint().pauseRemaining(0)).isZero();
+		assertThat(endpoint().draining()).isFalse();
 	}
 
 	// Guards against memory that grows with the endpoints that were removed.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -207,6 +207,28 @@
 		}
 	}
 
+	// Guards against requests that are lost because they are sent to an endpoint that has
+	// announced in an answer that it is shutting down.
+	@Test
+	void endpointThatAnnouncedItsShutdownInAnAnswerGetsNoRequests() throws Exception {
+		ScriptedEndpoint leaving = endpoint("a");
+		ScriptedEndpoint other = endpoint("b");
+		for (int i = 0; i < 20; i++) {
+			leaving.thenRespond(COMPLETE.replace("seal: s", "seal: s\r\nleaving: 1"));
+			other.then((connection, id) -> {
+				TimeUnit.MILLISECONDS.sleep(50);
+				ScriptedEndpoint.write(connection, COMPLETE.replace("ID", id));
+			});
+		}
+		try (Caller caller = new Caller()) {
+			for (int i = 0; i < 10; i++) {
+				assertThat(caller.call("POST /once/x HTTP/1.1", "r" + i).status()).isEqualTo(200);
+			}
+		}
+		assertThat(leaving.unreadRequests()).isEqualTo(1);
+		assertThat(other.unreadRequests()).isEqualTo(9);
+	}
+
 	// Guards against an overloaded endpoint that asks for a pause and goes on receiving
 	// requests, each of which costs an attempt.
 	@Test
@@ -627,6 +649,10 @@
 		public void ended(EndedRequest request) {
 		}
 
+		@Override
+		public void shutdownAnnounced(EndpointId endpoint) {
+		}
+
 		@Override
 		public void pauseRequested(EndpointId endpoint, Duration duration) {
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -39,8 +39,8 @@
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
 		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
 				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
-				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after")))
-						: null);
+				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after"))) : null,
+				headers.contains("leaving"));
 	}
 
 }
