Tell callers when a pause ends also after a retry found no endpoint

A request that its first endpoint had turned away, and for which no other endpoint was left because the rest were paused, got 503 with 0.4 s as time to retry, although the end of the first pause was known. Every rejection now uses that time if all available endpoints are paused or rate limited.

Also a comment that the formatter broke, and one stream instead of two.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
@@ -32,9 +32,8 @@
 				bytes(this.head.uri()), bytes((account != null) ? account.value() : null), checksums(this.body));
 	}
 
-	// Checksums take a small part of the time that a digest of the body would take.
-	// Bodies
-	// with equal checksums can only be confused within a client account.
+	// Checksums take a small part of the time of a digest of the body. Bodies with equal
+	// checksums are only confused within a client account.
 	private static ByteBuffer checksums(ByteBuf body) {
 		CRC32 first = new CRC32();
 		first.update(body.nioBuffer());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -528,12 +528,13 @@
 
 	// Ends a request for which no endpoint response can be forwarded.
 	private void endWithError(ErrorKind kind) {
-		endWithError(kind, (kind == ErrorKind.OVERLOADED) ? retryAfterOverload() : RETRY_AFTER);
+		endWithError(kind, retryAfterRejection());
 	}
 
-	// Any endpoint may be available to the caller's next request, also one that this
-	// request was sent to.
-	private Duration retryAfterOverload() {
+	// The caller's next request may be sent to any endpoint, also to one that this
+	// request
+	// was sent to.
+	private Duration retryAfterRejection() {
 		Duration retryAfter = this.dispatcher.placement().retryAfter(eligible(), Set.of(), now());
 		return (retryAfter != null) ? this.dispatcher.admission().retryAfter(retryAfter) : RETRY_AFTER;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -93,12 +92,11 @@
 		if (reports.size() <= maximum) {
 			return reports;
 		}
-		Collection<Map.Entry<Fingerprint, SuspectReport>> selected = reports.entrySet()
+		return reports.entrySet()
 			.stream()
 			.sorted(Map.Entry.comparingByValue(MOST_RELEVANT_FIRST))
 			.limit(maximum)
-			.toList();
-		return selected.stream().collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -207,6 +207,21 @@
 		}
 	}
 
+	// Guards against callers that return too early because the last endpoint that was not
+	// paused turned their request away.
+	@Test
+	void requestTurnedAwayByTheLastEndpointIsToldWhenAPauseEnds() throws Exception {
+		ScriptedEndpoint first = endpoint("a").thenRespond(PAUSE);
+		endpoint("b").thenRespond(PAUSE.replace("retry-after: 3", "retry-after: 2"));
+		try (Caller caller = new Caller()) {
+			Response response = caller.call("POST /once/x HTTP/1.1", "1");
+			assertThat(response.status()).isEqualTo(503);
+			assertThat(first.nextRequest()).isNotNull();
+			Response second = caller.call("POST /once/x HTTP/1.1", "2");
+			assertThat(second.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: (1.9|2)");
+		}
+	}
+
 	// Guards against requests that are lost because they are sent to an endpoint that has
 	// announced in an answer that it is shutting down.
 	@Test
