--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -67,14 +67,6 @@
 
 	private static final Duration MAXIMUM_BACKOFF = Duration.ofSeconds(4);
 
-	/** Bounds the effect of a pause that an endpoint requested by mistake. */
-	private static final Duration MAXIMUM_PAUSE = Duration.ofHours(1);
-
-	/**
-	 * The share of a pause over which the callers that were rejected during it return.
-	 */
-	private static final int RETURN_SPREAD_DIVISOR = 4;
-
 	private EndpointEntry entry;
 
 	private PromptCache cache;
@@ -117,9 +109,7 @@
 
 	private boolean shutdownAnnounced;
 
-	private long pauseStartedAt;
-
-	private @Nullable Long pausedUntil;
+	private EndpointPause pause = new EndpointPause();
 
 	private @Nullable Long unlistedAt;
 
@@ -182,7 +172,7 @@
 			this.failureRate = 0;
 			this.backoffUntil = Long.MIN_VALUE;
 			this.latestAnsweredSentAt = null;
-			this.pausedUntil = null;
+			this.pause = new EndpointPause();
 			this.shutdownAnnounced = false;
 			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allocation);
 		}
@@ -272,7 +262,7 @@
 	 * in the list may show this later or never.
 	 * @return whether this was not known before
 	 */
-	public boolean announceShutdown() {
+	public boolean recordShutdownAnnouncement() {
 		boolean known = draining();
 		this.shutdownAnnounced = true;
 		return !known;
@@ -287,48 +277,22 @@
 	}
 
 	/**
-	 * Stops sending requests, as the endpoint asked this gateway to do. Other than the
-	 * backoff after failures, a pause does not end with an answer to an earlier request.
-	 * @param duration the time for which to send no requests
-	 * @param now the current time
-	 * @return whether the endpoint was not paused before
+	 * Returns the pause that the endpoint asked this gateway for.
+	 * @return the pause
 	 */
-	public boolean requestPause(Duration duration, long now) {
-		boolean started = pauseRemaining(now).isZero();
-		if (started) {
-			this.pauseStartedAt = now;
-		}
-		Duration bounded = (duration.compareTo(MAXIMUM_PAUSE) < 0) ? duration : MAXIMUM_PAUSE;
-		long until = now + bounded.toNanos();
-		if (this.pausedUntil == null || until > this.pausedUntil) {
-			this.pausedUntil = until;
-		}
-		return started;
+	public EndpointPause pause() {
+		return this.pause;
 	}
 
 	/**
-	 * Returns the rest of the pause that the endpoint asked for.
-	 * @param now the current time
-	 * @return the time, zero if requests may be sent
-	 */
-	public Duration pauseRemaining(long now) {
-		return (this.pausedUntil != null) ? Duration.ofNanos(Math.max(0, this.pausedUntil - now)) : Duration.ZERO;
-	}
-
-	/**
-	 * Returns the time after which a caller that is rejected now may retry. Callers that
-	 * were rejected first return first, and not all of them at the end of a pause, which
-	 * would overload the endpoint again.
+	 * Returns the time after which a caller that is rejected now may retry.
 	 * @param now the current time
 	 * @return the time, zero if requests may be sent
 	 */
 	Duration retryAfter(long now) {
-		Duration pause = pauseRemaining(now);
-		if (!pause.isZero()) {
-			pause = pause.plusNanos((now - this.pauseStartedAt) / RETURN_SPREAD_DIVISOR);
-		}
+		Duration pauseEnd = this.pause.retryAfter(now);
 		Duration rateLimit = this.rateLimiter.retryAfter(now);
-		return (pause.compareTo(rateLimit) > 0) ? pause : rateLimit;
+		return (pauseEnd.compareTo(rateLimit) > 0) ? pauseEnd : rateLimit;
 	}
 
 	/**
@@ -337,14 +301,14 @@
 	 * @return whether neither a pause nor a rate limit forbids it
 	 */
 	boolean permitsRequest(long now) {
-		return pauseRemaining(now).isZero() && this.rateLimiter.permits(now);
+		return this.pause.remaining(now).isZero() && this.rateLimiter.permits(now);
 	}
 
 	/**
 	 * Records that the endpoint itself began to answer a request.
 	 * @param sentAt when the request was sent
 	 */
-	public void answerBegan(long sentAt) {
+	public void recordAnswerStart(long sentAt) {
 		if (this.latestAnsweredSentAt == null || sentAt > this.latestAnsweredSentAt) {
 			this.latestAnsweredSentAt = sentAt;
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -160,7 +160,7 @@
 	}
 
 	private boolean isEligibleSource(Endpoint endpoint, long now) {
-		return !endpoint.backedOff(now) && endpoint.pauseRemaining(now).isZero()
+		return !endpoint.backedOff(now) && endpoint.pause().remaining(now).isZero()
 				&& endpoint.failureRate(now) < MAXIMUM_SOURCE_FAILURE_RATE
 				&& !this.unreachableDataCenters.contains(endpoint.entry().dataCenter());
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -164,7 +164,7 @@
 		}
 		this.head = response;
 		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-			this.endpoint.answerBegan(this.sentAt);
+			this.endpoint.recordAnswerStart(this.sentAt);
 			if (headers.leaving()) {
 				this.exchange.shutdownAnnounced(this.endpoint);
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -266,17 +266,17 @@
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
 	boolean maySend(Endpoint endpoint) {
 		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint)
-				&& endpoint.pauseRemaining(now()).isZero();
+				&& endpoint.pause().remaining(now()).isZero();
 	}
 
 	void shutdownAnnounced(Endpoint endpoint) {
-		if (endpoint.announceShutdown()) {
+		if (endpoint.recordShutdownAnnouncement()) {
 			this.dispatcher.requestLog().shutdownAnnounced(endpoint.id());
 		}
 	}
 
 	void requestPause(Endpoint endpoint, Duration duration) {
-		if (endpoint.requestPause(duration, now())) {
+		if (endpoint.pause().request(duration, now())) {
 			this.dispatcher.requestLog().pauseRequested(endpoint.id(), duration);
 		}
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -397,7 +397,7 @@
 				else if (time - run.sentAt() >= RESPONSE_TIME.toNanos()) {
 					this.running.remove(run);
 					run.backend().runs.remove(run);
-					run.endpoint().answerBegan(run.sentAt());
+					run.endpoint().recordAnswerStart(run.sentAt());
 					this.quarantine.recordAnswer(run.request(), time);
 					CrashingRequestFleetTests.this.answered++;
 				}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
@@ -85,7 +85,7 @@
 	void callersRejectedDuringAPauseReturnInOrderSoonAfterItsEnd() {
 		Node node = new Node();
 		for (Endpoint endpoint : node.endpoints.endpointsOf(SERVICE)) {
-			endpoint.requestPause(PAUSE, 0);
+			endpoint.pause().request(PAUSE, 0);
 		}
 		long previous = 0;
 		for (long at = 0; at < PAUSE.toNanos(); at += STEP.toNanos()) {
@@ -106,7 +106,7 @@
 	void requestsAreSentToTheEndpointsThatAreNotPaused() {
 		Node node = new Node();
 		List<Endpoint> endpoints = node.endpoints.endpointsOf(SERVICE);
-		endpoints.subList(1, ENDPOINTS).forEach((endpoint) -> endpoint.requestPause(PAUSE, 0));
+		endpoints.subList(1, ENDPOINTS).forEach((endpoint) -> endpoint.pause().request(PAUSE, 0));
 		Placement placement = node.choose(1);
 		assertThat(placement).isNotNull();
 		assertThat((placement != null) ? placement.endpoint() : null).isEqualTo(endpoints.getFirst());
@@ -118,10 +118,10 @@
 	@Test
 	void answersDoNotEndAPause() {
 		Endpoint endpoint = new Node().endpoints.endpointsOf(SERVICE).getFirst();
-		endpoint.requestPause(PAUSE, 0);
+		endpoint.pause().request(PAUSE, 0);
 		endpoint.requestAnswered(true, 1);
-		endpoint.requestPause(Duration.ofMillis(10), 2);
-		assertThat(endpoint.pauseRemaining(0)).isEqualTo(PAUSE);
+		endpoint.pause().request(Duration.ofMillis(10), 2);
+		assertThat(endpoint.pause().remaining(0)).isEqualTo(PAUSE);
 	}
 
 	private void runFor(Duration time, int requestsPerSecond) {
@@ -261,7 +261,7 @@
 				call.endpoint().requestFailed(time);
 			}
 			else if (call.turnedAway()) {
-				call.endpoint().requestPause(PAUSE, time);
+				call.endpoint().pause().request(PAUSE, time);
 				EndpointPauseTests.this.pauses++;
 				this.announced.put(call.endpoint().id(),
 						new AnnouncedPause(time + REACTION_TIME.toNanos(), time + PAUSE.toNanos()));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -88,10 +88,10 @@
 	// expired during an outage of the store and was listed again.
 	@Test
 	void anEndpointThatIsListedAgainKeepsThePauseItAskedFor() {
-		endpoint().requestPause(Duration.ofSeconds(10), 0);
+		endpoint().pause().request(Duration.ofSeconds(10), 0);
 		this.table.unlisted(ID, null, 1000 * MILLISECOND);
 		this.table.put(entry(false));
-		assertThat(endpoint().pauseRemaining(2000 * MILLISECOND)).isEqualTo(Duration.ofSeconds(8));
+		assertThat(endpoint().pause().remaining(2000 * MILLISECOND)).isEqualTo(Duration.ofSeconds(8));
 	}
 
 	// Guards against requests to an endpoint that announced its shutdown in an answer,
@@ -99,7 +99,7 @@
 	// whose entry does not show it and is removed and listed again.
 	@Test
 	void anEndpointThatAnnouncedItsShutdownStaysDrainingWhenItIsListedAgain() {
-		endpoint().announceShutdown();
+		endpoint().recordShutdownAnnouncement();
 		this.table.put(entry(false));
 		assertThat(endpoint().draining()).isTrue();
 		this.table.unlisted(ID, null, 0);
@@ -113,22 +113,22 @@
 	// asked for a pause or announced its shutdown.
 	@Test
 	void aNewIncarnationOfAnEndpointIsNeitherPausedNorDraining() {
-		endpoint().requestPause(Duration.ofSeconds(10), 0);
-		endpoint().announceShutdown();
+		endpoint().pause().request(Duration.ofSeconds(10), 0);
+		endpoint().recordShutdownAnnouncement();
 		this.table.put(new EndpointEntry(ID, SERVICE, "v1", endpoint().entry().address(), new DataCenterName("a"), 10,
 				false, false, 2));
-		assertThat(endpoint().pauseRemaining(0)).isZero();
+		assertThat(endpoint().pause().remaining(0)).isZero();
 		assertThat(endpoint().draining()).isFalse();
 	}
 
 	// Guards against memory that grows with the endpoints that were removed.
 	@Test
 	void aRemovedEndpointIsForgotten() {
-		endpoint().requestPause(Duration.ofHours(1), 0);
+		endpoint().pause().request(Duration.ofHours(1), 0);
 		this.table.unlisted(ID, null, 0);
 		this.table.removeExpired(Duration.ofMinutes(6).toNanos());
 		this.table.put(entry(false));
-		assertThat(endpoint().pauseRemaining(0)).isZero();
+		assertThat(endpoint().pause().remaining(0)).isZero();
 	}
 
 	// Guards against treating an engine as a plain service, which would place prompts
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -90,9 +90,9 @@
 		crash("a", 0, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
-		endpoint.answerBegan(millis(90));
+		endpoint.recordAnswerStart(millis(90));
 		assertThat(remaining(600)).isPositive();
-		endpoint.answerBegan(millis(550));
+		endpoint.recordAnswerStart(millis(550));
 		assertThat(remaining(600)).isZero();
 	}
 
@@ -103,7 +103,7 @@
 		crash("a", 0, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
-		endpoint("a", 1).answerBegan(millis(550));
+		endpoint("a", 1).recordAnswerStart(millis(550));
 		endpoint("a", 2);
 		assertThat(remaining(600)).isPositive();
 	}
