Ignore what a former process of an endpoint announced

An answer of a process that was replaced under its identifier can arrive after the new process has registered. Its announced shutdown then kept the new process unused for as long as it lived, and its pause delayed requests to it. What an answer tells of the endpoint now counts only if the entry is still that of the process to which the request was sent.

The test failed before (503 for the next request, now 200).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointEntry.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointEntry.java
@@ -32,7 +32,12 @@
 		}
 	}
 
-	boolean sameIncarnation(EndpointEntry other) {
+	/**
+	 * Returns whether two entries describe the same process.
+	 * @param other the other entry
+	 * @return {@code false} if the endpoint was restarted or replaced
+	 */
+	public boolean sameIncarnation(EndpointEntry other) {
 		return this.startedAt == other.startedAt && this.version.equals(other.version)
 				&& this.address.equals(other.address) && this.service.equals(other.service);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.rollout.AnswerTimes;
 import org.banyancove.gateway.shared.EndpointHeaders;
@@ -25,6 +26,8 @@
 
 	private final Endpoint endpoint;
 
+	private final EndpointEntry entryWhenSent;
+
 	private final double predictedMillis;
 
 	private final int number;
@@ -54,6 +57,7 @@
 	Attempt(Exchange exchange, Placement placement, int number, long sentAt) {
 		this.exchange = exchange;
 		this.endpoint = placement.endpoint();
+		this.entryWhenSent = this.endpoint.entry();
 		this.predictedMillis = placement.predictedMillis();
 		this.number = number;
 		this.sentAt = sentAt;
@@ -163,19 +167,14 @@
 			return false;
 		}
 		this.head = response;
-		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-			this.endpoint.recordAnswerStart(this.sentAt);
-			if (headers.leaving()) {
-				this.exchange.shutdownAnnounced(this.endpoint);
-			}
+		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+				&& this.endpoint.entry().sameIncarnation(this.entryWhenSent)) {
+			readEndpointState(response.status(), headers);
 		}
 		this.responseHeaders = headers;
 		if (headers.load() != null) {
 			this.endpoint.updateLoad(headers.load(), this.exchange.now());
 		}
-		if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && headers.retryAfter() != null) {
-			this.exchange.requestPause(this.endpoint, headers.retryAfter());
-		}
 		// A response that the endpoint did not produce itself is no evidence that a limit
 		// has been lifted.
 		if (headers.sealed() || headers.notRun()) {
@@ -184,6 +183,16 @@
 		return true;
 	}
 
+	private void readEndpointState(HttpResponseStatus status, EndpointHeaders headers) {
+		this.endpoint.recordAnswerStart(this.sentAt);
+		if (headers.leaving()) {
+			this.exchange.shutdownAnnounced(this.endpoint);
+		}
+		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && headers.retryAfter() != null) {
+			this.exchange.requestPause(this.endpoint, headers.retryAfter());
+		}
+	}
+
 	@Override
 	public void content(ByteBuf content) {
 		if (this.exchange.isStreaming(this)) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -207,6 +207,24 @@
 		}
 	}
 
+	// Guards against an endpoint that stays unused because its former process, of which
+	// an
+	// answer arrives late, had announced its shutdown.
+	@Test
+	void answerOfAFormerProcessDoesNotConcernTheCurrentOne() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a");
+		EndpointEntry restarted = new EndpointEntry(new EndpointId("a"), SERVICE, "v1", endpoint.address(), DATA_CENTER,
+				10, false, false, 2);
+		endpoint.then((connection, id) -> {
+			this.eventLoop.submit(() -> this.endpoints.put(restarted)).sync();
+			ScriptedEndpoint.write(connection, COMPLETE.replace("ID", id).replace("seal: s", "seal: s\r\nleaving: 1"));
+		}).thenRespond(COMPLETE);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/x HTTP/1.1", "1").status()).isEqualTo(200);
+			assertThat(caller.call("POST /once/x HTTP/1.1", "2").status()).isEqualTo(200);
+		}
+	}
+
 	// Guards against callers that return too early because the last endpoint that was not
 	// paused turned their request away.
 	@Test
