Compute fingerprints of requests from checksums alone

Content is now a pair of checksums, and the account a hash of its own, so that no account can obtain the fingerprint of another one's request.

--- a/banyancove-core/src/main/java/org/banyancove/core/suspect/Fingerprint.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/suspect/Fingerprint.java
@@ -31,22 +31,6 @@
 		return new Fingerprint(bytes.getLong(), bytes.getLong());
 	}
 
-	/**
-	 * Computes the fingerprint of content that consists of several parts.
-	 * @param parts the parts, from their position to their limit, whose boundaries are
-	 * part of the content
-	 * @return the fingerprint
-	 */
-	public static Fingerprint of(ByteBuffer... parts) {
-		MessageDigest digest = sha256();
-		for (ByteBuffer part : parts) {
-			digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.remaining()).flip());
-			digest.update(part);
-		}
-		ByteBuffer bytes = ByteBuffer.wrap(digest.digest());
-		return new Fingerprint(bytes.getLong(), bytes.getLong());
-	}
-
 	/**
 	 * Returns the fingerprint in hexadecimal.
 	 * @return 32 digits
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
@@ -1,11 +1,12 @@
 package org.banyancove.gateway.exchange;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32;
 import java.util.zip.CRC32C;
+import java.util.zip.Checksum;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import org.banyancove.core.AccountName;
@@ -21,6 +22,8 @@
  */
 record CallerRequest(HttpRequest head, ByteBuf body, long arrivedAt) {
 
+	private static final long HASH_MULTIPLIER = 0x9e3779b97f4a7c15L;
+
 	/**
 	 * Returns the fingerprint that all copies of this request have in common, whichever
 	 * gateway they arrive at.
@@ -28,26 +31,32 @@
 	 * @return the fingerprint
 	 */
 	Fingerprint fingerprint(@Nullable AccountName account) {
-		return Fingerprint.of(bytes(this.head.method().name()), bytes(this.head.headers().get(HttpHeaderNames.HOST)),
-				bytes(this.head.uri()), bytes((account != null) ? account.value() : null), checksums(this.body));
+		return new Fingerprint(hash(account), contentChecksum());
+	}
+
+	// Another account cannot obtain the same value by its choice of a request.
+	private static long hash(@Nullable AccountName account) {
+		long hash = 0;
+		for (char character : ((account != null) ? account.value() : "").toCharArray()) {
+			hash = (hash ^ character) * HASH_MULTIPLIER;
+		}
+		return hash;
 	}
 
-	// Checksums take a small part of the time of a digest of the body. Bodies with equal
-	// checksums are only confused within a client account.
-	private static ByteBuffer checksums(ByteBuf body) {
+	// Unlike a digest, checksums are also fast in code that is not compiled yet.
+	private long contentChecksum() {
 		CRC32 first = new CRC32();
-		first.update(body.nioBuffer());
 		CRC32C second = new CRC32C();
-		second.update(body.nioBuffer());
-		return ByteBuffer.allocate(Integer.BYTES + 2 * Long.BYTES)
-			.putInt(body.readableBytes())
-			.putLong(first.getValue())
-			.putLong(second.getValue())
-			.flip();
+		update(first, second, (this.head.method().name() + ' ' + this.head.headers().get(HttpHeaderNames.HOST)
+				+ this.head.uri() + '\n')
+			.getBytes(StandardCharsets.UTF_8));
+		update(first, second, ByteBufUtil.getBytes(this.body));
+		return first.getValue() << Integer.SIZE | second.getValue();
 	}
 
-	private static ByteBuffer bytes(@Nullable String text) {
-		return ByteBuffer.wrap(((text != null) ? text : "").getBytes(StandardCharsets.UTF_8));
+	private static void update(Checksum first, Checksum second, byte[] bytes) {
+		first.update(bytes, 0, bytes.length);
+		second.update(bytes, 0, bytes.length);
 	}
 
 }
