Report requests that crash endpoints in a message of their own

A gateway of the new version could not read any report or summary of the former one ("peer's message unreadable", readerIndex(71) + length(1) exceeds writerIndex(71)), so that in a fleet that is being upgraded the new gateways did not hear the old ones: quotas, loads and the readers of the store were unknown to them.

Traffic reports have their former format again, and the reports on requests are sent as a message of their own, by gateways that have any: own observations to the aggregators, and from there to all. A former gateway ignores it, with a warning in its log. It is applied when it arrives and not at the next tick, and nothing of it is summed up again in each summary; a report holds what it held before.

The bytes of a report and of a summary that the former version wrote are now a test, in both directions; reading them failed before. Truncated messages of the new kind are rejected like the others. Expiry no longer walks over all completions at each tick.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -13,9 +13,12 @@
 
 import io.netty.channel.EventLoop;
 import org.banyancove.core.AccountName;
+import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.duty.AggregatorSelection;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.PeerTable;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.shared.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,6 +72,8 @@
 
 	private final Consumer<RelayedRecords> relayedRecords;
 
+	private final RequestQuarantine quarantine;
+
 	private final PeerTransport transport;
 
 	private final PeerMessageCodec codec = new PeerMessageCodec();
@@ -89,10 +94,11 @@
 	 * @param ownReport supplies the report of this gateway
 	 * @param remoteUsage receives the usage accepted by other gateways, by client account
 	 * @param relayedRecords receives the records that other gateways relay
+	 * @param quarantine exchanges the requests that may crash endpoints
 	 */
 	FleetExchange(GatewayAddress own, EventLoop eventLoop, MonotonicClock clock, PeerTransport transport,
 			PeerTable peerTable, Supplier<GatewayReport> ownReport, Consumer<Map<AccountName, Double>> remoteUsage,
-			Consumer<RelayedRecords> relayedRecords) {
+			Consumer<RelayedRecords> relayedRecords, RequestQuarantine quarantine) {
 		this.name = own.name();
 		this.eventLoop = eventLoop;
 		this.clock = clock;
@@ -102,6 +108,7 @@
 		this.ownReport = ownReport;
 		this.remoteUsage = remoteUsage;
 		this.relayedRecords = relayedRecords;
+		this.quarantine = quarantine;
 		this.selection = new AggregatorSelection(own.name());
 	}
 
@@ -166,6 +173,16 @@
 			this.reportingMembers.keySet().forEach((member) -> this.transport.write(member, summary));
 		}
 		this.transport.flush();
+		reportSuspects(aggregator, now);
+	}
+
+	private void reportSuspects(boolean aggregator, long now) {
+		boolean relays = aggregator && !this.directory.fullMesh();
+		Map<Fingerprint, SuspectReport> reports = relays ? this.quarantine.relayedReports(now)
+				: this.quarantine.ownReports(now);
+		if (!reports.isEmpty()) {
+			distribute(this.codec.write(new PeerMessage.Suspects(reports)), now);
+		}
 	}
 
 	private void updateAggregators(String group, List<String> chosen) {
@@ -208,14 +225,17 @@
 
 	/**
 	 * Relays records that this gateway read to the gateways that report here and to the
-	 * aggregators. Only an aggregator sends to the aggregators of other groups: a gateway
-	 * that is none receives no responses from other groups and cannot tell which of their
-	 * members respond.
+	 * aggregators.
 	 * @param records the records
 	 */
 	void relay(RelayedRecords records) {
-		byte[] message = this.codec.write(new PeerMessage.Relay(records));
-		long now = this.clock.nanos();
+		distribute(this.codec.write(new PeerMessage.Relay(records)), this.clock.nanos());
+	}
+
+	// Only an aggregator sends to the aggregators of other groups: a gateway that is none
+	// receives no responses from other groups and cannot tell which of their members
+	// respond.
+	private void distribute(byte[] message, long now) {
 		List<String> aggregators = aggregators(this.directory.ownGroup(), now);
 		send(aggregators, message);
 		if (aggregators.contains(this.name)) {
@@ -260,6 +280,7 @@
 				case PeerMessage.Summary received ->
 					this.remoteUsage.accept(this.peerTable.receive(received.summary(), this.clock.nanos()));
 				case PeerMessage.Relay received -> this.relayedRecords.accept(received.records());
+				case PeerMessage.Suspects received -> this.quarantine.merge(received.reports(), this.clock.nanos());
 			}
 		}
 		catch (RuntimeException ex) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -190,7 +190,8 @@
 		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.dataCenter(),
 				settings.processorShare());
 		this.fleetExchange = new FleetExchange(this.address, this.eventLoop, this.clock, this.peerChannel,
-				this.peerTable, this::report, this.requestDispatcher::addRemoteUsage, this::applyRelayed);
+				this.peerTable, this::report, this.requestDispatcher::addRemoteUsage, this::applyRelayed,
+				this.quarantine);
 		this.eventLoops = eventLoops;
 		this.statusServer = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseElector leaseElector = new LeaseElector(settings.name(), this.incarnation, settings.lease(),
@@ -296,7 +297,7 @@
 	private GatewayReport report() {
 		TrafficTotals traffic = new TrafficTotals(this.usage.counts(), this.requestDispatcher.quotaUsage(),
 				this.demandEstimator.demandByService(this.clock.nanos()), endpointLoads(), this.rollouts.report(),
-				rateLimits(this.clock.nanos()), this.quarantine.report(this.clock.nanos()));
+				rateLimits(this.clock.nanos()));
 		return new GatewayReport(this.incarnation, this.settings.dataCenter(), traffic,
 				this.leaseHolderDuties.holdsLease(), this.sharedState.sharedStateVersion());
 	}
@@ -339,7 +340,6 @@
 		this.requestDispatcher.updateFleet(this.fleetView.otherGateways() + 1, this.fleetView.reachableShare());
 		this.placementRule.setUnreachableDataCenters(this.fleetView.unreachableDataCenters());
 		applyRateLimits(now);
-		this.quarantine.merge(this.fleetView.suspects(), now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.servingEndpoints.recordVersions(this.configuration.serviceNames());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
@@ -1,7 +1,11 @@
 package org.banyancove.gateway.daemon;
 
+import java.util.Map;
+
+import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.duty.FleetSummary;
 import org.banyancove.gateway.duty.GatewayReport;
+import org.banyancove.gateway.quarantine.SuspectReport;
 
 /**
  * A message between gateways, sent as a datagram.
@@ -34,4 +38,18 @@
 	record Relay(RelayedRecords records) implements PeerMessage {
 	}
 
+	/**
+	 * Reports on requests that may crash endpoints. A message of its own, since gateways
+	 * of other versions must be able to read the reports on traffic.
+	 *
+	 * @param reports the reports by fingerprint
+	 */
+	record Suspects(Map<Fingerprint, SuspectReport> reports) implements PeerMessage {
+
+		public Suspects {
+			reports = Map.copyOf(reports);
+		}
+
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
@@ -27,6 +27,8 @@
 
 	private static final byte RELAY = 3;
 
+	private static final byte SUSPECTS = 4;
+
 	private static final int INITIAL_BYTES = 2048;
 
 	byte[] write(PeerMessage message) {
@@ -38,6 +40,10 @@
 				out.writeByte(RELAY);
 				RelayedRecordsCodec.write(out, relay.records());
 			}
+			case PeerMessage.Suspects suspects -> {
+				out.writeByte(SUSPECTS);
+				SuspectReportsCodec.write(out, suspects.reports());
+			}
 		}
 		return ByteBufUtil.getBytes(out);
 	}
@@ -93,6 +99,7 @@
 				case REPORT -> new PeerMessage.Report(readReport(in));
 				case SUMMARY -> new PeerMessage.Summary(readSummary(in));
 				case RELAY -> new PeerMessage.Relay(RelayedRecordsCodec.read(in));
+				case SUSPECTS -> new PeerMessage.Suspects(SuspectReportsCodec.read(in));
 				default -> throw new IllegalArgumentException("kind is unknown: " + kind);
 			};
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
@@ -45,7 +45,6 @@
 		writeLoads(out, traffic.loads());
 		RolloutReportCodec.write(out, traffic.rollouts());
 		writeRateLimits(out, traffic.rateLimits());
-		SuspectReportsCodec.write(out, traffic.suspects());
 	}
 
 	private static void writeRateLimits(ByteBuf out, Map<EndpointId, ObservedRateLimit> limits) {
@@ -91,7 +90,7 @@
 			demand.put(new ServiceName(BinaryFields.readText(in)), (double) BinaryFields.readVarint(in));
 		}
 		return new TrafficTotals(usageCounts, quotaUsed, demand, readLoads(in), RolloutReportCodec.read(in),
-				readRateLimits(in), SuspectReportsCodec.read(in));
+				readRateLimits(in));
 	}
 
 	private static Map<EndpointId, ObservedRateLimit> readRateLimits(ByteBuf in) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -10,9 +10,7 @@
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
-import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.jspecify.annotations.Nullable;
 
@@ -24,9 +22,6 @@
 	/** Readers listed in a summary: one more than are required. */
 	private static final int MAXIMUM_READERS = 4;
 
-	/** Suspect requests in a summary, which bounds its size. */
-	private static final int MAXIMUM_SUSPECTS = 64;
-
 	private final Map<DataCenterName, DataCenterPresence> presence = new HashMap<>();
 
 	private final Map<ServiceName, Double> demand = new HashMap<>();
@@ -35,8 +30,6 @@
 
 	private final Map<EndpointId, ObservedRateLimit> rateLimits = new HashMap<>();
 
-	private final Map<Fingerprint, SuspectReport> suspects = new HashMap<>();
-
 	private final TreeSet<Long> readers = new TreeSet<>();
 
 	private RolloutReport rollouts = RolloutReport.NONE;
@@ -114,8 +107,6 @@
 		traffic.rateLimits()
 			.forEach((endpoint, limit) -> this.rateLimits.merge(endpoint, limit.after(elapsed),
 					ObservedRateLimit::newerOf));
-		traffic.suspects()
-			.forEach((request, report) -> this.suspects.merge(request, report.after(elapsed), SuspectReport::merge));
 	}
 
 	private void updateSharedState(SharedStateVersion candidate) {
@@ -136,8 +127,7 @@
 			Map<AccountName, Double> used) {
 		List<Long> lowestReaders = this.readers.stream().limit(MAXIMUM_READERS).toList();
 		return new FleetSummary(incarnation, group, List.copyOf(this.presence.values()),
-				new TrafficTotals(counts, used, this.demand, this.loads, this.rollouts, this.rateLimits,
-						SuspectReport.mostRelevant(this.suspects, MAXIMUM_SUSPECTS)),
+				new TrafficTotals(counts, used, this.demand, this.loads, this.rollouts, this.rateLimits),
 				this.leaseHolder, this.sharedState, lowestReaders);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -8,9 +8,7 @@
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
-import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.rollout.RolloutReport;
 
 /**
@@ -25,8 +23,6 @@
  * second, by service
  * @param rollouts the rollout samples of the other gateways
  * @param rateLimits the newest rate limits that endpoints reported to any gateway
- * @param suspects the requests that may crash endpoints, as reported by the other
- * gateways
  * @param leaseHeldElsewhere whether another gateway holds the lease of the fleet-wide
  * duties
  * @param sharedState the most recent shared state of any gateway that reads the store
@@ -35,12 +31,12 @@
  */
 public record FleetView(int otherGateways, double reachableShare, Set<DataCenterName> unreachableDataCenters,
 		Map<EndpointId, EndpointLoad> loads, Map<ServiceName, Double> demand, RolloutReport rollouts,
-		Map<EndpointId, ObservedRateLimit> rateLimits, Map<Fingerprint, SuspectReport> suspects,
-		boolean leaseHeldElsewhere, SharedStateVersion sharedState, List<Long> readers, boolean aggregator) {
+		Map<EndpointId, ObservedRateLimit> rateLimits, boolean leaseHeldElsewhere, SharedStateVersion sharedState,
+		List<Long> readers, boolean aggregator) {
 
 	/** The view of a gateway without known peers. */
 	public static final FleetView ALONE = new FleetView(0, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE,
-			Map.of(), Map.of(), false, SharedStateVersion.NONE, List.of(), true);
+			Map.of(), false, SharedStateVersion.NONE, List.of(), true);
 
 	/**
 	 * Gateways that read the store on behalf of the fleet: with three, changes still
@@ -64,8 +60,8 @@
 		}
 		return new FleetView(others.gateways(), (others.reachable() + 1.0) / (others.gateways() + 1), unreachable,
 				others.traffic().loads(), others.traffic().demand(), others.traffic().rollouts(),
-				others.traffic().rateLimits(), others.traffic().suspects(), others.leaseHolder() != 0,
-				others.sharedState(), others.readers(), aggregator);
+				others.traffic().rateLimits(), others.leaseHolder() != 0, others.sharedState(), others.readers(),
+				aggregator);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/TrafficTotals.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/TrafficTotals.java
@@ -5,9 +5,7 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
-import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
-import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.rollout.RolloutReport;
 
 /**
@@ -20,15 +18,14 @@
  * @param loads the load at each endpoint
  * @param rollouts the samples of the rollouts
  * @param rateLimits the newest rate limits that endpoints reported
- * @param suspects the requests that may crash endpoints
  */
 public record TrafficTotals(Map<Long, Map<AccountName, Long>> usageCounts, Map<AccountName, Double> quotaUsed,
 		Map<ServiceName, Double> demand, Map<EndpointId, EndpointLoad> loads, RolloutReport rollouts,
-		Map<EndpointId, ObservedRateLimit> rateLimits, Map<Fingerprint, SuspectReport> suspects) {
+		Map<EndpointId, ObservedRateLimit> rateLimits) {
 
 	/** No traffic. */
 	public static final TrafficTotals NONE = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(),
-			RolloutReport.NONE, Map.of(), Map.of());
+			RolloutReport.NONE, Map.of());
 
 	/**
 	 * Creates totals.
@@ -39,7 +36,6 @@
 		demand = Map.copyOf(demand);
 		loads = Map.copyOf(loads);
 		rateLimits = Map.copyOf(rateLimits);
-		suspects = Map.copyOf(suspects);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/CrashObservation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/CrashObservation.java
@@ -14,9 +14,6 @@
  */
 public record CrashObservation(EndpointId endpoint, Duration sentAge, Duration lostAge) {
 
-	/** Reports of the same crash differ by less than this, even on a slow network. */
-	static final Duration SAME_CRASH_WINDOW = Duration.ofSeconds(2);
-
 	/**
 	 * Creates the observation.
 	 * @throws IllegalArgumentException if {@code lostAge} is negative or exceeds
@@ -28,18 +25,4 @@
 		}
 	}
 
-	/**
-	 * Returns this observation with its ages increased.
-	 * @param elapsed the time to add
-	 * @return the aged observation
-	 */
-	CrashObservation after(Duration elapsed) {
-		return new CrashObservation(this.endpoint, this.sentAge.plus(elapsed), this.lostAge.plus(elapsed));
-	}
-
-	boolean isSameCrash(CrashObservation other) {
-		return this.endpoint.equals(other.endpoint)
-				&& this.lostAge.minus(other.lostAge).abs().compareTo(SAME_CRASH_WINDOW) < 0;
-	}
-
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/RequestQuarantine.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/RequestQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.suspect.Fingerprint;
@@ -54,7 +55,10 @@
 
 	private static final int MAXIMUM_COMPLETIONS = 4096;
 
-	private static final int MAXIMUM_REPORTS = 24;
+	/** Bound the size of a message. */
+	private static final int MAXIMUM_OWN_REPORTS = 24;
+
+	private static final int MAXIMUM_RELAYED_REPORTS = 64;
 
 	/**
 	 * Time for which an observation is reported; covers several report intervals, so that
@@ -157,25 +161,45 @@
 	}
 
 	/**
-	 * Returns what this gateway reports to the others: its recent observations, and all
+	 * Returns the reports on what this gateway itself observed recently, and on all
 	 * requests that were in quarantine, of which a restarted gateway knows nothing.
 	 * @param now the current time
 	 * @return the reports by fingerprint
 	 */
-	public Map<Fingerprint, SuspectReport> report(long now) {
+	public Map<Fingerprint, SuspectReport> ownReports(long now) {
+		long since = now - REPORT_DURATION.toNanos();
+		return reports((suspect) -> suspect.observedSince(since), MAXIMUM_OWN_REPORTS, now);
+	}
+
+	/**
+	 * Returns the reports on what any gateway observed recently, and on all requests that
+	 * were in quarantine.
+	 * @param now the current time
+	 * @return the reports by fingerprint
+	 */
+	public Map<Fingerprint, SuspectReport> relayedReports(long now) {
+		long since = now - REPORT_DURATION.toNanos();
+		return reports((suspect) -> suspect.changedSince(since), MAXIMUM_RELAYED_REPORTS, now);
+	}
+
+	private Map<Fingerprint, SuspectReport> reports(Predicate<SuspectRequest> recent, int maximum, long now) {
 		Map<Fingerprint, SuspectReport> reports = new HashMap<>();
 		this.suspects.forEach((request, suspect) -> {
-			List<SuspectRequest.Crash> successive = suspect.successiveCrashes(this.endpoints);
-			if (successive.size() >= CRASH_THRESHOLD || suspect.observedSince(now - REPORT_DURATION.toNanos())) {
-				List<SuspectRequest.Crash> latest = successive.subList(Math.max(0, successive.size() - CRASH_THRESHOLD),
-						successive.size());
-				Long answeredAt = suspect.answeredAt();
-				reports.put(request,
-						new SuspectReport(latest.stream().map((crash) -> crash.toObservation(now)).toList(),
-								(answeredAt != null) ? Duration.ofNanos(Math.max(0, now - answeredAt)) : null));
+			if (recent.test(suspect) || suspect.successiveCrashes(this.endpoints).size() >= CRASH_THRESHOLD) {
+				reports.put(request, report(suspect, now));
 			}
 		});
-		return SuspectReport.mostRelevant(reports, MAXIMUM_REPORTS);
+		return SuspectReport.mostRelevant(reports, maximum);
+	}
+
+	private SuspectReport report(SuspectRequest suspect, long now) {
+		List<SuspectRequest.Crash> successive = suspect.successiveCrashes(this.endpoints);
+		List<CrashObservation> latest = successive.stream()
+			.skip(Math.max(0, successive.size() - CRASH_THRESHOLD))
+			.map((crash) -> crash.toObservation(now))
+			.toList();
+		Long answeredAt = suspect.answeredAt();
+		return new SuspectReport(latest, (answeredAt != null) ? Duration.ofNanos(Math.max(0, now - answeredAt)) : null);
 	}
 
 	/**
@@ -242,7 +266,10 @@
 			}
 		});
 		this.suspects.keySet().removeAll(expired);
-		this.completions.values().removeIf((at) -> now - at > COMPLETION_RETENTION.toNanos());
+		Iterator<Long> oldestFirst = this.completions.values().iterator();
+		while (oldestFirst.hasNext() && now - oldestFirst.next() > COMPLETION_RETENTION.toNanos()) {
+			oldestFirst.remove();
+		}
 	}
 
 	private boolean isExpired(SuspectRequest suspect, long now) {
@@ -251,9 +278,12 @@
 			Long answeredAt = suspect.answeredAt();
 			return answeredAt == null || now - answeredAt > REPORT_DURATION.toNanos();
 		}
+		long age = now - lastCrashAt;
+		if (age <= SUSPECT_RETENTION.toNanos()) {
+			return false;
+		}
 		boolean wasQuarantined = suspect.successiveCrashes(this.endpoints).size() >= CRASH_THRESHOLD;
-		Duration retention = wasQuarantined ? QUARANTINED_RETENTION : SUSPECT_RETENTION;
-		return now - lastCrashAt > retention.toNanos();
+		return !wasQuarantined || age > QUARANTINED_RETENTION.toNanos();
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -1,7 +1,6 @@
 package org.banyancove.gateway.quarantine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -19,12 +18,6 @@
  */
 public record SuspectReport(List<CrashObservation> crashes, @Nullable Duration answeredAge) {
 
-	/** Crashes in a report; a few more than a quarantine requires. */
-	private static final int MAXIMUM_CRASHES = 8;
-
-	private static final Comparator<CrashObservation> MOST_RECENT_LAST = Comparator.comparing(CrashObservation::lostAge)
-		.reversed();
-
 	/**
 	 * Orders the reports closest to a quarantine first, the most recent of them first.
 	 */
@@ -40,40 +33,6 @@
 		crashes = List.copyOf(crashes);
 	}
 
-	/**
-	 * Returns this report with its ages increased.
-	 * @param elapsed the time to add
-	 * @return the aged report
-	 */
-	public SuspectReport after(Duration elapsed) {
-		return new SuspectReport(this.crashes.stream().map((crash) -> crash.after(elapsed)).toList(),
-				(this.answeredAge != null) ? this.answeredAge.plus(elapsed) : null);
-	}
-
-	/**
-	 * Merges two reports on the same request.
-	 * @param other the other report
-	 * @return the merged report
-	 */
-	public SuspectReport merge(SuspectReport other) {
-		List<CrashObservation> merged = new ArrayList<>(this.crashes);
-		for (CrashObservation crash : other.crashes) {
-			if (merged.stream().noneMatch(crash::isSameCrash)) {
-				merged.add(crash);
-			}
-		}
-		merged.sort(MOST_RECENT_LAST);
-		return new SuspectReport(merged.subList(Math.max(0, merged.size() - MAXIMUM_CRASHES), merged.size()),
-				lower(this.answeredAge, other.answeredAge));
-	}
-
-	private static @Nullable Duration lower(@Nullable Duration first, @Nullable Duration second) {
-		if (first == null || second == null) {
-			return (first != null) ? first : second;
-		}
-		return (first.compareTo(second) <= 0) ? first : second;
-	}
-
 	private Duration age() {
 		if (!this.crashes.isEmpty()) {
 			return this.crashes.getLast().lostAge();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
@@ -19,6 +19,9 @@
 
 	private static final int MAXIMUM_CRASHES = 16;
 
+	/** Reports of the same crash differ by less than this, even on a slow network. */
+	private static final Duration SAME_CRASH_WINDOW = Duration.ofSeconds(2);
+
 	private static final Comparator<Crash> BY_END = Comparator.comparingLong(Crash::lostAt);
 
 	private final List<Crash> crashes = new ArrayList<>(1);
@@ -77,6 +80,11 @@
 		return this.observedAt != null && this.observedAt >= time;
 	}
 
+	boolean changedSince(long time) {
+		Long lastCrash = lastCrashAt();
+		return (lastCrash != null && lastCrash >= time) || (this.answeredAt != null && this.answeredAt >= time);
+	}
+
 	@Nullable Long answeredAt() {
 		return this.answeredAt;
 	}
@@ -93,7 +101,7 @@
 	 * @return the crashes in the order of their times
 	 */
 	List<Crash> successiveCrashes(EndpointTable endpoints) {
-		List<Crash> successive = new ArrayList<>();
+		List<Crash> successive = new ArrayList<>(this.crashes.size());
 		for (Crash crash : this.crashes) {
 			Endpoint endpoint = endpoints.get(crash.endpoint());
 			boolean alive = endpoint != null && endpoint.answeredRequestSentAfter(crash.lostAt());
@@ -115,7 +123,7 @@
 
 		private boolean isSameAs(Crash other) {
 			return this.endpoint.equals(other.endpoint)
-					&& Math.abs(this.lostAt - other.lostAt) < CrashObservation.SAME_CRASH_WINDOW.toNanos();
+					&& Math.abs(this.lostAt - other.lostAt) < SAME_CRASH_WINDOW.toNanos();
 		}
 
 		private Crash earlierOf(Crash other) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -306,7 +306,7 @@
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> CrashingRequestFleetTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					});
+					}, this.quarantine);
 		}
 
 		void restart() {
@@ -409,14 +409,13 @@
 			if (time >= this.tickAt) {
 				this.tickAt = time + Duration.ofMillis(200).toNanos();
 				this.table.expire(time);
-				this.quarantine.merge(this.table.view(time).suspects(), time);
 				this.quarantine.expire(time);
 			}
 		}
 
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
-					Map.of(), this.quarantine.report(CrashingRequestFleetTests.this.now));
+					Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, SharedStateVersion.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -30,6 +30,7 @@
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.jspecify.annotations.Nullable;
@@ -197,7 +198,7 @@
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					});
+					}, new RequestQuarantine(this.endpoints));
 			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
 			this.endpoints.put(entry(LIMITED, dataCenter));
 			this.endpoints.put(entry(OTHER, dataCenter));
@@ -263,7 +264,7 @@
 		private GatewayReport report() {
 			ObservedRateLimit observed = endpoint(LIMITED).rateLimiter().observed(EndpointRateLimitTests.this.now);
 			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
-					(observed != null) ? Map.of(LIMITED, observed) : Map.of(), Map.of());
+					(observed != null) ? Map.of(LIMITED, observed) : Map.of());
 			return new GatewayReport(this.incarnation, this.address.dataCenter(), traffic, false,
 					SharedStateVersion.NONE);
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -22,6 +22,9 @@
 import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.duty.SharedStateVersion;
 import org.banyancove.gateway.duty.TrafficTotals;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -298,7 +301,9 @@
 		private FleetExchange newExchange() {
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(), () -> FleetExchangeTests.this.now,
 					this, this.table, this::report,
-					(remoteUsage) -> remoteUsage.values().forEach((amount) -> this.charged += amount), this::relayed);
+					(remoteUsage) -> remoteUsage.values().forEach((amount) -> this.charged += amount), this::relayed,
+					new RequestQuarantine(
+							new EndpointTable(new RateLimitAllocation(this.name, () -> List.of(this.name)))));
 		}
 
 		void restart() {
@@ -320,7 +325,7 @@
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(WINDOW, Map.of(ACCOUNT, this.counted)),
 					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)), RolloutReport.NONE,
-					Map.of(), Map.of());
+					Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, SharedStateVersion.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 
@@ -47,15 +48,18 @@
 			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
 			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE,
 			Map.of(new EndpointId("e"), new ObservedRateLimit(1.4, Duration.ofMillis(250)), new EndpointId("f"),
-					new ObservedRateLimit(null, Duration.ZERO)),
-			Map.of(new Fingerprint(5, -6), new SuspectReport(
-					List.of(new CrashObservation(new EndpointId("e"), Duration.ofMillis(400), Duration.ofMillis(300)),
-							new CrashObservation(new EndpointId("f"), Duration.ofMillis(300), Duration.ZERO)),
-					null), new Fingerprint(-7, 8), new SuspectReport(List.of(), Duration.ofMillis(700))));
+					new ObservedRateLimit(null, Duration.ZERO)));
 
 	private static final SharedStateVersion SHARED_STATE = new SharedStateVersion(true, 5, -9, Duration.ofMillis(350),
 			2);
 
+	private static final PeerMessage SUSPECTS = new PeerMessage.Suspects(Map.of(new Fingerprint(5, -6),
+			new SuspectReport(
+					List.of(new CrashObservation(new EndpointId("e"), Duration.ofMillis(400), Duration.ofMillis(300)),
+							new CrashObservation(new EndpointId("f"), Duration.ofMillis(300), Duration.ZERO)),
+					null),
+			new Fingerprint(-7, 8), new SuspectReport(List.of(), Duration.ofMillis(700))));
+
 	private final PeerMessageCodec codec = new PeerMessageCodec();
 
 	@Test
@@ -64,7 +68,7 @@
 		Rollout rollout = new Rollout(order, "v1", Instant.ofEpochMilli(99), -3, new RolloutStage.InProgress(0.04, 1));
 		RolloutReport report = new RolloutReport(List.of(rollout),
 				Map.of(new SampleKey(7, "chat", true), new VersionSamples(300, 200, 1)));
-		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of(), Map.of());
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of());
 		GatewayReport sent = new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE);
 		assertThat(this.codec.read(this.codec.write(new PeerMessage.Report(sent))))
 			.isEqualTo(new PeerMessage.Report(sent));
@@ -90,6 +94,30 @@
 				new FleetSummary(1, null, List.of(), TrafficTotals.NONE, 0, SharedStateVersion.NONE, List.of())));
 	}
 
+	@Test
+	void readsTheSuspectsThatItWrote() {
+		assertReadsWhatItWrote(SUSPECTS);
+	}
+
+	// Guards against gateways that don't hear each other while the fleet is upgraded: the
+	// bytes were written before the reports on requests that crash endpoints existed.
+	@Test
+	void trafficReportsAreThoseOfTheFormerVersion() {
+		TrafficTotals traffic = new TrafficTotals(TRAFFIC.usageCounts(), TRAFFIC.quotaUsed(), TRAFFIC.demand(),
+				TRAFFIC.loads(), RolloutReport.NONE, Map.of());
+		assertBytes(new PeerMessage.Report(new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE)),
+				"010000000000000007016101010000000000000005fffffffffffffff7de020000000000000002"
+						+ "01076163636f756e740501090301077365727669636507010165028407000000");
+		assertBytes(new PeerMessage.Summary(new FleetSummary(1, "a", List.of(), traffic, 7, SHARED_STATE, List.of(1L))),
+				"0200000000000000010101610000000000000007010000000000000005fffffffffffffff7de020000000000000002"
+						+ "010000000000000001" + "0001076163636f756e740501090301077365727669636507010165028407000000");
+	}
+
+	private void assertBytes(PeerMessage message, String hex) {
+		assertThat(HexFormat.of().formatHex(this.codec.write(message))).isEqualTo(hex);
+		assertThat(this.codec.read(HexFormat.of().parseHex(hex))).isEqualTo(message);
+	}
+
 	private void assertReadsWhatItWrote(PeerMessage message) {
 		assertThat(this.codec.read(this.codec.write(message))).isEqualTo(message);
 	}
@@ -137,7 +165,7 @@
 			loads.put(new EndpointId("i-7f3a91c2" + i), new EndpointLoad(2, 9000));
 		}
 		return new TrafficTotals(Map.of(1L, counts, 2L, counts, 3L, counts, 4L, counts), used,
-				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of(), Map.of());
+				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of());
 	}
 
 	// Guards against relayed records that saturate the link of a small VM for seconds
@@ -161,7 +189,7 @@
 
 	@Test
 	void rejectsATruncatedMessage() {
-		for (PeerMessage message : List.of(
+		for (PeerMessage message : List.of(SUSPECTS,
 				new PeerMessage.Report(new GatewayReport(7, new DataCenterName("a"), TRAFFIC, true, SHARED_STATE)),
 				new PeerMessage.Relay(new RelayedRecords(Topic.ENDPOINTS,
 						List.of(new TopicRecord(7, "a", new byte[] { 1, -2 })), null)))) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
@@ -173,7 +173,7 @@
 
 	private static GatewayReport report(double used) {
 		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(),
-				RolloutReport.NONE, Map.of(), Map.of());
+				RolloutReport.NONE, Map.of());
 		return new GatewayReport(7, new DataCenterName("zone"), traffic, false, SharedStateVersion.NONE);
 	}
 
@@ -194,7 +194,7 @@
 
 	private static TrafficTotals loads(int requests) {
 		return new TrafficTotals(Map.of(), Map.of(), Map.of(SERVICE, 10.0 * requests),
-				Map.of(ENDPOINT, new EndpointLoad(requests, 100L * requests)), RolloutReport.NONE, Map.of(), Map.of());
+				Map.of(ENDPOINT, new EndpointLoad(requests, 100L * requests)), RolloutReport.NONE, Map.of());
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -126,7 +126,7 @@
 		crash("b", 200, 300);
 		crash("c", 400, 500);
 		RequestQuarantine restarted = new RequestQuarantine(this.endpoints);
-		restarted.merge(this.quarantine.report(millis(40_000)), millis(40_000));
+		restarted.merge(this.quarantine.ownReports(millis(40_000)), millis(40_000));
 		assertThat(restarted.remaining(REQUEST, millis(40_000))).isEqualTo(remaining(40_000)).isPositive();
 	}
 
@@ -138,8 +138,8 @@
 		crash("c", 400, 500);
 		RequestQuarantine other = new RequestQuarantine(this.endpoints);
 		for (int at = 500; at < 60_500; at += 250) {
-			other.merge(this.quarantine.report(millis(at)), millis(at + 40));
-			this.quarantine.merge(other.report(millis(at + 40)), millis(at + 80));
+			other.merge(this.quarantine.ownReports(millis(at)), millis(at + 40));
+			this.quarantine.merge(other.ownReports(millis(at + 40)), millis(at + 80));
 		}
 		assertThat(remaining(60_500)).isZero();
 		assertThat(other.remaining(REQUEST, millis(60_541))).isZero();
@@ -154,10 +154,10 @@
 		for (int i = 0; i < 5000; i++) {
 			this.quarantine.recordLoss(new Fingerprint(2, i), new EndpointId("e" + i), millis(600), millis(700));
 		}
-		assertThat(this.quarantine.report(millis(700))).hasSize(24).containsKey(REQUEST);
+		assertThat(this.quarantine.ownReports(millis(700))).hasSize(24).containsKey(REQUEST);
 		assertThat(remaining(700)).isPositive();
 		this.quarantine.expire(millis(62_000));
-		assertThat(this.quarantine.report(millis(62_000))).containsOnlyKeys(REQUEST);
+		assertThat(this.quarantine.ownReports(millis(62_000))).containsOnlyKeys(REQUEST);
 		this.quarantine.expire(millis(302_000));
 		assertThat(this.quarantine.isEmpty()).isTrue();
 	}
