Remember that a removed endpoint had survived

Found on reading the change once more: a connection that the network reset counts against a request until the endpoint answers a later one. When that endpoint was removed from the list afterwards, as in any rollout, the loss counted as a crash again, and an innocent request with three such losses would have been rejected for a minute. Removed endpoints are remembered for pauses anyway and are now asked as well. The test failed before (59.9 s in quarantine, now none).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -320,7 +320,7 @@
 	 * @param time the time
 	 * @return whether it answered such a request
 	 */
-	public boolean answeredRequestSentAfter(long time) {
+	boolean answeredRequestSentAfter(long time) {
 		return this.latestAnsweredSentAt != null && this.latestAnsweredSentAt > time;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -182,6 +182,19 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether an endpoint, listed or removed lately, answered a request that was
+	 * sent after a time.
+	 * @param id the endpoint's identifier
+	 * @param time the time
+	 * @return whether it was alive then
+	 */
+	public boolean answeredRequestSentAfter(EndpointId id, long time) {
+		RemovedEndpoint earlier = this.removed.get(id);
+		Endpoint endpoint = (earlier != null) ? earlier.endpoint() : this.endpoints.get(id);
+		return endpoint != null && endpoint.answeredRequestSentAfter(time);
+	}
+
 	/**
 	 * Returns all endpoints.
 	 * @return the endpoints
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -47,7 +47,7 @@
 	 * @param maximum the maximum number of reports
 	 * @return the selected reports
 	 */
-	public static Map<Fingerprint, SuspectReport> mostRelevant(Map<Fingerprint, SuspectReport> reports, int maximum) {
+	static Map<Fingerprint, SuspectReport> mostRelevant(Map<Fingerprint, SuspectReport> reports, int maximum) {
 		if (reports.size() <= maximum) {
 			return reports;
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 
 import org.banyancove.core.EndpointId;
-import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.jspecify.annotations.Nullable;
 
@@ -96,15 +95,14 @@
 	/**
 	 * Returns a longest sequence of crashes in which each attempt was sent after the
 	 * previous endpoint had ended. Endpoints that end while all of them have the request
-	 * may have a common cause, such as the loss of their data centre, and count as one.
+	 * may have a common cause, such as the loss of their data center, and count as one.
 	 * @param endpoints the endpoints, which show by later answers that they did not crash
 	 * @return the crashes in the order of their times
 	 */
 	List<Crash> successiveCrashes(EndpointTable endpoints) {
 		List<Crash> successive = new ArrayList<>(this.crashes.size());
 		for (Crash crash : this.crashes) {
-			Endpoint endpoint = endpoints.get(crash.endpoint());
-			boolean alive = endpoint != null && endpoint.answeredRequestSentAfter(crash.lostAt());
+			boolean alive = endpoints.answeredRequestSentAfter(crash.endpoint(), crash.lostAt());
 			if (!alive && (successive.isEmpty() || crash.sentAt() >= successive.getLast().lostAt())) {
 				successive.add(crash);
 			}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -96,6 +96,20 @@
 		assertThat(remaining(600)).isZero();
 	}
 
+	// Guards against the rejection of requests whose connections were reset by the
+	// network
+	// at endpoints that were later replaced.
+	@Test
+	void anEndpointThatAnsweredLaterRequestsAndWasRemovedHasNotCrashed() {
+		Endpoint endpoint = endpoint("a", 1);
+		crash("a", 0, 100);
+		crash("b", 200, 300);
+		crash("c", 400, 500);
+		endpoint.recordAnswerStart(millis(550));
+		this.endpoints.remove(endpoint.id(), millis(580));
+		assertThat(remaining(600)).isZero();
+	}
+
 	// Guards against an endpoint that counts as alive because it was started again under
 	// its identifier.
 	@Test
