--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -531,9 +531,7 @@
 		endWithError(kind, retryAfterRejection());
 	}
 
-	// The caller's next request may be sent to any endpoint, also to one that this
-	// request
-	// was sent to.
+	// The endpoints that this request was sent to may serve the caller's next one.
 	private Duration retryAfterRejection() {
 		Duration retryAfter = this.dispatcher.placement().retryAfter(eligible(), Set.of(), now());
 		return (retryAfter != null) ? this.dispatcher.admission().retryAfter(retryAfter) : RETRY_AFTER;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -94,9 +94,8 @@
 		assertThat(endpoint().pause().remaining(2000 * MILLISECOND)).isEqualTo(Duration.ofSeconds(8));
 	}
 
-	// Guards against requests to an endpoint that announced its shutdown in an answer,
-	// and
-	// whose entry does not show it and is removed and listed again.
+	// Guards against requests to an endpoint that announced its shutdown in an answer
+	// only, and whose entry is removed and listed again.
 	@Test
 	void anEndpointThatAnnouncedItsShutdownStaysDrainingWhenItIsListedAgain() {
 		endpoint().recordShutdownAnnouncement();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -189,9 +189,8 @@
 		}
 	}
 
-	// Guards against a request that crashes each endpoint it is sent to and is repeated
-	// by
-	// its caller until none is left.
+	// Guards against a request that crashes each endpoint and that its caller repeats
+	// until none is left.
 	@Test
 	void requestThatCrashedThreeEndpointsIsNotSentAgain() throws Exception {
 		for (int i = 0; i < 8; i++) {
@@ -208,9 +207,8 @@
 		}
 	}
 
-	// Guards against an endpoint that stays unused because its former process, of which
-	// an
-	// answer arrives late, had announced its shutdown.
+	// Guards against an endpoint that stays unused because of a late answer in which its
+	// former process announced its shutdown.
 	@Test
 	void answerOfAFormerProcessDoesNotConcernTheCurrentOne() throws Exception {
 		ScriptedEndpoint endpoint = endpoint("a");
