Tell apart why no connection to an endpoint was available

Cause: the logs of partitioned gateways had one reason, NOT_SENT, for a connection that was refused, one that was not established in time and a pool without a free connection, so that they could not tell a partition that hangs from one that refuses. Change: a reason for each, and banyancove_backed_off_endpoints for endpoints that get no requests because attempts failed.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -360,6 +360,8 @@
 			applyFleetView(now);
 			this.quarantine.expire(now);
 			this.metrics.quarantined(this.quarantine.quarantined(now));
+			this.metrics.backedOffEndpoints(
+					this.endpoints.all().stream().mapToInt((endpoint) -> endpoint.backedOff(now) ? 1 : 0).sum());
 			this.sharedState.reconcile(this.fleetView.sharedState(), now);
 			this.metrics.endpointsAge(this.sharedState.endpointsAge(now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -52,6 +52,8 @@
 
 	private final Gauge endpointsAge;
 
+	private final Gauge backedOffEndpoints;
+
 	private final Gauge quarantinedRequests;
 
 	private Set<Fingerprint> quarantined = Set.of();
@@ -94,6 +96,10 @@
 			.name("banyancove_endpoints_age_seconds")
 			.help("Since the store was last asked for what is known of endpoints")
 			.register(registry);
+		this.backedOffEndpoints = Gauge.builder()
+			.name("banyancove_backed_off_endpoints")
+			.help("Endpoints that get no requests because attempts at them failed")
+			.register(registry);
 		this.quarantinedRequests = Gauge.builder()
 			.name("banyancove_quarantined_requests")
 			.help("Requests that are rejected because they crashed several endpoints in succession")
@@ -126,6 +132,10 @@
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
 
+	void backedOffEndpoints(int count) {
+		this.backedOffEndpoints.set(count);
+	}
+
 	/** Replenishes the log lines of one tick and reports dropped lines. */
 	void replenishLogLines() {
 		this.availableLines = Math.min(MAXIMUM_LINES_PER_SECOND, this.availableLines + LINES_PER_TICK);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -415,7 +415,12 @@
 		return (this.memory != null) ? prefillMillis(prefillTokens) : this.responseMillis;
 	}
 
-	boolean backedOff(long now) {
+	/**
+	 * Returns whether requests are withheld because attempts failed.
+	 * @param now the current time
+	 * @return whether the backoff lasts
+	 */
+	public boolean backedOff(long now) {
 		return now < this.backoffUntil;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
@@ -5,8 +5,14 @@
  */
 public enum CallFailure {
 
-	/** The connection could not be established; no byte of the request was sent. */
-	NOT_SENT(false, false),
+	/** The maximum number of connections is open; no byte of the request was sent. */
+	NO_FREE_CONNECTION(false, false),
+
+	/** The connection was refused; no byte of the request was sent. */
+	CONNECT_REFUSED(false, false),
+
+	/** The connection was not established in time; no byte of the request was sent. */
+	CONNECT_TIMED_OUT(false, false),
 
 	/** The endpoint may no longer be used; no byte of the request was sent. */
 	WITHDRAWN(false, false),
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -80,7 +81,7 @@
 			pooled.send(call);
 		}
 		else if (this.openConnections.getOrDefault(address, 0) >= options.maximumConnections()) {
-			this.eventLoop.execute(() -> call.failed(CallFailure.NOT_SENT));
+			this.eventLoop.execute(() -> call.failed(CallFailure.NO_FREE_CONNECTION));
 		}
 		else {
 			connect(address, options, call);
@@ -136,7 +137,8 @@
 			.addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
 		connectFuture.addListener((future) -> {
 			if (!future.isSuccess()) {
-				call.failed(CallFailure.NOT_SENT);
+				call.failed((future.cause() instanceof ConnectTimeoutException) ? CallFailure.CONNECT_TIMED_OUT
+						: CallFailure.CONNECT_REFUSED);
 				return;
 			}
 			ClientConnection connection = connectFuture.channel().pipeline().get(ClientConnection.class);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -431,7 +431,7 @@
 					failure.name());
 		if (!failure.mayHaveRun()) {
 			this.attempts--;
-			if (failure == CallFailure.NOT_SENT) {
+			if (failure != CallFailure.WITHDRAWN) {
 				attempt.endpoint().unreachable(now());
 			}
 			place();
