Add a failing test of gateways that are partitioned from all endpoints

Cause: a gateway has one way to an endpoint, its own connection; while that is cut, each request fails at one endpoint after the other. Change: whole gateways on loopback addresses at 9 and 90, whose connections to endpoints hang, are reset, or are refused only if new, at one gateway, a data center's or two thirds of all; callers that never retry.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -8,6 +8,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -50,6 +51,8 @@
 
 	private final MonotonicClock clock;
 
+	private final ChannelFactory<? extends Channel> channelFactory;
+
 	private final Map<InetSocketAddress, Deque<ClientConnection>> idleConnections = new HashMap<>();
 
 	private final Map<InetSocketAddress, Integer> openConnections = new HashMap<>();
@@ -60,8 +63,19 @@
 	 * @param clock the monotonic clock
 	 */
 	public ConnectionPool(EventLoop eventLoop, MonotonicClock clock) {
+		this(eventLoop, clock, NioSocketChannel::new);
+	}
+
+	/**
+	 * Creates an empty pool of a particular kind of channels.
+	 * @param eventLoop the event loop that serves the connections
+	 * @param clock the monotonic clock
+	 * @param channelFactory creates the channel of each connection
+	 */
+	public ConnectionPool(EventLoop eventLoop, MonotonicClock clock, ChannelFactory<? extends Channel> channelFactory) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
+		this.channelFactory = channelFactory;
 	}
 
 	/**
@@ -115,7 +129,7 @@
 	private void connect(InetSocketAddress address, CallOptions options, ClientCall call) {
 		this.openConnections.merge(address, 1, Integer::sum);
 		Bootstrap bootstrap = new Bootstrap().group(this.eventLoop)
-			.channel(NioSocketChannel.class)
+			.channelFactory(this.channelFactory)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -0,0 +1,281 @@
+package org.banyancove.gateway.daemon;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.banyancove.core.AccountName;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.RouteKind;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.configuration.WeightedService;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.exchange.ConnectionPool;
+import org.banyancove.gateway.exchange.ListeningSocket;
+import org.banyancove.gateway.exchange.RetryLimits;
+import org.banyancove.gateway.exchange.TestHeaderCodec;
+import org.banyancove.gateway.rollout.ExposureLimits;
+import org.banyancove.gateway.rollout.Rollout;
+import org.banyancove.gateway.rollout.RolloutOrder;
+import org.banyancove.gateway.shared.Duties;
+import org.banyancove.gateway.shared.RecordCodec;
+import org.banyancove.gateway.shared.Topic;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Whole gateways on loopback addresses, in three data centres, before stub endpoints.
+ */
+final class GatewayFleet implements AutoCloseable {
+
+	static final int DATA_CENTERS = 3;
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration LATENCY_TARGET = Duration.ofMillis(300);
+
+	private static final Duration EVENT_INTERVAL = Duration.ofMillis(400);
+
+	private final InMemoryTopicStore store = new InMemoryTopicStore();
+
+	private final Map<String, Integer> runs = StubEndpoint.newRuns();
+
+	private final List<StubEndpoint> endpoints = new ArrayList<>();
+
+	private final Set<InetSocketAddress> endpointAddresses = new HashSet<>();
+
+	private final List<Node> nodes = new ArrayList<>();
+
+	GatewayFleet(int gateways, int endpoints, Duration responseTime) throws IOException, InterruptedException {
+		this.store.append(Topic.CONFIGURATION, "configuration", new byte[0]);
+		for (int i = 0; i < endpoints; i++) {
+			StubEndpoint endpoint = new StubEndpoint(this.runs, responseTime);
+			this.endpoints.add(endpoint);
+			this.endpointAddresses.add(endpoint.address());
+			String value = endpoint.address().getPort() + " " + dataCenter(i).value();
+			this.store.append(Topic.ENDPOINTS, "endpoint-" + i, value.getBytes(StandardCharsets.US_ASCII));
+		}
+		for (int i = 0; i < gateways; i++) {
+			this.nodes.add(new Node(i));
+		}
+		for (Node node : this.nodes) {
+			node.start();
+		}
+	}
+
+	List<Node> nodes() {
+		return this.nodes;
+	}
+
+	Map<String, Integer> runs() {
+		return this.runs;
+	}
+
+	StubEndpoint endpoint(int number) {
+		return this.endpoints.get(number);
+	}
+
+	private static DataCenterName dataCenter(int number) {
+		return new DataCenterName("dc-" + number % DATA_CENTERS);
+	}
+
+	private static Configuration configuration() {
+		return new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
+				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1)),
+				List.of(new Service(SERVICE, 1000, null, null)), List.of(), CallerLimits.DEFAULT);
+	}
+
+	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
+		return new Route(prefix, "host", prefix, kind, resumable, TIMEOUT, LATENCY_TARGET, EVENT_INTERVAL, 0,
+				List.of(new WeightedService(SERVICE, 1)), attempts, true);
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (Node node : this.nodes) {
+			node.kill();
+		}
+		for (StubEndpoint endpoint : this.endpoints) {
+			endpoint.close();
+		}
+	}
+
+	/**
+	 * One gateway with its own event loop.
+	 */
+	final class Node {
+
+		private final int number;
+
+		private final Partition partition = new Partition(GatewayFleet.this.endpointAddresses);
+
+		private final InetSocketAddress peers;
+
+		private final InetSocketAddress callers;
+
+		private MultiThreadIoEventLoopGroup eventLoops = newEventLoops();
+
+		private int starts;
+
+		Node(int number) throws IOException {
+			this.number = number;
+			InetAddress address = ownAddress(number);
+			this.peers = freeAddress(address);
+			this.callers = freeAddress(address);
+		}
+
+		int dataCenter() {
+			return this.number % DATA_CENTERS;
+		}
+
+		InetSocketAddress callers() {
+			return this.callers;
+		}
+
+		Partition partition() {
+			return this.partition;
+		}
+
+		// Ports chosen for connections from the usual loopback address cannot collide
+		// with
+		// those of an address of its own.
+		private static InetAddress ownAddress(int number) throws IOException {
+			int process = (int) (ProcessHandle.current().pid() % 250);
+			return InetAddress.getByAddress(new byte[] { 127, (byte) (1 + process), 0, (byte) (1 + number) });
+		}
+
+		private static InetSocketAddress freeAddress(InetAddress address) throws IOException {
+			for (int attempt = 0; attempt < 100; attempt++) {
+				try (ServerSocket stream = new ServerSocket(0, 1, address);
+						DatagramSocket datagram = new DatagramSocket(stream.getLocalSocketAddress())) {
+					return new InetSocketAddress(address, datagram.getLocalPort());
+				}
+				catch (IOException ex) {
+					// The port is in use for the other protocol.
+				}
+			}
+			throw new IOException("no free port");
+		}
+
+		private static MultiThreadIoEventLoopGroup newEventLoops() {
+			return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		}
+
+		void start() throws IOException, InterruptedException {
+			this.starts++;
+			GatewaySettings settings = new GatewaySettings("gateway-" + this.number,
+					GatewayFleet.dataCenter(this.number), this.callers,
+					new InetSocketAddress(this.peers.getAddress(), 0), null, this.peers, new RetryLimits(0.2, 50),
+					Duration.ofSeconds(3), Duration.ofSeconds(5), false, false, Duration.ofSeconds(8),
+					ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
+			ConnectionPool connections = new ConnectionPool(this.eventLoops.next(), System::nanoTime,
+					this.partition::newChannel);
+			Gateway gateway = new Gateway(settings, this.eventLoops,
+					new Gateway.Clocks(System::nanoTime, InstantSource.system()),
+					new SplittableRandom(this.number + 1000L * this.starts), new TestHeaderCodec(),
+					new FleetRecordCodec(),
+					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties()),
+					connections);
+			ServerSocketChannel socket = ListeningSocket.open(this.callers);
+			gateway.start(socket);
+		}
+
+		void freeze(Duration duration) {
+			this.eventLoops.next().execute(() -> {
+				try {
+					TimeUnit.NANOSECONDS.sleep(duration.toNanos());
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			});
+		}
+
+		void kill() throws InterruptedException {
+			this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+		}
+
+		void restart() throws IOException, InterruptedException {
+			kill();
+			this.eventLoops = newEventLoops();
+			start();
+		}
+
+	}
+
+	/**
+	 * Reads records that hold the port and the data centre of an endpoint.
+	 */
+	private static final class FleetRecordCodec implements RecordCodec {
+
+		@Override
+		public Configuration readConfiguration(byte[] value) {
+			return configuration();
+		}
+
+		@Override
+		public boolean isConfiguration(String key) {
+			return true;
+		}
+
+		@Override
+		public @Nullable RolloutOrder readRollout(String key, byte[] value, long offset) {
+			return null;
+		}
+
+		@Override
+		public StatusRecord writeStatus(Rollout rollout) {
+			throw new UnsupportedOperationException("writeStatus");
+		}
+
+		@Override
+		public EndpointEntry readEndpoint(EndpointId id, byte[] value) {
+			String[] fields = new String(value, StandardCharsets.US_ASCII).split(" ", -1);
+			return new EndpointEntry(id, SERVICE, "v1",
+					new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(fields[0])),
+					new DataCenterName(fields[1]), 100, false, false, 1);
+		}
+
+	}
+
+	/**
+	 * Duties that no gateway of the fleet has.
+	 */
+	private static final class NoDuties implements Duties {
+
+		@Override
+		public CompletableFuture<Boolean> reportUsage(long fence, long window, Map<AccountName, Long> counts) {
+			return CompletableFuture.completedFuture(true);
+		}
+
+		@Override
+		public CompletableFuture<Boolean> orderEndpoints(long fence, ServiceName service, DataCenterName dataCenter,
+				boolean reclaimable, int count) {
+			return CompletableFuture.completedFuture(true);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
@@ -0,0 +1,87 @@
+package org.banyancove.gateway.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that gateways which are partitioned from all endpoints serve their callers as
+ * long as another gateway reaches the endpoints.
+ */
+class PartitionedGatewayTests {
+
+	/** Time after which gateways must have adapted to a partition. */
+	private static final Duration ADAPTATION_TIME = Duration.ofSeconds(2);
+
+	private static final Duration MEASURED_TIME = Duration.ofMillis(1500);
+
+	private static final int ENDPOINTS = 6;
+
+	// Guards against gateways that fail every request because only their own connections
+	// to endpoints are cut.
+	@ParameterizedTest
+	@CsvSource({ "9, HANG, ONE", "9, HANG, ZONE", "9, HANG, MOST", "9, RESET, ONE", "9, RESET, ZONE", "9, RESET, MOST",
+			"9, REFUSE_NEW, ONE", "9, REFUSE_NEW, MOST", "90, HANG, ONE", "90, HANG, ZONE", "90, RESET, ZONE",
+			"90, REFUSE_NEW, MOST" })
+	void partitionedGatewaysServeAsOftenAsTheOthers(int gateways, Partition.Kind kind, Extent extent) throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(gateways, ENDPOINTS, Duration.ofMillis(10));
+				FleetCallers callers = new FleetCallers(fleet, Duration.ofMillis((gateways < 20) ? 40 : 250))) {
+			callers.awaitServed(fleet);
+			TimeUnit.SECONDS.sleep(1);
+			Set<GatewayFleet.Node> cut = cut(fleet, extent);
+			cut.forEach((node) -> node.partition().begin(kind));
+			TimeUnit.NANOSECONDS.sleep(ADAPTATION_TIME.toNanos());
+			List<FleetCallers.FirstTry> tries = callers.sentWithin(MEASURED_TIME);
+			assertServedAlike(tries, (each) -> cut.contains(each.node()));
+			assertRunAtMostOnce(fleet, tries);
+		}
+	}
+
+	private static void assertServedAlike(List<FleetCallers.FirstTry> tries,
+			Predicate<FleetCallers.FirstTry> partitioned) {
+		double there = FleetCallers.servedShare(tries, partitioned);
+		double elsewhere = FleetCallers.servedShare(tries, partitioned.negate());
+		assertThat(elsewhere).as("served by the others").isGreaterThan(0.98);
+		assertThat(there).as("served at partitioned gateways, the others served %.3f of %d", elsewhere, tries.size())
+			.isGreaterThan(elsewhere * 2 / 3);
+	}
+
+	private static void assertRunAtMostOnce(GatewayFleet fleet, List<FleetCallers.FirstTry> tries) {
+		Map<String, Integer> repeated = tries.stream()
+			.filter((each) -> !each.path().contains("/again/"))
+			.filter((each) -> fleet.runs().getOrDefault(each.id(), 0) > 1)
+			.collect(Collectors.toMap(FleetCallers.FirstTry::id, (each) -> fleet.runs().get(each.id())));
+		assertThat(repeated).as("non-repeatable requests that ran more than once").isEmpty();
+		assertThat(tries).as("rejected as not run, but ran")
+			.noneMatch((each) -> each.rejected() && fleet.runs().containsKey(each.id()));
+	}
+
+	private static Set<GatewayFleet.Node> cut(GatewayFleet fleet, Extent extent) {
+		int size = fleet.nodes().size();
+		return fleet.nodes().stream().filter((node) -> switch (extent) {
+			case ONE -> node == fleet.nodes().getFirst();
+			case ZONE -> node.dataCenter() == 0;
+			case MOST -> fleet.nodes().indexOf(node) < size * 2 / 3;
+			case ALL -> true;
+		}).collect(Collectors.toSet());
+	}
+
+	/**
+	 * Which gateways are partitioned.
+	 */
+	enum Extent {
+
+		ONE, ZONE, MOST, ALL
+
+	}
+
+}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -12,7 +12,7 @@
 /**
  * A header codec with short header names for tests.
  */
-final class TestHeaderCodec implements HeaderCodec {
+public final class TestHeaderCodec implements HeaderCodec {
 
 	@Override
 	public CallerHeaders readCaller(HttpHeaders headers) {
