Reach endpoints through other gateways during a partition

What callers saw: at gateways that were partitioned from all endpoints no first try was served, while peers a millisecond away reached every endpoint. Cause: a gateway has one way to an endpoint, its own connection. Change: while connections to several endpoints of a service fail, a gateway also opens tunnels (HTTP CONNECT) through peers, which connect directly and only to listed endpoints. The gateway of the caller still decides everything: placement, deadline, retry budget, quotas, at most once; a tunnel is a connection like any other. A direct connection is tried again at most once a second. Idle connections that hang are not reused. Tunnels are bounded in number and age; peers that failed are left alone for up to 4 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -128,6 +129,25 @@
 		return this.directory.names();
 	}
 
+	/**
+	 * Returns the addresses of all gateways of the fleet.
+	 * @return the addresses, including this gateway's
+	 */
+	Collection<GatewayAddress> addresses() {
+		return this.directory.addresses();
+	}
+
+	/**
+	 * Returns whether an address is that of a gateway of the fleet.
+	 * @param address the IP address
+	 * @return whether a gateway is listed with it
+	 */
+	boolean isGateway(InetAddress address) {
+		return this.directory.addresses()
+			.stream()
+			.anyMatch((gateway) -> gateway.address().getAddress().equals(address));
+	}
+
 	/** Sends a report now and then at each interval. */
 	void start() {
 		try {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -43,6 +44,9 @@
 import org.banyancove.gateway.shared.RecordCodec;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicStore;
+import org.banyancove.gateway.tunnel.TunnelPeer;
+import org.banyancove.gateway.tunnel.TunnelPeers;
+import org.banyancove.gateway.tunnel.TunnelServer;
 import org.banyancove.program.MetricsText;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -132,6 +136,10 @@
 
 	private final CallerServer callerServer;
 
+	private final TunnelServer tunnelServer;
+
+	private final TunnelPeers tunnelPeers;
+
 	private final StatusServer statusServer;
 
 	private final LeaseHolderDuties leaseHolderDuties;
@@ -193,6 +201,9 @@
 				this.peerTable, this::report, this.requestDispatcher::addRemoteUsage, this::applyRelayed,
 				this.quarantine);
 		this.eventLoops = eventLoops;
+		this.tunnelPeers = connections.connector().peers();
+		this.tunnelServer = new TunnelServer(eventLoops, connections.connector(), this.fleetExchange::isGateway,
+				this.endpoints::isListed, this.metrics);
 		this.statusServer = new StatusServer(eventLoops, this::ready, new MetricsText(registry));
 		LeaseElector leaseElector = new LeaseElector(settings.name(), this.incarnation, settings.lease(),
 				random.nextDouble(), this.clock.nanos());
@@ -217,6 +228,7 @@
 	public void start(ServerSocketChannel callersSocket) throws InterruptedException {
 		this.callerServer.listen(callersSocket);
 		this.peerChannel.listen(this.eventLoops, this.settings.peers());
+		this.tunnelServer.listen(this.settings.peers());
 		this.statusServer.listen(this.settings.readiness());
 		if (this.settings.metrics() != null) {
 			this.statusServer.listen(this.settings.metrics());
@@ -350,6 +362,16 @@
 		}
 	}
 
+	private void updateTunnels() {
+		List<TunnelPeer> others = this.fleetExchange.addresses()
+			.stream()
+			.filter((gateway) -> !gateway.name().equals(this.address.name()))
+			.map(GatewayAddress::toTunnelPeer)
+			.toList();
+		this.tunnelPeers.update(this.address.toTunnelPeer(), others);
+		this.tunnelServer.closeIdle();
+	}
+
 	private void tick() {
 		try {
 			long now = this.clock.nanos();
@@ -358,6 +380,7 @@
 				.forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
 			this.peerTable.expire(now);
 			applyFleetView(now);
+			updateTunnels();
 			this.quarantine.expire(now);
 			this.metrics.quarantined(this.quarantine.quarantined(now));
 			this.metrics.backedOffEndpoints(
@@ -387,7 +410,7 @@
 	 */
 	public void stop() throws InterruptedException {
 		this.eventLoop.execute(() -> this.stopping = true);
-		new GracefulShutdown(this.eventLoop, this.clock, this.callerServer, this.requestDispatcher)
+		new GracefulShutdown(this.eventLoop, this.clock, this.callerServer, this.tunnelServer, this.requestDispatcher)
 			.run(this.settings.shutdownTimeout());
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayAddress.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayAddress.java
@@ -4,11 +4,12 @@
 import java.util.Locale;
 
 import org.banyancove.core.DataCenterName;
+import org.banyancove.gateway.tunnel.TunnelPeer;
 import org.banyancove.program.SocketAddressText;
 
 /**
- * The address at which a gateway listens for other gateways, as stored in its record of
- * the gateways' topic.
+ * The address at which a gateway listens for other gateways' datagrams and tunnels, as
+ * stored in its record of the gateways' topic.
  *
  * @param name the name of its VM
  * @param address the socket address
@@ -19,6 +20,10 @@
 
 	private static final int FIELD_COUNT = 3;
 
+	TunnelPeer toTunnelPeer() {
+		return new TunnelPeer(this.name, this.address, this.dataCenter);
+	}
+
 	/**
 	 * Returns the value of the record.
 	 * @return the address, the data centre and the processor share
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -129,6 +130,10 @@
 		return this.gateways.keySet();
 	}
 
+	Collection<GatewayAddress> addresses() {
+		return this.gateways.values();
+	}
+
 	int largestGroup() {
 		return membersByGroup().values().stream().mapToInt(List::size).max().orElse(1);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.daemon;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.exchange.RequestLog;
+import org.banyancove.gateway.tunnel.TunnelRefusal;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,6 +46,8 @@
 
 	private final Counter requestedPauses;
 
+	private final Counter tunnels;
+
 	private final Counter droppedLines;
 
 	private final Histogram firstByteLatency;
@@ -76,6 +80,11 @@
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
 			.register(registry);
+		this.tunnels = Counter.builder()
+			.name("banyancove_tunnels_total")
+			.help("Tunnels to endpoints through other gateways, by what became of them")
+			.labelNames("outcome")
+			.register(registry);
 		this.droppedLines = Counter.builder()
 			.name("banyancove_dropped_log_lines_total")
 			.help("Log lines left out to bound their volume")
@@ -235,4 +244,36 @@
 			.log("endpoint rate limit changed");
 	}
 
+	@Override
+	public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
+		logTunnel("opened", requestId, endpoint, peer, null);
+	}
+
+	@Override
+	public void tunnelFailed(String requestId, InetSocketAddress endpoint, String peer, String reason) {
+		logTunnel("failed", requestId, endpoint, peer, reason);
+	}
+
+	@Override
+	public void tunnelAccepted(String requestId, InetSocketAddress endpoint, InetSocketAddress from) {
+		logTunnel("accepted", requestId, endpoint, from, null);
+	}
+
+	@Override
+	public void tunnelRefused(String requestId, String target, InetSocketAddress from, TunnelRefusal reason) {
+		logTunnel("refused", requestId, target, from, reason);
+	}
+
+	private void logTunnel(String outcome, String requestId, Object endpoint, Object peer, @Nullable Object reason) {
+		this.tunnels.labelValues(outcome).inc();
+		if (tryAcquireLine()) {
+			log.atInfo()
+				.addKeyValue("requestId", requestId)
+				.addKeyValue("endpoint", endpoint)
+				.addKeyValue("peer", peer)
+				.addKeyValue("reason", reason)
+				.log("tunnel " + outcome);
+		}
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -9,6 +9,7 @@
 import org.banyancove.gateway.exchange.DrainPhase;
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.banyancove.gateway.tunnel.TunnelServer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,13 +43,16 @@
 
 	private final CallerServer callerServer;
 
+	private final TunnelServer tunnelServer;
+
 	private final RequestDispatcher requestDispatcher;
 
-	GracefulShutdown(EventLoop eventLoop, MonotonicClock clock, CallerServer callerServer,
+	GracefulShutdown(EventLoop eventLoop, MonotonicClock clock, CallerServer callerServer, TunnelServer tunnelServer,
 			RequestDispatcher requestDispatcher) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.callerServer = callerServer;
+		this.tunnelServer = tunnelServer;
 		this.requestDispatcher = requestDispatcher;
 	}
 
@@ -62,6 +66,7 @@
 		long startedAt = this.clock.nanos();
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopping");
 		this.eventLoop.execute(this.callerServer::stop);
+		this.eventLoop.execute(this.tunnelServer::stop);
 		TimeUnit.MILLISECONDS.sleep(LONG_REQUESTS_REJECTED_AFTER.toMillis());
 		this.eventLoop.execute(() -> this.requestDispatcher.setDrainPhase(DrainPhase.NON_STREAMING));
 		long deadline = startedAt + shutdownTimeout.minus(RESPONSE_FLUSH_TIME).toNanos();
@@ -78,7 +83,7 @@
 	// Returns the number of connections that remain.
 	private int closeIdleConnections() throws InterruptedException {
 		try {
-			return this.eventLoop.submit(this.callerServer::closeIdle).get();
+			return this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()).get();
 		}
 		catch (ExecutionException ex) {
 			log.error("closing idle connections failed", ex);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.endpoint;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -212,6 +213,17 @@
 		return this.endpoints.get(id);
 	}
 
+	/**
+	 * Returns whether an address is that of an endpoint.
+	 * @param address the address
+	 * @return whether an endpoint that is not draining is listed with it
+	 */
+	public boolean isListed(InetSocketAddress address) {
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint.entry().address().equals(address) && !endpoint.draining());
+	}
+
 	private record RemovedEndpoint(Endpoint endpoint, long at) {
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -44,6 +44,8 @@
 
 	private final Channel channel;
 
+	private final long expiresAt;
+
 	private @Nullable ClientCall call;
 
 	private @Nullable ChannelFuture requestWrite;
@@ -58,10 +60,11 @@
 
 	private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
 
-	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel) {
+	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, long expiresAt) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
+		this.expiresAt = expiresAt;
 	}
 
 	InetSocketAddress address() {
@@ -74,7 +77,12 @@
 
 	boolean isUsable(long now, long maximumIdleNanos) {
 		long idle = now - this.idleSince;
-		return this.channel.isActive() && idle <= maximumIdleNanos && idle < this.keepAliveTimeout.toNanos();
+		return this.channel.isActive() && now < this.expiresAt && idle <= maximumIdleNanos
+				&& idle < this.keepAliveTimeout.toNanos();
+	}
+
+	boolean isIdleSince(@Nullable Long time) {
+		return time != null && this.idleSince <= time;
 	}
 
 	void send(ClientCall newCall) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -5,21 +5,21 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import jdk.net.ExtendedSocketOptions;
+import io.netty.util.concurrent.Future;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.banyancove.gateway.tunnel.ConnectContext;
+import org.banyancove.gateway.tunnel.ConnectedChannel;
+import org.banyancove.gateway.tunnel.EndpointConnector;
+import org.banyancove.gateway.tunnel.TunnelServer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,16 +31,6 @@
  */
 public final class ConnectionPool {
 
-	/**
-	 * TCP keep-alive probes, with the interval and count below, detect a dead peer after
-	 * 3 s.
-	 */
-	private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
-
-	private static final int KEEP_ALIVE_PROBE_INTERVAL_SECONDS = 1;
-
-	private static final int KEEP_ALIVE_PROBE_COUNT = 2;
-
 	private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
 
 	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
@@ -51,7 +41,7 @@
 
 	private final MonotonicClock clock;
 
-	private final ChannelFactory<? extends Channel> channelFactory;
+	private final EndpointConnector connector;
 
 	private final Map<InetSocketAddress, Deque<ClientConnection>> idleConnections = new HashMap<>();
 
@@ -75,7 +65,15 @@
 	public ConnectionPool(EventLoop eventLoop, MonotonicClock clock, ChannelFactory<? extends Channel> channelFactory) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
-		this.channelFactory = channelFactory;
+		this.connector = new EndpointConnector(eventLoop, clock, channelFactory, new SplittableRandom());
+	}
+
+	/**
+	 * Returns the connector that establishes the connections.
+	 * @return the connector
+	 */
+	public EndpointConnector connector() {
+		return this.connector;
 	}
 
 	/**
@@ -116,9 +114,12 @@
 
 	private @Nullable ClientConnection acquireIdle(InetSocketAddress address, CallOptions options) {
 		Deque<ClientConnection> connections = this.idleConnections.get(address);
+		ConnectContext context = options.context();
+		Long silentSince = (connections != null && context != null) ? this.connector.silentSince(context) : null;
 		while (connections != null && !connections.isEmpty()) {
 			ClientConnection newest = connections.pop();
-			if (newest.isUsable(this.clock.nanos(), options.maximumIdleTime().toNanos())) {
+			if (newest.isUsable(this.clock.nanos(), options.maximumIdleTime().toNanos())
+					&& !newest.isIdleSince(silentSince)) {
 				return newest;
 			}
 			newest.close();
@@ -128,47 +129,48 @@
 
 	private void connect(InetSocketAddress address, CallOptions options, ClientCall call) {
 		this.openConnections.merge(address, 1, Integer::sum);
-		Bootstrap bootstrap = new Bootstrap().group(this.eventLoop)
-			.channelFactory(this.channelFactory)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_INTERVAL_SECONDS)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(options.connectTimeout().toMillis()))
-			.handler(new ChannelInitializer<Channel>() {
-				@Override
-				protected void initChannel(Channel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES,
-								MAXIMUM_CHUNK_BYTES))
-						.addLast(new ClientConnection(ConnectionPool.this, address, channel));
-				}
-			});
-		ChannelFuture connectFuture = bootstrap.connect(address);
-		connectFuture.channel()
-			.closeFuture()
-			.addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
-		connectFuture.addListener((future) -> {
+		connected(address, options).addListener((Future<ConnectedChannel> future) -> {
 			if (!future.isSuccess()) {
+				this.openConnections.merge(address, -1, Integer::sum);
 				call.failed((future.cause() instanceof ConnectTimeoutException) ? CallFailure.CONNECT_TIMED_OUT
 						: CallFailure.CONNECT_REFUSED);
 				return;
 			}
-			ClientConnection connection = connectFuture.channel().pipeline().get(ClientConnection.class);
-			if (call.ended()) {
-				release(connection);
-			}
-			else if (!call.maySend()) {
-				release(connection);
-				call.failed(CallFailure.WITHDRAWN);
-			}
-			else {
-				connection.send(call);
-			}
+			use(newConnection(address, future.getNow()), call);
 		});
 	}
 
+	private Future<ConnectedChannel> connected(InetSocketAddress address, CallOptions options) {
+		ConnectContext context = options.context();
+		return (context != null) ? this.connector.connect(address, options.connectTimeout(), context)
+				: this.connector.connectDirectly(address, options.connectTimeout());
+	}
+
+	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected) {
+		Channel channel = connected.channel();
+		channel.closeFuture().addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
+		long expiresAt = connected.tunnelled() ? this.clock.nanos() + TunnelServer.MAXIMUM_AGE.toNanos()
+				: Long.MAX_VALUE;
+		ClientConnection connection = new ClientConnection(this, address, channel, expiresAt);
+		channel.pipeline()
+			.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
+			.addLast(connection);
+		return connection;
+	}
+
+	private void use(ClientConnection connection, ClientCall call) {
+		if (call.ended()) {
+			release(connection);
+		}
+		else if (!call.maySend()) {
+			release(connection);
+			call.failed(CallFailure.WITHDRAWN);
+		}
+		else {
+			connection.send(call);
+		}
+	}
+
 	void release(ClientConnection connection) {
 		connection.idleSince(this.clock.nanos());
 		this.idleConnections.computeIfAbsent(connection.address(), (key) -> new ArrayDeque<>()).push(connection);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -33,6 +33,7 @@
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.EndpointCall;
 import org.banyancove.gateway.shared.HeaderCodec;
+import org.banyancove.gateway.tunnel.ConnectContext;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -208,7 +209,9 @@
 		boolean nonRepeatable = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
 				nonRepeatable ? MAXIMUM_IDLE_TIME_NON_REPEATABLE : MAXIMUM_IDLE_TIME,
-				this.dispatcher.maximumConnections(this.service));
+				this.dispatcher.maximumConnections(this.service),
+				new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
+						this.requestId, this.dispatcher.requestLog()));
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -6,12 +6,13 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.tunnel.TunnelListener;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Receives the outcomes of requests.
  */
-public interface RequestLog {
+public interface RequestLog extends TunnelListener {
 
 	/**
 	 * Called when a request was rejected without an attempt at an endpoint.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -57,6 +57,15 @@
 		return forRequest(service, false, EXCLUDE_CANDIDATE, now);
 	}
 
+	/**
+	 * Returns the number of endpoints of a service.
+	 * @param service the service
+	 * @return the number, including draining endpoints and those of all versions
+	 */
+	public int count(ServiceName service) {
+		return this.endpoints.endpointsOf(service).size();
+	}
+
 	/**
 	 * Returns whether an endpoint accepts requests.
 	 * @param endpoint the endpoint
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -42,6 +42,7 @@
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
+import org.banyancove.gateway.tunnel.TunnelRefusal;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -695,6 +696,22 @@
 		public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
 		}
 
+		@Override
+		public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
+		}
+
+		@Override
+		public void tunnelFailed(String requestId, InetSocketAddress endpoint, String peer, String reason) {
+		}
+
+		@Override
+		public void tunnelAccepted(String requestId, InetSocketAddress endpoint, InetSocketAddress from) {
+		}
+
+		@Override
+		public void tunnelRefused(String requestId, String target, InetSocketAddress from, TunnelRefusal reason) {
+		}
+
 	}
 
 }
