Count requests that were lost together as one failure of an endpoint

What callers saw: when a gateway's connections are reset, or connects to an endpoint time out side by side, each lost request doubled the endpoint's backoff. Cause: evidence of one event was counted once for each request that saw it. Change: a failure counts towards the backoff only if its request was sent after the previous failure.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -101,6 +101,8 @@
 
 	private int consecutiveFailures;
 
+	private long latestFailureAt = Long.MIN_VALUE;
+
 	private long backoffUntil = Long.MIN_VALUE;
 
 	private final RateLimitAllocation allocation;
@@ -235,10 +237,17 @@
 
 	/**
 	 * Records a request without a valid answer: rejected, reset, timed out or malformed.
+	 * Requests that were sent before the previous failure count as part of it: many are
+	 * lost together when connections are reset.
+	 * @param sentAt when the request was sent
 	 * @param now the current time
 	 */
-	public void requestFailed(long now) {
+	public void requestFailed(long sentAt, long now) {
 		recordOutcome(1, now);
+		if (this.consecutiveFailures > 0 && sentAt <= this.latestFailureAt) {
+			return;
+		}
+		this.latestFailureAt = now;
 		this.consecutiveFailures++;
 		if (this.consecutiveFailures > 1) {
 			int doublings = Math.min(this.consecutiveFailures - 2, 10);
@@ -250,11 +259,12 @@
 	/**
 	 * Records that no process, or another endpoint, listens at the address. Starts the
 	 * backoff at the first failure.
+	 * @param sentAt when the request was sent
 	 * @param now the current time
 	 */
-	public void unreachable(long now) {
+	public void unreachable(long sentAt, long now) {
 		this.consecutiveFailures = Math.max(this.consecutiveFailures, 1);
-		requestFailed(now);
+		requestFailed(sentAt, now);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -398,7 +398,7 @@
 		this.dispatcher.requestLog().attemptFailed(attempt.describe(), "not run, status " + status.code());
 		if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
 			// The address now belongs to another endpoint; the intended one is gone.
-			attempt.endpoint().unreachable(now());
+			attempt.endpoint().unreachable(attempt.sentAt(), now());
 			this.dispatcher.connections().closeIdle(attempt.endpoint().entry().address());
 		}
 		if (status.equals(HttpResponseStatus.BAD_REQUEST)) {
@@ -435,7 +435,7 @@
 		if (!failure.mayHaveRun()) {
 			this.attempts--;
 			if (failure != CallFailure.WITHDRAWN) {
-				attempt.endpoint().unreachable(now());
+				attempt.endpoint().unreachable(attempt.sentAt(), now());
 			}
 			place();
 			return;
@@ -447,7 +447,7 @@
 		if (this.route.kind() != RouteKind.STREAMING) {
 			recordUsage();
 		}
-		attempt.endpoint().requestFailed(now());
+		attempt.endpoint().requestFailed(attempt.sentAt(), now());
 		rollouts().recordFailed(this.service.name(), this.route.name(), version(attempt));
 		this.eventSplitter.discardPartialEvent();
 		if (retryIfAllowed()) {
@@ -516,7 +516,7 @@
 				&& current.elapsed().compareTo(this.dispatcher.admission().responseTimeout(this.route)) > 0) {
 			this.dispatcher.requestLog()
 				.attemptFailed(current.describe(), "no response before the request was cancelled");
-			current.endpoint().requestFailed(now());
+			current.endpoint().requestFailed(current.sentAt(), now());
 			rollouts().recordFailed(this.service.name(), this.route.name(), version(current));
 		}
 	}
