End connection attempts whose tunnels are exhausted

Cause: an attempt that had no peer left went on directly, and when that failed too, nothing ended it. Change: it ends when both ways are over. Direct attempts at a service's unreachable endpoints are spaced, so that a request waits for one of them at most; one that succeeds makes the others due. A peer that may be partitioned itself refuses at once instead of timing out.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/ConnectAttempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/ConnectAttempt.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.tunnel;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
@@ -42,6 +43,8 @@
 
 	private final Set<String> triedPeers = new HashSet<>();
 
+	private long tunnelsStartedAt;
+
 	private boolean directPending;
 
 	private boolean tunnelPending;
@@ -74,6 +77,9 @@
 			if (paths.claimRetry(this.address, now)) {
 				connectDirectly();
 			}
+			else {
+				this.directFailure = new ConnectException("unreachable directly lately: " + this.address);
+			}
 			openTunnel();
 		}
 		return this.result;
@@ -88,7 +94,7 @@
 		this.directPending = false;
 		long now = this.connector.now();
 		if (connected.isSuccess()) {
-			this.connector.paths().recordSuccess(this.address);
+			this.connector.paths().recordSuccess(this.address, now);
 			succeed((ConnectedChannel) connected.getNow());
 			return;
 		}
@@ -98,33 +104,33 @@
 		if (this.connector.paths().partitionSuspected(this.context, now)) {
 			openTunnel();
 		}
-		else {
-			failIfExhausted();
-		}
+		failIfExhausted();
 	}
 
 	private void openTunnel() {
 		if (this.result.isDone() || this.tunnelPending || this.tunnelsExhausted) {
 			return;
 		}
-		TunnelPeer peer = (this.triedPeers.size() < MAXIMUM_PEERS)
-				? this.connector.peers().choose(this.triedPeers, this.connector.now()) : null;
+		TunnelPeer peer = mayTryPeer() ? this.connector.peers().choose(this.triedPeers, this.connector.now()) : null;
 		if (peer == null) {
 			this.tunnelsExhausted = true;
-			if (!this.directPending && this.directFailure == null) {
-				connectDirectly();
-			}
-			else {
-				failIfExhausted();
-			}
+			failIfExhausted();
 			return;
 		}
+		if (this.triedPeers.isEmpty()) {
+			this.tunnelsStartedAt = this.connector.now();
+		}
 		this.triedPeers.add(peer.name());
 		this.tunnelPending = true;
 		this.connector.openTunnel(this.address, peer, tunnelTimeout(), this.context.requestId())
 			.addListener((Future<ConnectedChannel> opened) -> tunnelEnded(peer, opened));
 	}
 
+	private boolean mayTryPeer() {
+		return this.triedPeers.isEmpty() || (this.triedPeers.size() < MAXIMUM_PEERS
+				&& this.connector.now() - this.tunnelsStartedAt < tunnelTimeout().toNanos());
+	}
+
 	private Duration tunnelTimeout() {
 		return (this.timeout.compareTo(MINIMUM_TUNNEL_TIMEOUT) > 0) ? this.timeout : MINIMUM_TUNNEL_TIMEOUT;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/DirectPaths.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/DirectPaths.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -28,6 +29,12 @@
 	/** Random part of the interval, so that gateways do not return all at once. */
 	private static final Duration RETRY_JITTER = Duration.ofMillis(500);
 
+	/**
+	 * Time between two attempts at the unreachable endpoints of a service, so that a
+	 * request waits for one of them at most.
+	 */
+	private static final Duration RETRY_SPACING = Duration.ofMillis(250);
+
 	/** Time after which a failure is forgotten if no other attempt confirms it. */
 	private static final Duration RETENTION = Duration.ofSeconds(10);
 
@@ -38,12 +45,29 @@
 	/** The latest failures, the least recent first. */
 	private final Map<InetSocketAddress, Failure> failures = new LinkedHashMap<>();
 
+	private final Map<ServiceName, Long> latestRetries = new HashMap<>();
+
+	private long latestSuccessAt = Long.MIN_VALUE;
+
 	DirectPaths(RandomGenerator random) {
 		this.random = random;
 	}
 
-	void recordSuccess(InetSocketAddress address) {
-		this.failures.remove(address);
+	/**
+	 * Records that a direct connection was established. If it could not be before, the
+	 * others of the service are tried again too: a partition may have ended.
+	 * @param address the endpoint's address
+	 * @param now the current time
+	 */
+	void recordSuccess(InetSocketAddress address, long now) {
+		this.latestSuccessAt = now;
+		Failure ended = this.failures.remove(address);
+		ServiceName service = (ended != null) ? ended.service() : null;
+		if (service != null) {
+			this.latestRetries.remove(service);
+			this.failures
+				.replaceAll((other, failure) -> service.equals(failure.service()) ? failure.withRetryAt(now) : failure);
+		}
 	}
 
 	void recordFailure(InetSocketAddress address, @Nullable ServiceName service, boolean timedOut, long now) {
@@ -83,6 +107,14 @@
 		if (failure == null || now < failure.retryAt()) {
 			return false;
 		}
+		ServiceName service = failure.service();
+		Long latest = (service != null) ? this.latestRetries.get(service) : null;
+		if (latest != null && now - latest < RETRY_SPACING.toNanos()) {
+			return false;
+		}
+		if (service != null) {
+			this.latestRetries.put(service, now);
+		}
 		this.failures.replace(address, failure.withRetryAt(nextRetry(now)));
 		return true;
 	}
@@ -97,6 +129,18 @@
 		return recentFailures(context, now, false) >= Math.min(SUSPICIOUS_FAILURES, context.alternatives());
 	}
 
+	/**
+	 * Returns whether no endpoint at all may be reachable.
+	 * @param now the current time
+	 * @return whether several attempts have failed since the latest that succeeded
+	 */
+	boolean isolationSuspected(long now) {
+		return this.failures.values()
+			.stream()
+			.filter((failure) -> !failure.isExpired(now) && failure.at() > this.latestSuccessAt)
+			.count() >= SUSPICIOUS_FAILURES;
+	}
+
 	/**
 	 * Returns since when connections to the endpoints of a service may be silently dead.
 	 * @param context the service and the number of its endpoints
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -122,7 +122,15 @@
 		if (this.tunnels.size() + this.connecting >= MAXIMUM_TUNNELS) {
 			return TunnelRefusal.TOO_MANY_TUNNELS;
 		}
-		return this.connector.isKnownUnreachable(target) ? TunnelRefusal.ENDPOINT_UNREACHABLE : null;
+		return isUnreachable(target) ? TunnelRefusal.ENDPOINT_UNREACHABLE : null;
+	}
+
+	// While this gateway may be partitioned itself, one attempt at a time shows whether
+	// it
+	// still is; the others are better off at another gateway than waiting for it.
+	private boolean isUnreachable(InetSocketAddress target) {
+		return this.connector.isKnownUnreachable(target)
+				|| (this.connecting > 0 && this.connector.paths().isolationSuspected(this.connector.now()));
 	}
 
 	void connecting() {
@@ -132,7 +140,7 @@
 	void connectEnded(InetSocketAddress target, @Nullable Throwable failure) {
 		this.connecting--;
 		if (failure == null) {
-			this.connector.paths().recordSuccess(target);
+			this.connector.paths().recordSuccess(target, this.connector.now());
 		}
 		else {
 			this.connector.paths()
