Reject requests at once while all endpoints are known to be unreachable

What callers saw: with every endpoint in backoff after failures, a request waited for half of its latency target and was then rejected, with 0.4 s as the time to retry, whenever the backoff ended. Cause: only pauses and rate limits counted as a known time. Change: if no backoff ends within the time that a request may wait, it is rejected at once with the rest of the shortest backoff; callers that were rejected first return first, spread over a quarter more.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -434,6 +434,25 @@
 		return now < this.backoffUntil;
 	}
 
+	/**
+	 * Returns the rest of the backoff.
+	 * @param now the current time
+	 * @return the time, zero if requests may be sent
+	 */
+	Duration backoffRemaining(long now) {
+		return backedOff(now) ? Duration.ofNanos(this.backoffUntil - now) : Duration.ZERO;
+	}
+
+	/**
+	 * Returns the time after which a caller that is rejected during the backoff may
+	 * retry. Callers that were rejected first return first, and not all at its end.
+	 * @param now the current time
+	 * @return the time
+	 */
+	Duration retryAfterBackoff(long now) {
+		return backoffRemaining(now).plusNanos((now - this.latestFailureAt) / EndpointPause.RETURN_SPREAD_DIVISOR);
+	}
+
 	double failureRate(long now) {
 		return this.failureRate * Math.exp((this.outcomeAt - now) / OUTCOME_DECAY_NANOS);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPause.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPause.java
@@ -18,7 +18,7 @@
 	/**
 	 * The share of a pause over which the callers that were rejected during it return.
 	 */
-	private static final int RETURN_SPREAD_DIVISOR = 4;
+	static final int RETURN_SPREAD_DIVISOR = 4;
 
 	private long startedAt;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -130,6 +130,26 @@
 		return shortest;
 	}
 
+	/**
+	 * Returns the time after which a caller may retry, if attempts at all endpoints
+	 * failed so recently that none gets a request within a time.
+	 * @param endpoints the service's endpoints
+	 * @param maximumWait the time
+	 * @param now the current time
+	 * @return the time, or {@code null} if an endpoint may get a request or none exists
+	 */
+	public @Nullable Duration retryAfterBackoff(Collection<Endpoint> endpoints, Duration maximumWait, long now) {
+		Endpoint earliest = null;
+		for (Endpoint candidate : endpoints) {
+			if (!candidate.draining() && (earliest == null
+					|| candidate.backoffRemaining(now).compareTo(earliest.backoffRemaining(now)) < 0)) {
+				earliest = candidate;
+			}
+		}
+		return (earliest != null && earliest.backoffRemaining(now).compareTo(maximumWait) > 0)
+				? earliest.retryAfterBackoff(now) : null;
+	}
+
 	private Candidate evaluate(Endpoint candidate, @Nullable Endpoint owner, @Nullable Endpoint source, Prompt prompt,
 			long now) {
 		int missingTokens = candidate.missingPrefixTokens(prompt);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -190,8 +190,13 @@
 	}
 
 	private void waitForEndpoint() {
-		boolean mayWait = elapsed().compareTo(this.dispatcher.admission().maximumWait(this.route, remaining())) < 0;
-		if (mayWait && this.attempts == 0) {
+		Duration wait = this.dispatcher.admission().maximumWait(this.route, remaining()).minus(elapsed());
+		Duration retryAfter = (this.attempts == 0)
+				? this.dispatcher.placement().retryAfterBackoff(eligible(), wait, now()) : null;
+		if (retryAfter != null) {
+			reject(ErrorKind.NO_ENDPOINT, this.dispatcher.admission().retryAfter(retryAfter));
+		}
+		else if (wait.isPositive() && this.attempts == 0) {
 			this.triedEndpoints.clear();
 			this.placementTimer = schedule(this::place, POLL_INTERVAL.toNanos());
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -54,7 +54,7 @@
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
-	private static final Duration LATENCY_TARGET = Duration.ofMillis(300);
+	static final Duration LATENCY_TARGET = Duration.ofMillis(300);
 
 	private static final Duration EVENT_INTERVAL = Duration.ofMillis(400);
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
@@ -24,6 +24,9 @@
 
 	private static final Duration MEASURED_TIME = Duration.ofMillis(1500);
 
+	/** Time after a partition within which requests are served again. */
+	private static final Duration RECOVERY_TIME = Duration.ofSeconds(4);
+
 	private static final int ENDPOINTS = 6;
 
 	// Guards against gateways that fail every request because only their own connections
@@ -34,7 +37,7 @@
 			"90, REFUSE_NEW, MOST" })
 	void partitionedGatewaysServeAsOftenAsTheOthers(int gateways, Partition.Kind kind, Extent extent) throws Exception {
 		try (GatewayFleet fleet = new GatewayFleet(gateways, ENDPOINTS, Duration.ofMillis(10));
-				FleetCallers callers = new FleetCallers(fleet, Duration.ofMillis((gateways < 20) ? 40 : 250))) {
+				FleetCallers callers = new FleetCallers(fleet, callInterval(gateways))) {
 			callers.awaitServed(fleet);
 			TimeUnit.SECONDS.sleep(1);
 			Set<GatewayFleet.Node> cut = cut(fleet, extent);
@@ -46,6 +49,35 @@
 		}
 	}
 
+	// Guards against requests that are held although no gateway reaches any endpoint, and
+	// against callers that are not served soon after a partition has ended.
+	@ParameterizedTest
+	@CsvSource({ "9, HANG", "9, RESET", "9, REFUSE_NEW", "90, HANG" })
+	void requestsThatNoGatewayCanServeAreRejectedAtOnce(int gateways, Partition.Kind kind) throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(gateways, ENDPOINTS, Duration.ofMillis(10));
+				FleetCallers callers = new FleetCallers(fleet, callInterval(gateways))) {
+			callers.awaitServed(fleet);
+			fleet.nodes().forEach((node) -> node.partition().begin(kind));
+			TimeUnit.NANOSECONDS.sleep(ADAPTATION_TIME.toNanos());
+			List<FleetCallers.FirstTry> tries = callers.sentWithin(MEASURED_TIME);
+			List<FleetCallers.FirstTry> held = tries.stream()
+				.filter((each) -> !each.rejected() || each.elapsed().compareTo(GatewayFleet.LATENCY_TARGET) > 0)
+				.toList();
+			assertThat(held.size()).as("not rejected within the latency target, of %d", tries.size())
+				.isLessThan(tries.size() / 10);
+			assertRunAtMostOnce(fleet, tries);
+			fleet.nodes().forEach((node) -> node.partition().end());
+			TimeUnit.NANOSECONDS.sleep(RECOVERY_TIME.toNanos());
+			assertThat(FleetCallers.servedShare(callers.sentWithin(MEASURED_TIME), (each) -> true))
+				.as("served after the partition")
+				.isGreaterThan(0.98);
+		}
+	}
+
+	private static Duration callInterval(int gateways) {
+		return Duration.ofMillis((gateways < 20) ? 40 : 250);
+	}
+
 	private static void assertServedAlike(List<FleetCallers.FirstTry> tries,
 			Predicate<FleetCallers.FirstTry> partitioned) {
 		double there = FleetCallers.servedShare(tries, partitioned);
