Test tunnels whose peers freeze, restart, are cut later or shut down

Change: partitioned gateways at 9 and 90 whose peers fail in turn, and one whose peer shuts down; callers at the others must not be late. Measured: pass; with a server that goes on accepting tunnels during its shutdown, requests at partitioned gateways are lost and the test fails.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
@@ -126,6 +126,10 @@
 			return this.response.startsWith("HTTP/1.1 200 ") && complete;
 		}
 
+		boolean late() {
+			return this.elapsed.compareTo(GatewayFleet.LATENCY_TARGET) > 0;
+		}
+
 		boolean rejected() {
 			return this.response.startsWith("HTTP/1.1 503 ")
 					&& this.response.toLowerCase(Locale.ROOT).contains("retry-after: ");
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -139,6 +140,8 @@
 
 		private int starts;
 
+		private @Nullable Gateway gateway;
+
 		Node(int number) throws IOException {
 			this.number = number;
 			InetAddress address = ownAddress(number);
@@ -192,14 +195,21 @@
 					ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
 			ConnectionPool connections = new ConnectionPool(this.eventLoops.next(), System::nanoTime,
 					this.partition::newChannel);
-			Gateway gateway = new Gateway(settings, this.eventLoops,
+			Gateway started = new Gateway(settings, this.eventLoops,
 					new Gateway.Clocks(System::nanoTime, InstantSource.system()),
 					new SplittableRandom(this.number + 1000L * this.starts), new TestHeaderCodec(),
 					new FleetRecordCodec(),
 					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties()),
 					connections);
 			ServerSocketChannel socket = ListeningSocket.open(this.callers);
-			gateway.start(socket);
+			started.start(socket);
+			this.gateway = started;
+		}
+
+		/** Shuts down gracefully, then ends the process. */
+		void stop() throws InterruptedException {
+			Objects.requireNonNull(this.gateway, "started").stop();
+			kill();
 		}
 
 		void freeze(Duration duration) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
@@ -1,13 +1,20 @@
 package org.banyancove.gateway.daemon;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -49,6 +56,87 @@
 		}
 	}
 
+	// Guards against requests that are lost because they depend on a peer that freezes,
+	// is
+	// killed and started again, or is partitioned a moment later.
+	@ParameterizedTest
+	@CsvSource({ "9, HANG, 1", "9, RESET, 2", "90, HANG, 3" })
+	void partitionedGatewaysServeWhilePeersFail(int gateways, Partition.Kind kind, long seed) throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(gateways, ENDPOINTS, Duration.ofMillis(10));
+				FleetCallers callers = new FleetCallers(fleet, callInterval(gateways))) {
+			callers.awaitServed(fleet);
+			Set<GatewayFleet.Node> cut = new HashSet<>(cut(fleet, Extent.ZONE));
+			cut.forEach((node) -> node.partition().begin(kind));
+			List<GatewayFleet.Node> peers = new ArrayList<>(fleet.nodes());
+			peers.removeAll(cut);
+			Collections.shuffle(peers, new Random(seed));
+			Thread failures = Thread.ofVirtual().start(() -> failInTurn(peers.subList(0, peers.size() / 2), kind));
+			TimeUnit.NANOSECONDS.sleep(ADAPTATION_TIME.toNanos());
+			List<FleetCallers.FirstTry> tries = callers.sentWithin(Duration.ofSeconds(2));
+			failures.interrupt();
+			failures.join();
+			assertThat(FleetCallers.servedShare(tries, (each) -> cut.contains(each.node())))
+				.as("served at partitioned gateways")
+				.isGreaterThan(2.0 / 3);
+			assertRunAtMostOnce(fleet, tries);
+		}
+	}
+
+	private static void failInTurn(List<GatewayFleet.Node> peers, Partition.Kind kind) {
+		try {
+			for (int i = 0; !Thread.interrupted(); i++) {
+				GatewayFleet.Node peer = peers.get(i % peers.size());
+				switch (i % 3) {
+					case 0 -> peer.freeze(Duration.ofMillis(800));
+					case 1 -> peer.restart();
+					default -> peer.partition().begin(kind);
+				}
+				TimeUnit.MILLISECONDS.sleep(300);
+				if (i % 3 == 2) {
+					peer.partition().end();
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	// Guards against requests of other gateways that are lost when the gateway that their
+	// tunnels lead through shuts down.
+	@Test
+	void tunnelsOutliveTheShutdownOfThePeerThatTheyLeadThrough() throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(9, ENDPOINTS, Duration.ofMillis(200))) {
+			GatewayFleet.Node stopped = fleet.nodes().getLast();
+			try (FleetCallers callers = new FleetCallers(fleet, callInterval(9))) {
+				callers.awaitServed(fleet);
+				Set<GatewayFleet.Node> cut = cut(fleet, Extent.MOST);
+				cut.forEach((node) -> node.partition().begin(Partition.Kind.HANG));
+				TimeUnit.NANOSECONDS.sleep(ADAPTATION_TIME.toNanos());
+				Thread shutdown = Thread.ofVirtual().start(() -> stop(stopped));
+				List<FleetCallers.FirstTry> tries = callers.sentWithin(Duration.ofSeconds(8));
+				shutdown.join();
+				assertThat(tries.stream()
+					.filter((each) -> cut.contains(each.node()))
+					.filter((each) -> !each.served() && !each.rejected())).as("lost at partitioned gateways")
+					.hasSizeLessThan(3);
+				assertRunAtMostOnce(fleet, tries);
+			}
+		}
+	}
+
+	private static void stop(GatewayFleet.Node node) {
+		try {
+			node.stop();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Guards against requests that are held although no gateway reaches any endpoint, and
 	// against callers that are not served soon after a partition has ended.
 	@ParameterizedTest
@@ -61,7 +149,7 @@
 			TimeUnit.NANOSECONDS.sleep(ADAPTATION_TIME.toNanos());
 			List<FleetCallers.FirstTry> tries = callers.sentWithin(MEASURED_TIME);
 			List<FleetCallers.FirstTry> held = tries.stream()
-				.filter((each) -> !each.rejected() || each.elapsed().compareTo(GatewayFleet.LATENCY_TARGET) > 0)
+				.filter((each) -> !each.rejected() || each.late())
 				.toList();
 			assertThat(held.size()).as("not rejected within the latency target, of %d", tries.size())
 				.isLessThan(tries.size() / 10);
@@ -83,6 +171,9 @@
 		double there = FleetCallers.servedShare(tries, partitioned);
 		double elsewhere = FleetCallers.servedShare(tries, partitioned.negate());
 		assertThat(elsewhere).as("served by the others").isGreaterThan(0.98);
+		assertThat(tries.stream().filter(partitioned.negate()).filter(FleetCallers.FirstTry::late).count())
+			.as("late at the others")
+			.isLessThan(tries.size() / 50);
 		assertThat(there).as("served at partitioned gateways, the others served %.3f of %d", elsewhere, tries.size())
 			.isGreaterThan(elsewhere * 2 / 3);
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
@@ -93,7 +93,7 @@
 		for (int event = 1; event <= EVENTS; event++) {
 			String text = "id: " + event + "\ndata: " + id + "\n\n";
 			write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-			TimeUnit.MILLISECONDS.sleep(20);
+			TimeUnit.NANOSECONDS.sleep(this.responseTime.toNanos());
 		}
 		write(output, "0\r\n\r\n");
 	}
