--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -29,7 +29,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.endpoint.PlacementRule;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ConnectionPool;
 import org.banyancove.gateway.exchange.Meters;
@@ -186,7 +186,7 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.eventLoopLag = new EventLoopLagMonitor(TICK_INTERVAL, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
-		this.endpoints = new EndpointTable(new RateLimitAllocation(settings.name(), this::gateways));
+		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways));
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placementRule = new PlacementRule(settings.dataCenter());
 		this.quarantine = new RequestQuarantine(this.endpoints);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -244,6 +244,14 @@
 			.log("endpoint rate limit changed");
 	}
 
+	@Override
+	public void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond) {
+		log.atWarn()
+			.addKeyValue("endpoint", endpoint)
+			.addKeyValue("rejectionsPerSecond", rejectionsPerSecond)
+			.log("endpoint announced rejection limit");
+	}
+
 	@Override
 	public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
 		logTunnel("opened", requestId, endpoint, peer, null);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -105,7 +105,9 @@
 
 	private long backoffUntil = Long.MIN_VALUE;
 
-	private final RateLimitAllocation allocation;
+	private final RejectionTolerance rejectionTolerance;
+
+	private final FleetAllocation allocation;
 
 	private EndpointRateLimiter rateLimiter;
 
@@ -118,11 +120,12 @@
 	private @Nullable Long latestAnsweredSentAt;
 
 	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefillLatency,
-			RateLimitAllocation allocation) {
+			RejectionTolerance rejectionTolerance, FleetAllocation allocation) {
 		this.entry = entry;
 		this.allocation = allocation;
 		this.rateLimiter = new EndpointRateLimiter(entry.id(), allocation);
 		this.prefillLatency = prefillLatency;
+		this.rejectionTolerance = rejectionTolerance;
 		this.memory = memory;
 		this.cache = emptyCache();
 	}
@@ -286,6 +289,23 @@
 		return this.shutdownAnnounced || this.entry.draining();
 	}
 
+	/**
+	 * Records the rejections in a second that the endpoint announces to bear.
+	 * @param rejectionsPerSecond the number, from all gateways together
+	 * @param now the current time
+	 * @return whether the endpoints of the service announced none before
+	 */
+	public boolean announceToleratedRejections(double rejectionsPerSecond, long now) {
+		return this.rejectionTolerance.announce(rejectionsPerSecond, now);
+	}
+
+	/**
+	 * Records that the endpoint rejected a request for want of room.
+	 * @param now the current time
+	 */
+	public void requestRejected(long now) {
+	}
+
 	/**
 	 * Returns the pause that the endpoint asked this gateway for.
 	 * @return the pause
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointRateLimiter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointRateLimiter.java
@@ -32,7 +32,7 @@
 
 	private final EndpointId endpoint;
 
-	private final RateLimitAllocation allocation;
+	private final FleetAllocation allocation;
 
 	private @Nullable Double limit;
 
@@ -46,7 +46,7 @@
 
 	private long refilledAt;
 
-	EndpointRateLimiter(EndpointId endpoint, RateLimitAllocation allocation) {
+	EndpointRateLimiter(EndpointId endpoint, FleetAllocation allocation) {
 		this.endpoint = endpoint;
 		this.allocation = allocation;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -48,16 +48,18 @@
 
 	private final Map<ServiceName, PrefillLatency> prefillLatencies = new HashMap<>();
 
-	private final RateLimitAllocation rateLimitAllocation;
+	private final Map<ServiceName, RejectionTolerance> rejectionTolerances = new HashMap<>();
+
+	private final FleetAllocation fleetAllocation;
 
 	private @Nullable Configuration configuration;
 
 	/**
 	 * Creates the table.
-	 * @param rateLimitAllocation allocates the rate limits of endpoints to the gateways
+	 * @param fleetAllocation allocates the limits of endpoints to the gateways
 	 */
-	public EndpointTable(RateLimitAllocation rateLimitAllocation) {
-		this.rateLimitAllocation = rateLimitAllocation;
+	public EndpointTable(FleetAllocation fleetAllocation) {
+		this.fleetAllocation = fleetAllocation;
 	}
 
 	/**
@@ -93,7 +95,8 @@
 		else {
 			Endpoint added = new Endpoint(entry, null,
 					this.prefillLatencies.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()),
-					this.rateLimitAllocation);
+					this.rejectionTolerances.computeIfAbsent(entry.service(), (service) -> new RejectionTolerance()),
+					this.fleetAllocation);
 			applyConfiguration(added);
 			this.endpoints.put(entry.id(), added);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RateLimitAllocation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/FleetAllocation.java
@@ -14,7 +14,7 @@
  * gateways rank identically by rendezvous hashing, so that no coordination is needed. The
  * gateways differ by endpoint.
  */
-public final class RateLimitAllocation {
+public final class FleetAllocation {
 
 	/** Minimum number of gateways that share a limit: one of them may be down. */
 	private static final int MINIMUM_GATEWAYS = 2;
@@ -28,7 +28,7 @@
 	 * @param ownName this gateway's name
 	 * @param gateways supplies the names of all gateways, this one's included
 	 */
-	public RateLimitAllocation(String ownName, Supplier<? extends Collection<String>> gateways) {
+	public FleetAllocation(String ownName, Supplier<? extends Collection<String>> gateways) {
 		this.ownName = ownName;
 		this.gateways = gateways;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -179,6 +179,7 @@
 		// has been lifted.
 		if (headers.sealed() || headers.notRun()) {
 			this.exchange.updateRateLimit(this.endpoint, headers.rateLimit());
+			this.exchange.announceToleratedRejections(this.endpoint, headers.toleratedRejections());
 		}
 		return true;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -289,6 +289,12 @@
 		}
 	}
 
+	void announceToleratedRejections(Endpoint endpoint, @Nullable Double rejectionsPerSecond) {
+		if (rejectionsPerSecond != null && endpoint.announceToleratedRejections(rejectionsPerSecond, now())) {
+			this.dispatcher.requestLog().rejectionLimitAnnounced(endpoint.id(), rejectionsPerSecond);
+		}
+	}
+
 	void updateRateLimit(Endpoint endpoint, @Nullable Double requestsPerSecond) {
 		if (endpoint.rateLimiter().observe(requestsPerSecond, now(), now())) {
 			this.dispatcher.requestLog().rateLimitChanged(endpoint.id(), requestsPerSecond);
@@ -406,6 +412,9 @@
 			attempt.endpoint().unreachable(attempt.sentAt(), now());
 			this.dispatcher.connections().closeIdle(attempt.endpoint().entry().address());
 		}
+		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+			attempt.endpoint().requestRejected(now());
+		}
 		if (status.equals(HttpResponseStatus.BAD_REQUEST)) {
 			forwardResponse(attempt);
 			return;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -53,6 +53,14 @@
 	 */
 	void pauseRequested(EndpointId endpoint, Duration duration);
 
+	/**
+	 * Called when the endpoints of a service begin to announce how many rejections they
+	 * bear.
+	 * @param endpoint the endpoint that announced it first
+	 * @param rejectionsPerSecond the rejections in a second beyond which it may fail
+	 */
+	void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond);
+
 	/**
 	 * A rejected request.
 	 *
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -18,7 +18,10 @@
  * @param retryAfter the time for which the endpoint asks this gateway for no further
  * requests, or {@code null} if it is not stated
  * @param leaving whether the endpoint states that it is shutting down
+ * @param toleratedRejections the rejections in a second, for want of room, beyond which
+ * the endpoint may fail, or {@code null} if it is not stated
  */
 public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load,
-		@Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving) {
+		@Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving,
+		@Nullable Double toleratedRejections) {
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -24,7 +24,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -299,7 +299,7 @@
 		}
 
 		private EndpointTable newEndpoints() {
-			return new EndpointTable(new RateLimitAllocation(this.address.name(), () -> List.of(this.address.name())));
+			return new EndpointTable(new FleetAllocation(this.address.name(), () -> List.of(this.address.name())));
 		}
 
 		private FleetExchange newExchange() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
@@ -30,7 +30,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
@@ -277,7 +277,7 @@
 		private final ReadDelegation delegation;
 
 		private final EndpointTable endpoints = new EndpointTable(
-				new RateLimitAllocation("gateway", () -> List.of("gateway")));
+				new FleetAllocation("gateway", () -> List.of("gateway")));
 
 		private final SharedStateFollower sharedState;
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
@@ -17,7 +17,7 @@
 import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.Duties;
@@ -36,9 +36,8 @@
 	private final ScriptedDuties duties = new ScriptedDuties();
 
 	private final EndpointAutoscaler autoscaler = new EndpointAutoscaler(this.duties, () -> FleetView.ALONE,
-			new DemandEstimator(),
-			new ServingEndpoints(new EndpointTable(new RateLimitAllocation("gateway", () -> List.of("gateway"))),
-					new RolloutTable()));
+			new DemandEstimator(), new ServingEndpoints(
+					new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway"))), new RolloutTable()));
 
 	// Guards against on-demand endpoints, at several times the price, that run for
 	// seconds after reclaimable ones are available again.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -29,7 +29,7 @@
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.Prompt;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -194,7 +194,7 @@
 			this.table = new PeerTable(this.incarnation, dataCenter);
 			this.placement = new PlacementRule(dataCenter);
 			this.endpoints = new EndpointTable(
-					new RateLimitAllocation(this.address.name(), () -> this.exchange().gateways()));
+					new FleetAllocation(this.address.name(), () -> this.exchange().gateways()));
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -23,7 +23,7 @@
 import org.banyancove.gateway.duty.SharedStateVersion;
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.Topic;
@@ -302,8 +302,7 @@
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(), () -> FleetExchangeTests.this.now,
 					this, this.table, this::report,
 					(remoteUsage) -> remoteUsage.values().forEach((amount) -> this.charged += amount), this::relayed,
-					new RequestQuarantine(
-							new EndpointTable(new RateLimitAllocation(this.name, () -> List.of(this.name)))));
+					new RequestQuarantine(new EndpointTable(new FleetAllocation(this.name, () -> List.of(this.name)))));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutExecutorTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RolloutExecutorTests.java
@@ -15,7 +15,7 @@
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.rollout.AnswerTimes;
 import org.banyancove.gateway.rollout.ExposureLimits;
 import org.banyancove.gateway.rollout.Rollout;
@@ -49,8 +49,7 @@
 
 	private final ScriptedStatusTopic topics = new ScriptedStatusTopic();
 
-	private final EndpointTable endpoints = new EndpointTable(
-			new RateLimitAllocation("gateway", () -> List.of("gateway")));
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	private final RolloutTable table = new RolloutTable();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
@@ -195,7 +195,7 @@
 		private long frozenUntil = Long.MIN_VALUE;
 
 		private EndpointTable newTable() {
-			EndpointTable table = new EndpointTable(new RateLimitAllocation("gateway", () -> List.of("gateway")));
+			EndpointTable table = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 			for (int i = 0; i < ENDPOINTS; i++) {
 				table.put(entry(i));
 			}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointRateLimiterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointRateLimiterTests.java
@@ -14,7 +14,7 @@
 import static org.assertj.core.api.Assertions.within;
 
 /**
- * Tests of {@link EndpointRateLimiter} and {@link RateLimitAllocation}.
+ * Tests of {@link EndpointRateLimiter} and {@link FleetAllocation}.
  */
 class EndpointRateLimiterTests {
 
@@ -25,7 +25,7 @@
 	private final List<String> names = IntStream.range(0, 87).mapToObj((number) -> "gateway-" + number).toList();
 
 	private final EndpointRateLimiter limiter = new EndpointRateLimiter(ENDPOINT,
-			new RateLimitAllocation("own", () -> List.of("own")));
+			new FleetAllocation("own", () -> List.of("own")));
 
 	// Guards against a limit that is allocated twice, or not allocated in full.
 	@ParameterizedTest
@@ -45,7 +45,7 @@
 	}
 
 	private double share(String name, double requestsPerSecond, long rotation) {
-		return new RateLimitAllocation(name, () -> this.names).share(ENDPOINT, requestsPerSecond, rotation);
+		return new FleetAllocation(name, () -> this.names).share(ENDPOINT, requestsPerSecond, rotation);
 	}
 
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -27,7 +27,7 @@
 
 	private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
 
-	private final EndpointTable table = new EndpointTable(new RateLimitAllocation("gateway", () -> List.of("gateway")));
+	private final EndpointTable table = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	@BeforeEach
 	void configure() {
@@ -135,7 +135,7 @@
 	// the configuration.
 	@Test
 	void theConfigurationAppliesToEndpointsListedBeforeIt() {
-		EndpointTable early = new EndpointTable(new RateLimitAllocation("gateway", () -> List.of("gateway")));
+		EndpointTable early = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 		early.put(entry(false));
 		Endpoint endpoint = early.endpointsOf(SERVICE).getFirst();
 		Prompt prompt = new Prompt(List.of(), 10_000, 100);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -38,7 +38,7 @@
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.PlacementRule;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
@@ -71,8 +71,7 @@
 
 	private final EventLoop eventLoop = this.eventLoops.next();
 
-	private final EndpointTable endpoints = new EndpointTable(
-			new RateLimitAllocation("gateway", () -> List.of("gateway")));
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	private final List<ScriptedEndpoint> scriptedEndpoints = new ArrayList<>();
 
@@ -696,6 +695,10 @@
 		public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
 		}
 
+		@Override
+		public void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond) {
+		}
+
 		@Override
 		public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -40,7 +40,8 @@
 		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
 				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
 				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after"))) : null,
-				headers.contains("leaving"));
+				headers.contains("leaving"),
+				headers.contains("brittle") ? Double.valueOf(headers.get("brittle")) : null);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -14,7 +14,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,8 +23,7 @@
 
 	private static final Fingerprint REQUEST = new Fingerprint(1, 1);
 
-	private final EndpointTable endpoints = new EndpointTable(
-			new RateLimitAllocation("gateway", () -> List.of("gateway")));
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	private final RequestQuarantine quarantine = new RequestQuarantine(this.endpoints);
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
@@ -11,7 +11,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
-import org.banyancove.gateway.endpoint.RateLimitAllocation;
+import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -27,8 +27,7 @@
 
 	private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-	private final EndpointTable endpoints = new EndpointTable(
-			new RateLimitAllocation("gateway", () -> List.of("gateway")));
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	private final RolloutTable table = new RolloutTable();
 
