Split the creation of requests and the reading of announcements from Exchange

Change: no behaviour. EndpointRequestFactory creates the requests to endpoints, EndpointAnnouncements applies what answers say of them.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -167,33 +167,18 @@
 			return false;
 		}
 		this.head = response;
-		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
-				&& this.endpoint.entry().sameIncarnation(this.entryWhenSent)) {
-			readEndpointState(response.status(), headers);
-		}
 		this.responseHeaders = headers;
-		if (headers.load() != null) {
-			this.endpoint.updateLoad(headers.load(), this.exchange.now());
-		}
-		// A response that the endpoint did not produce itself is no evidence that a limit
-		// has been lifted.
-		if (headers.sealed() || headers.notRun()) {
-			this.exchange.updateRateLimit(this.endpoint, headers.rateLimit());
-			this.exchange.announceToleratedRejections(this.endpoint, headers.toleratedRejections());
+		boolean currentProcess = !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+				&& this.endpoint.entry().sameIncarnation(this.entryWhenSent);
+		if (currentProcess) {
+			this.endpoint.recordAnswerStart(this.sentAt);
+			this.exchange.announcements()
+				.applyProcessState(this.endpoint, response.status(), headers, this.exchange.now());
 		}
+		this.exchange.announcements().applyLimits(this.endpoint, headers, this.exchange.now());
 		return true;
 	}
 
-	private void readEndpointState(HttpResponseStatus status, EndpointHeaders headers) {
-		this.endpoint.recordAnswerStart(this.sentAt);
-		if (headers.leaving()) {
-			this.exchange.shutdownAnnounced(this.endpoint);
-		}
-		if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && headers.retryAfter() != null) {
-			this.exchange.requestPause(this.endpoint, headers.retryAfter());
-		}
-	}
-
 	@Override
 	public void content(ByteBuf content) {
 		if (this.exchange.isStreaming(this)) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -8,13 +8,9 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -31,7 +27,6 @@
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.shared.CallerHeaders;
-import org.banyancove.gateway.shared.EndpointCall;
 import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.tunnel.ConnectContext;
 import org.jspecify.annotations.Nullable;
@@ -87,6 +82,8 @@
 
 	private final Set<EndpointId> triedEndpoints = new HashSet<>();
 
+	private final EndpointRequestFactory endpointRequests;
+
 	private final SseEventSplitter eventSplitter;
 
 	private final double versionDraw;
@@ -127,6 +124,7 @@
 			timeout = requestHeaders.deadline();
 		}
 		this.deadlineAt = request.arrivedAt() + timeout.toNanos();
+		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.versionDraw = dispatcher.nextRandom();
 	}
@@ -218,26 +216,12 @@
 				new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
 						this.requestId, this.dispatcher.requestLog()));
 		newAttempt.callStarted(this.dispatcher.connections()
-			.call(placement.endpoint().entry().address(), endpointRequest(placement), options, newAttempt));
+			.call(placement.endpoint().entry().address(),
+					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId()), options,
+					newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 	}
 
-	private FullHttpRequest endpointRequest(Placement placement) {
-		ByteBuf body = this.request.body().retainedDuplicate();
-		FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.head().method(),
-				this.request.head().uri(), body);
-		HttpHeaders headers = copy.headers();
-		EndToEndHeaders.copy(this.request.head().headers(), headers);
-		headers.names().stream().filter((name) -> !headerCodec().isForwarded(name)).toList().forEach(headers::remove);
-		if (body.isReadable() || this.request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-		}
-		headerCodec().writeCall(headers, new EndpointCall(placement.endpoint().id(), remaining(),
-				(this.account != null) ? this.account.name() : null, priority(), this.eventSplitter.lastEventId(),
-				(placement.prefixSource() != null) ? placement.prefixSource().entry().address() : null));
-		return copy;
-	}
-
 	private Duration quarantine() {
 		RequestQuarantine quarantine = this.dispatcher.quarantine();
 		return quarantine.isEmpty() ? Duration.ZERO : quarantine.remaining(fingerprint(), now());
@@ -263,42 +247,14 @@
 		return computed;
 	}
 
-	private @Nullable Integer priority() {
-		if (!this.service.generatesTokens()) {
-			return null;
-		}
-		Integer accountPriority = (this.account != null) ? this.account.priority() : null;
-		return Math.clamp((accountPriority != null) ? accountPriority : this.route.priority(), 0, 9);
-	}
-
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
 	boolean maySend(Endpoint endpoint) {
 		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint)
 				&& endpoint.pause().remaining(now()).isZero();
 	}
 
-	void shutdownAnnounced(Endpoint endpoint) {
-		if (endpoint.recordShutdownAnnouncement()) {
-			this.dispatcher.requestLog().shutdownAnnounced(endpoint.id());
-		}
-	}
-
-	void requestPause(Endpoint endpoint, Duration duration) {
-		if (endpoint.pause().request(duration, now())) {
-			this.dispatcher.requestLog().pauseRequested(endpoint.id(), duration);
-		}
-	}
-
-	void announceToleratedRejections(Endpoint endpoint, @Nullable Double rejectionsPerSecond) {
-		if (rejectionsPerSecond != null && endpoint.announceToleratedRejections(rejectionsPerSecond, now())) {
-			this.dispatcher.requestLog().rejectionLimitAnnounced(endpoint.id(), rejectionsPerSecond);
-		}
-	}
-
-	void updateRateLimit(Endpoint endpoint, @Nullable Double requestsPerSecond) {
-		if (endpoint.rateLimiter().observe(requestsPerSecond, now(), now())) {
-			this.dispatcher.requestLog().rateLimitChanged(endpoint.id(), requestsPerSecond);
-		}
+	EndpointAnnouncements announcements() {
+		return this.dispatcher.announcements();
 	}
 
 	boolean isStreaming(Attempt attempt) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -71,6 +71,8 @@
 
 	private final RequestLog requestLog;
 
+	private final EndpointAnnouncements announcements;
+
 	private final RetryLimits retryLimits;
 
 	private final RequestQuarantine quarantine;
@@ -126,6 +128,7 @@
 		this.placement = placement;
 		this.meters = meters;
 		this.requestLog = requestLog;
+		this.announcements = new EndpointAnnouncements(requestLog);
 		this.retryLimits = retryLimits;
 		this.quarantine = quarantine;
 	}
@@ -365,6 +368,10 @@
 		return this.meters;
 	}
 
+	EndpointAnnouncements announcements() {
+		return this.announcements;
+	}
+
 	RequestLog requestLog() {
 		return this.requestLog;
 	}
