--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RejectionTolerance.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RejectionTolerance.java
@@ -6,7 +6,7 @@
 
 /**
  * The rejections in a second that each endpoint of a service bears, as the endpoints
- * announce it in their answers.
+ * announce it in their answers, and this gateway's demand for their places.
  * <p>
  * What one endpoint announces holds for all endpoints of its service. Times are
  * nanoseconds of the monotonic clock.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -118,12 +118,12 @@
 	}
 
 	/**
-	 * Returns whether the latest attempt to connect to an endpoint directly failed.
+	 * Returns whether to connect to an endpoint directly, and counts that as an attempt.
 	 * @param address the endpoint's address
-	 * @return whether the failure is recent and no other attempt is due
+	 * @return {@code false} if the latest attempt failed and no other one is due
 	 */
-	boolean isKnownUnreachable(InetSocketAddress address) {
-		return this.paths.failedRecently(address, now()) && !this.paths.claimRetry(address, now());
+	boolean claimDirectAttempt(InetSocketAddress address) {
+		return !this.paths.failedRecently(address, now()) || this.paths.claimRetry(address, now());
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -122,15 +122,15 @@
 		if (this.tunnels.size() + this.connecting >= MAXIMUM_TUNNELS) {
 			return TunnelRefusal.TOO_MANY_TUNNELS;
 		}
-		return isUnreachable(target) ? TunnelRefusal.ENDPOINT_UNREACHABLE : null;
+		return mayConnect(target) ? null : TunnelRefusal.ENDPOINT_UNREACHABLE;
 	}
 
 	// While this gateway may be partitioned itself, one attempt at a time shows whether
 	// it
 	// still is; the others are better off at another gateway than waiting for it.
-	private boolean isUnreachable(InetSocketAddress target) {
-		return this.connector.isKnownUnreachable(target)
-				|| (this.connecting > 0 && this.connector.paths().isolationSuspected(this.connector.now()));
+	private boolean mayConnect(InetSocketAddress target) {
+		boolean waits = this.connecting > 0 && this.connector.paths().isolationSuspected(this.connector.now());
+		return !waits && this.connector.claimDirectAttempt(target);
 	}
 
 	void connecting() {
