--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -188,7 +188,7 @@
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways));
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
-		this.placementRule = new PlacementRule(settings.dataCenter(), random);
+		this.placementRule = new PlacementRule(settings.dataCenter(), random::nextDouble);
 		this.quarantine = new RequestQuarantine(this.endpoints);
 		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
 				connections, this.servingEndpoints, this::endpointsCurrent, this.placementRule,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -3,9 +3,8 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Set;
-import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
-import java.util.random.RandomGenerator;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
@@ -66,24 +65,17 @@
 
 	private final DataCenterName dataCenter;
 
-	private final RandomGenerator random;
+	private final DoubleSupplier random;
 
 	private Set<DataCenterName> unreachableDataCenters = Set.of();
 
 	/**
 	 * Creates the rule.
 	 * @param dataCenter the gateway's own data centre
+	 * @param random supplies random numbers from 0 to 1, which spread requests over
+	 * endpoints that bear few rejections
 	 */
-	public PlacementRule(DataCenterName dataCenter) {
-		this(dataCenter, new SplittableRandom());
-	}
-
-	/**
-	 * Creates the rule.
-	 * @param dataCenter the gateway's own data centre
-	 * @param random spreads requests over endpoints that bear few rejections
-	 */
-	public PlacementRule(DataCenterName dataCenter, RandomGenerator random) {
+	public PlacementRule(DataCenterName dataCenter, DoubleSupplier random) {
 		this.dataCenter = dataCenter;
 		this.random = random;
 	}
@@ -190,7 +182,7 @@
 			cost += missingTokens * PREFIX_MISS_PENALTY_MILLIS;
 		}
 		if (candidate.limitsRejections(now)) {
-			cost += SPREAD_MILLIS * this.random.nextDouble();
+			cost += SPREAD_MILLIS * this.random.getAsDouble();
 		}
 		if (!candidate.entry().dataCenter().equals(this.dataCenter)) {
 			cost += CROSS_DATA_CENTER_PENALTY_MILLIS;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -192,7 +192,7 @@
 			this.address = new GatewayAddress("gateway-" + number,
 					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, 1);
 			this.table = new PeerTable(this.incarnation, dataCenter);
-			this.placement = new PlacementRule(dataCenter);
+			this.placement = new PlacementRule(dataCenter, () -> 0);
 			this.endpoints = new EndpointTable(
 					new FleetAllocation(this.address.name(), () -> this.exchange().gateways()));
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -302,7 +302,7 @@
 			this.address = new GatewayAddress("gateway-" + number,
 					new InetSocketAddress("10.0.0." + (1 + number), 7500), dataCenter, 1);
 			this.table = new PeerTable(this.incarnation, dataCenter);
-			this.placement = new PlacementRule(dataCenter, RejectionLimitFleetTests.this.random.split());
+			this.placement = new PlacementRule(dataCenter, RejectionLimitFleetTests.this.random.split()::nextDouble);
 			this.endpoints = new EndpointTable(
 					new FleetAllocation(this.address.name(), () -> this.exchange().gateways()));
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointPauseTests.java
@@ -184,7 +184,7 @@
 	 */
 	private final class Node {
 
-		private final PlacementRule placement = new PlacementRule(DATA_CENTER);
+		private final PlacementRule placement = new PlacementRule(DATA_CENTER, () -> 0);
 
 		private final List<Pending> pending = new ArrayList<>();
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -38,7 +38,7 @@
 
 	@Test
 	void aDrainingEndpointReceivesNoRequests() {
-		PlacementRule placement = new PlacementRule(new DataCenterName("a"));
+		PlacementRule placement = new PlacementRule(new DataCenterName("a"), () -> 0);
 		assertThat(placement.choose(this.table.endpointsOf(SERVICE), Prompt.NONE, Set.of(), 0)).isNotNull();
 		this.table.put(entry(true));
 		assertThat(placement.choose(this.table.endpointsOf(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
@@ -104,7 +104,7 @@
 		this.table.unlisted(ID, null, 0);
 		this.table.put(entry(false));
 		assertThat(endpoint().draining()).isTrue();
-		PlacementRule placement = new PlacementRule(new DataCenterName("a"));
+		PlacementRule placement = new PlacementRule(new DataCenterName("a"), () -> 0);
 		assertThat(placement.choose(this.table.endpointsOf(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -26,7 +26,7 @@
 
 	private long requests;
 
-	private final PlacementRule rule = new PlacementRule(ZONE);
+	private final PlacementRule rule = new PlacementRule(ZONE, () -> 0);
 
 	@Test
 	void sendsASessionToOneEndpointFromEveryGateway() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -92,7 +92,7 @@
 	private RequestDispatcher newDispatcher() {
 		return new RequestDispatcher(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
 				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
-				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(DATA_CENTER),
+				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
 				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints));
 	}
