End requests that wait for one unreachable endpoint after the other

Cause: a request went on to each endpoint that was due, and for each through peers that timed out. Change: peers have one and a half timeouts together, and a request that has waited ends once the latest attempts at all endpoints of its service failed. A handler is named for the phase that it serves.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -212,9 +212,7 @@
 		boolean nonRepeatable = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
 				nonRepeatable ? MAXIMUM_IDLE_TIME_NON_REPEATABLE : MAXIMUM_IDLE_TIME,
-				this.dispatcher.maximumConnections(this.service),
-				new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
-						this.requestId, this.dispatcher.requestLog()));
+				this.dispatcher.maximumConnections(this.service), connectContext());
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(),
 					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId()), options,
@@ -222,6 +220,11 @@
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 	}
 
+	private ConnectContext connectContext() {
+		return new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
+				this.requestId, this.dispatcher.requestLog());
+	}
+
 	private Duration quarantine() {
 		RequestQuarantine quarantine = this.dispatcher.quarantine();
 		return quarantine.isEmpty() ? Duration.ZERO : quarantine.remaining(fingerprint(), now());
@@ -407,7 +410,7 @@
 			if (failure != CallFailure.WITHDRAWN) {
 				attempt.endpoint().unreachable(attempt.sentAt(), now());
 			}
-			place();
+			placeAfterFailedConnect();
 			return;
 		}
 		if (failure.connectionLost()) {
@@ -426,6 +429,18 @@
 		endWithError(ErrorKind.ENDPOINT_FAILED);
 	}
 
+	// While no endpoint can be reached, directly or through a peer, the next one takes as
+	// long to fail as the last.
+	private void placeAfterFailedConnect() {
+		boolean waited = elapsed().compareTo(this.dispatcher.admission().maximumWait(this.route, remaining())) > 0;
+		if (waited && this.dispatcher.connections().connector().isPartitioned(connectContext())) {
+			endWithError(ErrorKind.NO_ENDPOINT);
+		}
+		else {
+			place();
+		}
+	}
+
 	private boolean retryIfAllowed() {
 		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
 		if (!allowed || !remaining().isPositive() || quarantine().isPositive()
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/ConnectAttempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/ConnectAttempt.java
@@ -122,19 +122,29 @@
 		}
 		this.triedPeers.add(peer.name());
 		this.tunnelPending = true;
-		this.connector.openTunnel(this.address, peer, tunnelTimeout(), this.context.requestId())
+		this.connector.openTunnel(this.address, peer, peerTimeout(), this.context.requestId())
 			.addListener((Future<ConnectedChannel> opened) -> tunnelEnded(peer, opened));
 	}
 
 	private boolean mayTryPeer() {
-		return this.triedPeers.isEmpty() || (this.triedPeers.size() < MAXIMUM_PEERS
-				&& this.connector.now() - this.tunnelsStartedAt < tunnelTimeout().toNanos());
+		return this.triedPeers.isEmpty()
+				|| (this.triedPeers.size() < MAXIMUM_PEERS && elapsedTunnelTime().compareTo(tunnelTimeout()) < 0);
 	}
 
 	private Duration tunnelTimeout() {
 		return (this.timeout.compareTo(MINIMUM_TUNNEL_TIMEOUT) > 0) ? this.timeout : MINIMUM_TUNNEL_TIMEOUT;
 	}
 
+	// All peers together take at most half as long again as one of them.
+	private Duration peerTimeout() {
+		Duration left = tunnelTimeout().multipliedBy(3).dividedBy(2).minus(elapsedTunnelTime());
+		return (left.compareTo(tunnelTimeout()) < 0) ? left : tunnelTimeout();
+	}
+
+	private Duration elapsedTunnelTime() {
+		return Duration.ofNanos(this.connector.now() - this.tunnelsStartedAt);
+	}
+
 	private void tunnelEnded(TunnelPeer peer, Future<ConnectedChannel> opened) {
 		this.tunnelPending = false;
 		if (opened.isSuccess()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/DirectPaths.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/DirectPaths.java
@@ -129,6 +129,16 @@
 		return recentFailures(context, now, false) >= Math.min(SUSPICIOUS_FAILURES, context.alternatives());
 	}
 
+	/**
+	 * Returns whether the latest attempts at all endpoints of a service failed.
+	 * @param context the service and the number of its endpoints
+	 * @param now the current time
+	 * @return whether none of them can be reached directly
+	 */
+	boolean allFailed(ConnectContext context, long now) {
+		return recentFailures(context, now, false) >= context.alternatives();
+	}
+
 	/**
 	 * Returns whether no endpoint at all may be reachable.
 	 * @param now the current time
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -90,7 +90,7 @@
 	 */
 	public Future<ConnectedChannel> connectDirectly(InetSocketAddress address, Duration timeout) {
 		Promise<ConnectedChannel> result = this.eventLoop.newPromise();
-		ChannelFuture connect = bootstrap(timeout, new IdleHandler()).connect(address);
+		ChannelFuture connect = bootstrap(timeout, new ConnectingHandler()).connect(address);
 		connect.addListener((future) -> complete(result, future, connect.channel(), false));
 		return result;
 	}
@@ -117,6 +117,15 @@
 		return this.paths.silentSince(context, now());
 	}
 
+	/**
+	 * Returns whether no endpoint of a service can be reached directly.
+	 * @param context what a connection is needed for
+	 * @return whether the latest attempts at all of them failed
+	 */
+	public boolean isPartitioned(ConnectContext context) {
+		return this.paths.allFailed(context, now());
+	}
+
 	/**
 	 * Returns whether to connect to an endpoint directly, and counts that as an attempt.
 	 * @param address the endpoint's address
@@ -143,7 +152,7 @@
 		Bootstrap bootstrap = bootstrap(timeout, new ChannelInitializer<Channel>() {
 			@Override
 			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(handshake, new IdleHandler());
+				channel.pipeline().addLast(handshake, new ConnectingHandler());
 			}
 		});
 		TunnelPeer own = this.peers.own();
@@ -183,7 +192,7 @@
 	private static void complete(Promise<ConnectedChannel> result, Future<?> connected, Channel channel,
 			boolean tunnelled) {
 		if (connected.isSuccess()) {
-			channel.pipeline().remove(IdleHandler.class);
+			channel.pipeline().remove(ConnectingHandler.class);
 			result.trySuccess(new ConnectedChannel(channel, tunnelled));
 		}
 		else {
