Give each fleet of a test addresses that no other one has had

Change: the number of the fleet is part of its addresses, and the ports are fixed, outside the range of those chosen for connections. Measured: with fixed ports on shared addresses two of four cases failed in the same way; with addresses of their own four of four pass.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -1,10 +1,8 @@
 package org.banyancove.gateway.daemon;
 
 import java.io.IOException;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -18,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -51,6 +50,10 @@
 
 	static final int DATA_CENTERS = 3;
 
+	private static final int CALLERS_PORT = 8080;
+
+	private static final int PEERS_PORT = 7500;
+
 	private static final ServiceName SERVICE = new ServiceName("service");
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
@@ -59,6 +62,10 @@
 
 	private static final Duration EVENT_INTERVAL = Duration.ofMillis(400);
 
+	private static final AtomicInteger FLEETS = new AtomicInteger();
+
+	private final int number = FLEETS.incrementAndGet();
+
 	private final InMemoryTopicStore store = new InMemoryTopicStore();
 
 	private final Map<String, Integer> runs = StubEndpoint.newRuns();
@@ -145,8 +152,8 @@
 		Node(int number) throws IOException {
 			this.number = number;
 			InetAddress address = ownAddress(number);
-			this.peers = freeAddress(address);
-			this.callers = freeAddress(address);
+			this.peers = new InetSocketAddress(address, PEERS_PORT);
+			this.callers = new InetSocketAddress(address, CALLERS_PORT);
 		}
 
 		int dataCenter() {
@@ -161,25 +168,13 @@
 			return this.partition;
 		}
 
-		// Ports chosen for connections from the usual loopback address cannot collide
-		// with
-		// those of an address of its own.
-		private static InetAddress ownAddress(int number) throws IOException {
+		// With an address of its own, a gateway can have fixed ports. Ports that are
+		// chosen
+		// freely may be taken by its own connections before it listens.
+		private InetAddress ownAddress(int number) throws IOException {
 			int process = (int) (ProcessHandle.current().pid() % 250);
-			return InetAddress.getByAddress(new byte[] { 127, (byte) (1 + process), 0, (byte) (1 + number) });
-		}
-
-		private static InetSocketAddress freeAddress(InetAddress address) throws IOException {
-			for (int attempt = 0; attempt < 100; attempt++) {
-				try (ServerSocket stream = new ServerSocket(0, 1, address);
-						DatagramSocket datagram = new DatagramSocket(stream.getLocalSocketAddress())) {
-					return new InetSocketAddress(address, datagram.getLocalPort());
-				}
-				catch (IOException ex) {
-					// The port is in use for the other protocol.
-				}
-			}
-			throw new IOException("no free port");
+			return InetAddress.getByAddress(
+					new byte[] { 127, (byte) (1 + process), (byte) GatewayFleet.this.number, (byte) (1 + number) });
 		}
 
 		private static MultiThreadIoEventLoopGroup newEventLoops() {
