Log the versions of endpoints and the requests that callers resume

Lines of failed attempts and of ended requests now name the endpoint's version when the request was sent, and the request whose stream the caller took up. What a request tells the quarantine moved from Exchange to CrashTracking to make room. No decision changed; the tests of the exchange, the router, the codecs and the platform's headers pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -40,6 +40,8 @@
 	 */
 	private static final double[] BUCKET_BOUNDS = { 0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 15, 60 };
 
+	private static final int MAXIMUM_IDENTIFIER_LENGTH = 64;
+
 	private final Counter requests;
 
 	private final Counter failedAttempts;
@@ -187,6 +189,7 @@
 			log.atInfo()
 				.addKeyValue("requestId", attempt.requestId())
 				.addKeyValue("endpoint", attempt.endpoint())
+				.addKeyValue("endpointVersion", attempt.endpointVersion())
 				.addKeyValue("attempt", attempt.number())
 				.addKeyValue("predictedMs", Math.round(attempt.predictedMillis()))
 				.addKeyValue("elapsedMs", attempt.elapsed().toMillis())
@@ -211,6 +214,8 @@
 				.addKeyValue("outcome", request.outcome())
 				.addKeyValue("status", request.status())
 				.addKeyValue("endpoint", request.endpoint())
+				.addKeyValue("endpointVersion", request.endpointVersion())
+				.addKeyValue("resumes", abbreviated(request.resumedRequestId()))
 				.addKeyValue("attempts", request.attempts())
 				.addKeyValue("firstByteMs",
 						(request.timeToFirstByte() != null) ? request.timeToFirstByte().toMillis() : null)
@@ -220,6 +225,12 @@
 		}
 	}
 
+	// A caller may send any text as an identifier.
+	private static @Nullable String abbreviated(@Nullable String text) {
+		return (text == null || text.length() <= MAXIMUM_IDENTIFIER_LENGTH) ? text
+				: text.substring(0, MAXIMUM_IDENTIFIER_LENGTH);
+	}
+
 	@Override
 	public void shutdownAnnounced(EndpointId endpoint) {
 		log.atInfo().addKeyValue("endpoint", endpoint).log("endpoint announced shutdown");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -75,6 +75,14 @@
 		return this.endpoint;
 	}
 
+	/**
+	 * Returns the endpoint's software version when the request was sent.
+	 * @return the version, empty if unknown
+	 */
+	String version() {
+		return this.entryWhenSent.version();
+	}
+
 	HttpResponse responseHead() {
 		return Objects.requireNonNull(this.head, "no response has been received");
 	}
@@ -100,8 +108,8 @@
 	}
 
 	RequestLog.FailedAttempt describe() {
-		return new RequestLog.FailedAttempt(this.exchange.requestId(), this.endpoint.id().value(), this.number,
-				this.predictedMillis, elapsed(), null,
+		return new RequestLog.FailedAttempt(this.exchange.requestId(), this.endpoint.id().value(), version(),
+				this.number, this.predictedMillis, elapsed(), null,
 				(this.responseHeaders != null) ? this.responseHeaders.retryAfter() : null);
 	}
 
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CrashTracking.java
@@ -0,0 +1,65 @@
+package org.banyancove.gateway.exchange;
+
+import java.time.Duration;
+
+import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.configuration.ClientAccount;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reports to the quarantine whether one request crashed endpoints.
+ */
+final class CrashTracking {
+
+	private final RequestDispatcher dispatcher;
+
+	private final CallerRequest request;
+
+	private final @Nullable ClientAccount account;
+
+	private @Nullable Fingerprint fingerprint;
+
+	CrashTracking(RequestDispatcher dispatcher, CallerRequest request, @Nullable ClientAccount account) {
+		this.dispatcher = dispatcher;
+		this.request = request;
+		this.account = account;
+	}
+
+	/**
+	 * Returns the rest of the request's quarantine.
+	 * @return the time, zero if the request is not in quarantine
+	 */
+	Duration quarantine() {
+		RequestQuarantine quarantine = this.dispatcher.quarantine();
+		return quarantine.isEmpty() ? Duration.ZERO
+				: quarantine.remaining(fingerprint(), this.dispatcher.clock().nanos());
+	}
+
+	/**
+	 * Records that an endpoint ended the connection while it had the request.
+	 * @param attempt the attempt at the endpoint
+	 */
+	void recordLoss(Attempt attempt) {
+		// A draining endpoint ends its connections without a crash.
+		if (this.dispatcher.endpoints().accepts(attempt.endpoint())) {
+			this.dispatcher.quarantine()
+				.recordLoss(fingerprint(), attempt.endpoint().id(), attempt.sentAt(), this.dispatcher.clock().nanos());
+		}
+	}
+
+	/** Records that an endpoint completed the request. */
+	void recordSuccess() {
+		this.dispatcher.quarantine().recordCompletion(fingerprint(), this.dispatcher.clock().nanos());
+	}
+
+	Fingerprint fingerprint() {
+		Fingerprint computed = this.fingerprint;
+		if (computed == null) {
+			computed = this.request.fingerprint((this.account != null) ? this.account.name() : null);
+			this.fingerprint = computed;
+		}
+		return computed;
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
-import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.RouteKind;
@@ -24,7 +23,6 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.Prompt;
-import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
@@ -86,6 +84,8 @@
 
 	private final SseEventSplitter eventSplitter;
 
+	private final CrashTracking crashTracking;
+
 	private final double versionDraw;
 
 	private int attempts;
@@ -96,8 +96,6 @@
 
 	private boolean ended;
 
-	private @Nullable Fingerprint fingerprint;
-
 	private @Nullable Attempt currentAttempt;
 
 	private @Nullable Long firstByteAt;
@@ -126,6 +124,7 @@
 		this.deadlineAt = request.arrivedAt() + timeout.toNanos();
 		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
+		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -139,7 +138,7 @@
 		if (this.ended) {
 			return;
 		}
-		Duration quarantine = quarantine();
+		Duration quarantine = this.crashTracking.quarantine();
 		if (quarantine.isPositive()) {
 			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
 			return;
@@ -225,31 +224,6 @@
 				this.requestId, this.dispatcher.requestLog());
 	}
 
-	private Duration quarantine() {
-		RequestQuarantine quarantine = this.dispatcher.quarantine();
-		return quarantine.isEmpty() ? Duration.ZERO : quarantine.remaining(fingerprint(), now());
-	}
-
-	private void recordLoss(Attempt attempt) {
-		// A draining endpoint ends its connections without a crash.
-		if (this.dispatcher.endpoints().accepts(attempt.endpoint())) {
-			this.dispatcher.quarantine().recordLoss(fingerprint(), attempt.endpoint().id(), attempt.sentAt(), now());
-		}
-	}
-
-	private void recordSuccess() {
-		this.dispatcher.quarantine().recordCompletion(fingerprint(), now());
-	}
-
-	private Fingerprint fingerprint() {
-		Fingerprint computed = this.fingerprint;
-		if (computed == null) {
-			computed = this.request.fingerprint((this.account != null) ? this.account.name() : null);
-			this.fingerprint = computed;
-		}
-		return computed;
-	}
-
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
 	boolean maySend(Endpoint endpoint) {
 		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint)
@@ -305,7 +279,7 @@
 				return;
 			}
 			attempt.endpoint().requestAnswered(true, now());
-			recordSuccess();
+			this.crashTracking.recordSuccess();
 			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
 					attempt.responseTimes());
 			startStream(attempt);
@@ -329,7 +303,7 @@
 		attempt.endpoint().requestAnswered(valid, now());
 		if (valid && success) {
 			attempt.endpoint().recordResponseTime(attempt.elapsed());
-			recordSuccess();
+			this.crashTracking.recordSuccess();
 		}
 		if (valid) {
 			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
@@ -402,8 +376,8 @@
 			return;
 		}
 		this.dispatcher.requestLog()
-			.attemptFailed(
-					failure.connectionLost() ? attempt.describe().withFingerprint(fingerprint()) : attempt.describe(),
+			.attemptFailed(failure.connectionLost()
+					? attempt.describe().withFingerprint(this.crashTracking.fingerprint()) : attempt.describe(),
 					failure.name());
 		if (!failure.mayHaveRun()) {
 			this.attempts--;
@@ -414,7 +388,7 @@
 			return;
 		}
 		if (failure.connectionLost()) {
-			recordLoss(attempt);
+			this.crashTracking.recordLoss(attempt);
 		}
 		this.mayHaveRun = true;
 		if (this.route.kind() != RouteKind.STREAMING) {
@@ -443,7 +417,7 @@
 
 	private boolean retryIfAllowed() {
 		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
-		if (!allowed || !remaining().isPositive() || quarantine().isPositive()
+		if (!allowed || !remaining().isPositive() || this.crashTracking.quarantine().isPositive()
 				|| !this.dispatcher.retryBudget(this.service.name()).tryRetry()) {
 			return false;
 		}
@@ -558,10 +532,13 @@
 		this.dispatcher.ended();
 		Duration timeToFirstByte = (this.firstByteAt != null)
 				? Duration.ofNanos(this.firstByteAt - this.request.arrivedAt()) : null;
-		String endpoint = (this.currentAttempt != null) ? this.currentAttempt.endpoint().id().value() : null;
+		Attempt last = this.currentAttempt;
+		String endpoint = (last != null) ? last.endpoint().id().value() : null;
+		String endpointVersion = (last != null) ? last.version() : null;
 		this.dispatcher.requestLog()
 			.ended(new RequestLog.EndedRequest(this.requestId, this.route.name(), outcome, status, endpoint,
-					this.attempts, timeToFirstByte, elapsed(), this.configurationVersion));
+					endpointVersion, this.requestHeaders.resumedRequestId(), this.attempts, timeToFirstByte, elapsed(),
+					this.configurationVersion));
 	}
 
 	String requestId() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -81,6 +81,7 @@
 	 *
 	 * @param requestId the request id
 	 * @param endpoint the endpoint
+	 * @param endpointVersion the endpoint's software version when the request was sent
 	 * @param number the attempt number, starting at 1 for each request
 	 * @param predictedMillis the predicted response time, in ms
 	 * @param elapsed the time since the request was sent
@@ -89,12 +90,12 @@
 	 * @param retryAfter the time for which the endpoint asked for no further requests, or
 	 * {@code null}
 	 */
-	record FailedAttempt(String requestId, String endpoint, int number, double predictedMillis, Duration elapsed,
-			@Nullable Fingerprint fingerprint, @Nullable Duration retryAfter) {
+	record FailedAttempt(String requestId, String endpoint, String endpointVersion, int number, double predictedMillis,
+			Duration elapsed, @Nullable Fingerprint fingerprint, @Nullable Duration retryAfter) {
 
 		FailedAttempt withFingerprint(Fingerprint known) {
-			return new FailedAttempt(this.requestId, this.endpoint, this.number, this.predictedMillis, this.elapsed,
-					known, this.retryAfter);
+			return new FailedAttempt(this.requestId, this.endpoint, this.endpointVersion, this.number,
+					this.predictedMillis, this.elapsed, known, this.retryAfter);
 		}
 
 	}
@@ -107,6 +108,8 @@
 	 * @param outcome the outcome
 	 * @param status the status sent to the caller; 0 if the connection was closed
 	 * @param endpoint the last endpoint, or {@code null} if the request was not sent
+	 * @param endpointVersion its software version when the request was sent
+	 * @param resumedRequestId the request whose stream this one resumed, or {@code null}
 	 * @param attempts the number of attempts
 	 * @param timeToFirstByte the time from arrival to the first byte of the response, or
 	 * {@code null}
@@ -114,7 +117,8 @@
 	 * @param version the configuration version under which the request was accepted
 	 */
 	record EndedRequest(String requestId, String route, String outcome, int status, @Nullable String endpoint,
-			int attempts, @Nullable Duration timeToFirstByte, Duration elapsed, long version) {
+			@Nullable String endpointVersion, @Nullable String resumedRequestId, int attempts,
+			@Nullable Duration timeToFirstByte, Duration elapsed, long version) {
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/CallerHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/CallerHeaders.java
@@ -13,10 +13,12 @@
  * stated
  * @param key the key of the client account, or {@code null}
  * @param lastEventId the id of the event after which to resume a stream, or {@code null}
+ * @param resumedRequestId the id of the request that brought the first event of the
+ * stream to resume, or {@code null}; as sent, so that it may be of any length
  * @param prompt the prompt
  */
 public record CallerHeaders(@Nullable String requestId, @Nullable Duration deadline, @Nullable String key,
-		@Nullable String lastEventId, Prompt prompt) {
+		@Nullable String lastEventId, @Nullable String resumedRequestId, Prompt prompt) {
 
 	/**
 	 * Creates the metadata.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/RequestRouterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/RequestRouterTests.java
@@ -75,7 +75,7 @@
 	private static RoutingDecision decide(@Nullable Configuration configuration, DrainPhase phase, String uri,
 			@Nullable String key) {
 		return new RequestRouter(configuration, phase).decide("host", uri,
-				new CallerHeaders("1", null, key, null, Prompt.NONE), 0);
+				new CallerHeaders("1", null, key, null, null, Prompt.NONE), 0);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -19,7 +19,8 @@
 		String deadline = headers.get("deadline-ms");
 		return new CallerHeaders(headers.get("id"),
 				(deadline != null) ? Duration.ofMillis(Long.parseLong(deadline)) : null, headers.get("key"),
-				headers.get("last-event"), Prompt.NONE);
+				headers.get("last-event"),
+				headers.contains("resumes") ? String.join(",", headers.getAll("resumes")) : null, Prompt.NONE);
 	}
 
 	@Override
