Add a failing test of streams that mix two versions

Endpoints crash within an event or between two, drain, and return under their identifier as another version; gateways are killed and start again; callers take up broken streams at other gateways.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -8,13 +8,13 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -72,7 +72,7 @@
 
 	private final List<StubEndpoint> endpoints = new ArrayList<>();
 
-	private final Set<InetSocketAddress> endpointAddresses = new HashSet<>();
+	private final Set<InetSocketAddress> endpointAddresses = ConcurrentHashMap.newKeySet();
 
 	private final List<Node> nodes = new ArrayList<>();
 
@@ -81,9 +81,7 @@
 		for (int i = 0; i < endpoints; i++) {
 			StubEndpoint endpoint = new StubEndpoint(this.runs, responseTime);
 			this.endpoints.add(endpoint);
-			this.endpointAddresses.add(endpoint.address());
-			String value = endpoint.address().getPort() + " " + dataCenter(i).value();
-			this.store.append(Topic.ENDPOINTS, "endpoint-" + i, value.getBytes(StandardCharsets.US_ASCII));
+			list(i, endpoint.address(), "v1", 1, false);
 		}
 		for (int i = 0; i < gateways; i++) {
 			this.nodes.add(new Node(i));
@@ -93,6 +91,19 @@
 		}
 	}
 
+	/** Lists an endpoint, or changes its entry. */
+	void list(int endpoint, InetSocketAddress address, String version, int start, boolean draining) {
+		this.endpointAddresses.add(address);
+		String value = String.join(" ", String.valueOf(address.getPort()), dataCenter(endpoint).value(), version,
+				String.valueOf(start), String.valueOf(draining));
+		this.store.append(Topic.ENDPOINTS, "endpoint-" + endpoint, value.getBytes(StandardCharsets.US_ASCII));
+	}
+
+	/** Removes an endpoint from the list. */
+	void unlist(int endpoint) {
+		this.store.append(Topic.ENDPOINTS, "endpoint-" + endpoint, null);
+	}
+
 	List<Node> nodes() {
 		return this.nodes;
 	}
@@ -111,8 +122,9 @@
 
 	private static Configuration configuration() {
 		return new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
-				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1)),
-				List.of(new Service(SERVICE, 1000, null, null)), List.of(), CallerLimits.DEFAULT);
+				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
+				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 1000, null, null)),
+				List.of(), CallerLimits.DEFAULT);
 	}
 
 	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
@@ -231,7 +243,8 @@
 	}
 
 	/**
-	 * Reads records that hold the port and the data centre of an endpoint.
+	 * Reads records that hold the port, data centre, version, start and state of an
+	 * endpoint.
 	 */
 	private static final class FleetRecordCodec implements RecordCodec {
 
@@ -258,9 +271,10 @@
 		@Override
 		public EndpointEntry readEndpoint(EndpointId id, byte[] value) {
 			String[] fields = new String(value, StandardCharsets.US_ASCII).split(" ", -1);
-			return new EndpointEntry(id, SERVICE, "v1",
+			return new EndpointEntry(id, SERVICE, fields[2],
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(fields[0])),
-					new DataCenterName(fields[1]), 100, false, false, 1);
+					new DataCenterName(fields[1]), 100, Boolean.parseBoolean(fields[4]), false,
+					Integer.parseInt(fields[3]));
 		}
 
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/InMemoryTopicStore.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/InMemoryTopicStore.java
@@ -28,7 +28,7 @@
 
 	private final Map<Topic, List<TopicRecord>> topics = new EnumMap<>(Topic.class);
 
-	synchronized long append(Topic topic, String key, byte[] value) {
+	synchronized long append(Topic topic, String key, byte @Nullable [] value) {
 		List<TopicRecord> records = this.topics.computeIfAbsent(topic, (name) -> new ArrayList<>());
 		records.add(new TopicRecord(records.size(), key, value));
 		return records.size() - 1L;
@@ -41,6 +41,7 @@
 	private synchronized TopicPage latest(Topic topic) {
 		Map<String, TopicRecord> byKey = new LinkedHashMap<>();
 		this.topics.getOrDefault(topic, List.of()).forEach((entry) -> byKey.put(entry.key(), entry));
+		byKey.values().removeIf((entry) -> entry.value() == null);
 		return new TopicPage(List.copyOf(byKey.values()), end(topic), null, false);
 	}
 
