Resume a stream within its answer only at the version that began it

Cause: placement asked for the endpoints of a retry without knowing what the caller already had. StreamContinuation binds the stream to the version of the attempt whose first event is forwarded; later attempts get endpoints of that version only, the one that broke off included if it is the last. The version is that of the entry when the request was sent: an endpoint that returns under its identifier as another version no longer changes it, and a request whose connection was established after the entry changed is withdrawn. A candidate that was rolled back gets no streams of its own again.

In one case a killed gateway of the test could not listen again at once; the test's gateways try for a second, as an operating system gives a new process its port.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -163,9 +163,10 @@
 		}
 	}
 
+	// Another process of the endpoint may be another version.
 	@Override
 	public boolean maySend() {
-		return this.exchange.maySend(this.endpoint);
+		return this.exchange.maySend(this.endpoint) && this.endpoint.entry().sameIncarnation(this.entryWhenSent);
 	}
 
 	@Override
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -86,6 +86,8 @@
 
 	private final CrashTracking crashTracking;
 
+	private final StreamContinuation continuation;
+
 	private final double versionDraw;
 
 	private int attempts;
@@ -125,6 +127,7 @@
 		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
+		this.continuation = new StreamContinuation(dispatcher.endpoints(), this.service.name());
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -147,7 +150,7 @@
 			this.placementTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
 			return;
 		}
-		Placement placement = this.dispatcher.placement().choose(eligible(), prompt(), this.triedEndpoints, now());
+		Placement placement = choosePlacement();
 		if (placement == null) {
 			placementFailed();
 			return;
@@ -167,6 +170,16 @@
 		send(placement);
 	}
 
+	private @Nullable Placement choosePlacement() {
+		List<Endpoint> eligible = eligible();
+		Placement placement = this.dispatcher.placement().choose(eligible, prompt(), this.triedEndpoints, now());
+		if (placement == null && this.continuation.isBound()) {
+			// The endpoint that broke off may be the last one of its version.
+			return this.dispatcher.placement().choose(eligible, prompt(), Set.of(), now());
+		}
+		return placement;
+	}
+
 	private void placementFailed() {
 		Duration retryAfter = (this.attempts == 0)
 				? this.dispatcher.placement().retryAfter(eligible(), this.triedEndpoints, now()) : null;
@@ -180,6 +193,9 @@
 
 	// Retries go to a version that has proved stable.
 	private List<Endpoint> eligible() {
+		if (this.continuation.isBound()) {
+			return this.continuation.eligible(now());
+		}
 		boolean boundToEndpoint = this.route.kind() == RouteKind.STREAMING && !this.route.resumable();
 		return (this.attempts == 0)
 				? this.dispatcher.endpoints().forRequest(this.service.name(), boundToEndpoint, this.versionDraw, now())
@@ -207,7 +223,7 @@
 		this.triedEndpoints.add(placement.endpoint().id());
 		Attempt newAttempt = new Attempt(this, placement, this.attempts, now());
 		this.currentAttempt = newAttempt;
-		rollouts().recordSent(this.service.name(), this.route.name(), version(newAttempt));
+		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
 		boolean nonRepeatable = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
 				nonRepeatable ? MAXIMUM_IDLE_TIME_NON_REPEATABLE : MAXIMUM_IDLE_TIME,
@@ -254,6 +270,7 @@
 		}
 		attempt.eventReceived();
 		recordUsage();
+		this.continuation.begin(attempt);
 		startStream(attempt);
 		this.caller.writeContent(completeEvents);
 		startResponseTimer(this.dispatcher.admission().streamTimeout(this.route));
@@ -280,7 +297,7 @@
 			}
 			attempt.endpoint().requestAnswered(true, now());
 			this.crashTracking.recordSuccess();
-			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
+			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
 					attempt.responseTimes());
 			startStream(attempt);
 			this.caller.endStream();
@@ -306,11 +323,11 @@
 			this.crashTracking.recordSuccess();
 		}
 		if (valid) {
-			rollouts().recordAnswered(this.service.name(), this.route.name(), version(attempt),
+			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
 					attempt.responseTimes());
 		}
 		else {
-			rollouts().recordFailed(this.service.name(), this.route.name(), version(attempt));
+			rollouts().recordFailed(this.service.name(), this.route.name(), attempt.version());
 		}
 		if (valid) {
 			forwardResponse(attempt);
@@ -395,7 +412,7 @@
 			recordUsage();
 		}
 		attempt.endpoint().requestFailed(attempt.sentAt(), now());
-		rollouts().recordFailed(this.service.name(), this.route.name(), version(attempt));
+		rollouts().recordFailed(this.service.name(), this.route.name(), attempt.version());
 		this.eventSplitter.discardPartialEvent();
 		if (retryIfAllowed()) {
 			return;
@@ -476,7 +493,7 @@
 			this.dispatcher.requestLog()
 				.attemptFailed(current.describe(), "no response before the request was cancelled");
 			current.endpoint().requestFailed(current.sentAt(), now());
-			rollouts().recordFailed(this.service.name(), this.route.name(), version(current));
+			rollouts().recordFailed(this.service.name(), this.route.name(), current.version());
 		}
 	}
 
@@ -484,10 +501,6 @@
 		return this.dispatcher.endpoints().rollouts();
 	}
 
-	private static String version(Attempt attempt) {
-		return attempt.endpoint().entry().version();
-	}
-
 	// Ends a request for which no endpoint response can be forwarded.
 	private void endWithError(ErrorKind kind) {
 		endWithError(kind, retryAfterRejection());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
@@ -143,6 +143,30 @@
 		};
 	}
 
+	/**
+	 * Returns whether a version gets no further requests, not even for streams that it
+	 * began: a candidate that was rolled back, or whose rollback could be unknown here.
+	 * @param service the service
+	 * @param version the version
+	 * @param now the current time
+	 * @return whether the newest order of the service withholds requests from the version
+	 */
+	public boolean withholds(ServiceName service, String version, long now) {
+		RolloutOrder order = this.orders.get(service);
+		if (order == null || !version.equals(order.candidate())) {
+			return false;
+		}
+		TimedDecision newest = this.decisions.get(service);
+		if (newest == null || newest.rollout().order().offset() != order.offset()) {
+			return true;
+		}
+		return switch (newest.rollout().stage()) {
+			case RolloutStage.Completed completed -> false;
+			case RolloutStage.RolledBack rolledBack -> true;
+			case RolloutStage.InProgress stage -> now - newest.at() >= DECISION_TIMEOUT.toNanos();
+		};
+	}
+
 	/**
 	 * Returns whether a version is trusted, because it served before any rollout or its
 	 * rollout was completed. A version listed before its order is known receives no
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -57,6 +57,21 @@
 		return forRequest(service, false, EXCLUDE_CANDIDATE, now);
 	}
 
+	/**
+	 * Returns the endpoints that may serve the rest of a stream.
+	 * @param service its service
+	 * @param version the version that began the stream; empty if unknown
+	 * @param now the current time
+	 * @return the endpoints of that version, including draining ones; empty if the
+	 * version is unknown or a rollout withholds requests from it
+	 */
+	public List<Endpoint> ofVersion(ServiceName service, String version, long now) {
+		if (version.isEmpty() || this.rollouts.withholds(service, version, now)) {
+			return List.of();
+		}
+		return this.filter.ofVersion(service, this.endpoints.endpointsOf(service), version);
+	}
+
 	/**
 	 * Returns the number of endpoints of a service.
 	 * @param service the service
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/VersionFilter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/VersionFilter.java
@@ -54,6 +54,17 @@
 		};
 	}
 
+	/**
+	 * Returns the endpoints of one version, trusted or not.
+	 * @param service the service
+	 * @param listed the service's endpoints
+	 * @param version the version
+	 * @return the endpoints
+	 */
+	public List<Endpoint> ofVersion(ServiceName service, List<Endpoint> listed, String version) {
+		return groupsFor(service, listed).endpointsOf(version);
+	}
+
 	/**
 	 * Records the versions of a service's endpoints. The versions listed first are
 	 * trusted, even if no request arrives before another version is listed.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.daemon;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -54,6 +55,8 @@
 
 	private static final int PEERS_PORT = 7500;
 
+	private static final int MAXIMUM_BIND_ATTEMPTS = 50;
+
 	private static final ServiceName SERVICE = new ServiceName("service");
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(2);
@@ -208,11 +211,25 @@
 					new FleetRecordCodec(),
 					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties()),
 					connections);
-			ServerSocketChannel socket = ListeningSocket.open(this.callers);
-			started.start(socket);
+			started.start(openCallersSocket());
 			this.gateway = started;
 		}
 
+		// The socket of a killed gateway may outlive its event loop for a moment.
+		private ServerSocketChannel openCallersSocket() throws IOException, InterruptedException {
+			for (int attempt = 1;; attempt++) {
+				try {
+					return ListeningSocket.open(this.callers);
+				}
+				catch (BindException ex) {
+					if (attempt == MAXIMUM_BIND_ATTEMPTS) {
+						throw ex;
+					}
+					TimeUnit.MILLISECONDS.sleep(20);
+				}
+			}
+		}
+
 		/** Shuts down gracefully, then ends the process. */
 		void stop() throws InterruptedException {
 			Objects.requireNonNull(this.gateway, "started").stop();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ResumingCallers.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ResumingCallers.java
@@ -84,6 +84,7 @@
 			boolean resuming = !stream.versions.isEmpty();
 			String id = "r" + this.identifiers.incrementAndGet();
 			int before = stream.versions.size();
+			stream.answerStart = before;
 			String refusal = tryOnce(node, id, stream);
 			if (refusal != null) {
 				this.refusals.merge((resuming ? "resumed " : "new ") + refusal, 1, Integer::sum);
@@ -195,6 +196,10 @@
 
 		private boolean outOfOrder;
 
+		private boolean mixedWithinOneAnswer;
+
+		private int answerStart;
+
 		private int takenUp;
 
 		private int wentOn;
@@ -205,6 +210,8 @@
 
 		private void eventReceived(int event, String version) {
 			this.outOfOrder |= event != this.versions.size() + 1;
+			this.mixedWithinOneAnswer |= this.versions.size() > this.answerStart
+					&& !this.versions.getLast().equals(version);
 			this.versions.add(version);
 		}
 
@@ -220,6 +227,10 @@
 			return this.versions.stream().distinct().count() > 1;
 		}
 
+		boolean mixedWithinOneAnswer() {
+			return this.mixedWithinOneAnswer;
+		}
+
 		boolean outOfOrder() {
 			return this.outOfOrder;
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
@@ -105,6 +105,7 @@
 		String measured = "%d streams, %.3f begun, %d taken up, %d went on, refused %s".formatted(streams.size(), begun,
 				takenUp, wentOn, refusals);
 		log.info(measured);
+		assertThat(streams).as("mixed within one answer").noneMatch(ResumingCallers.Stream::mixedWithinOneAnswer);
 		assertThat(streams.stream().filter(ResumingCallers.Stream::mixed)).as("mixed, of " + measured)
 			.hasSizeLessThanOrEqualTo(MAXIMUM_MIXED);
 		assertThat(streams).as("missing or repeated events").noneMatch(ResumingCallers.Stream::outOfOrder);
