Resume a caller's stream at any gateway at the version that began it

Cause: a gateway forgets what served a stream when it ends, others never knew, and no gateway read the header that names the caller's first attempt. The gateway that begins a stream now replicates its origin, service and version, to three others before the first event is forwarded: two of its own data centre and one of another, by rendezvous hashing of the attempt, its account and its path. The gateway that the caller returns to asks those that may have it, four times within 200 ms. Nothing is replicated while a route has had one service and one version for longer than a caller may return (a minute); that is also the only answer without a record. If the origin is unknown, or no endpoint of the version is listed, the request is rejected at once as not run. Of a resumption only the deadline is checked, no longer the target of a first event.

--- a/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
@@ -84,6 +84,16 @@
 	REQUEST_QUARANTINED(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
 			"Copies of the request crashed several endpoints; it is not sent for now"),
 
+	/** It is not known which software version began the stream to resume. */
+	STREAM_ORIGIN_UNKNOWN(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
+			"It is not known which software version began the stream; begin it anew"),
+
+	/**
+	 * No endpoint of the software version that began the stream to resume is available.
+	 */
+	STREAM_VERSION_UNAVAILABLE(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
+			"No endpoint of the software version that began the stream is available"),
+
 	/** A call that must not be repeated cannot be claimed without the log. */
 	LOG_UNREACHABLE(503, CallExecution.NOT_RUN, Repetition.SAME_KEY_AFTER_DELAY,
 			"A call that may not be repeated cannot be claimed without the log"),
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -90,13 +90,29 @@
 		Duration total = predicted.plus(elapsed);
 		Duration allowed = scaled(route.latencyTarget(), PREDICTION_TARGET_RATIO);
 		boolean exceedsTarget = total.compareTo(allowed) > 0;
-		boolean exceedsRemaining = predicted.compareTo(scaled(remaining, PREDICTION_REMAINING_RATIO)) > 0;
-		if (!exceedsTarget && !exceedsRemaining) {
+		if (!exceedsTarget && !exceedsRemaining(predicted, remaining)) {
 			return Duration.ZERO;
 		}
 		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
 	}
 
+	private static boolean exceedsRemaining(Duration predicted, Duration remaining) {
+		return predicted.compareTo(scaled(remaining, PREDICTION_REMAINING_RATIO)) > 0;
+	}
+
+	/**
+	 * Decides whether a stream that its caller resumes is admitted. Its first event has
+	 * met the target or missed it; the events that the caller has are lost if it is
+	 * rejected.
+	 * @param predicted the predicted time to its next event, if it is sent now
+	 * @param remaining the time until its caller's deadline
+	 * @return the time after which the caller may retry, or zero if it is admitted
+	 */
+	public Duration retryAfterResumption(Duration predicted, Duration remaining) {
+		return exceedsRemaining(predicted, remaining)
+				? clamp(predicted.dividedBy(2), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER) : Duration.ZERO;
+	}
+
 	/**
 	 * Returns the time after which a caller may retry a request that no endpoint accepts
 	 * now. Unlike a prediction, the time until one does is known, and a caller that
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -20,6 +20,7 @@
 import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.quarantine.SuspectReport;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.shared.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -77,6 +78,8 @@
 
 	private final PeerTransport transport;
 
+	private final StreamOriginExchange streamOrigins;
+
 	private final PeerMessageCodec codec = new PeerMessageCodec();
 
 	private final AggregatorSelection selection;
@@ -96,10 +99,11 @@
 	 * @param remoteUsage receives the usage accepted by other gateways, by client account
 	 * @param relayedRecords receives the records that other gateways relay
 	 * @param quarantine exchanges the requests that may crash endpoints
+	 * @param onlyVersions the routes that have had one version only
 	 */
 	FleetExchange(GatewayAddress own, EventLoop eventLoop, MonotonicClock clock, PeerTransport transport,
 			PeerTable peerTable, Supplier<GatewayReport> ownReport, Consumer<Map<AccountName, Double>> remoteUsage,
-			Consumer<RelayedRecords> relayedRecords, RequestQuarantine quarantine) {
+			Consumer<RelayedRecords> relayedRecords, RequestQuarantine quarantine, OnlyVersions onlyVersions) {
 		this.name = own.name();
 		this.eventLoop = eventLoop;
 		this.clock = clock;
@@ -110,6 +114,8 @@
 		this.remoteUsage = remoteUsage;
 		this.relayedRecords = relayedRecords;
 		this.quarantine = quarantine;
+		this.streamOrigins = new StreamOriginExchange(own, this.directory, transport, clock,
+				(action, delay) -> eventLoop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS), onlyVersions);
 		this.selection = new AggregatorSelection(own.name());
 	}
 
@@ -121,6 +127,14 @@
 		return this.directory;
 	}
 
+	/**
+	 * Returns the exchange of the origins of streams.
+	 * @return the exchange
+	 */
+	StreamOriginExchange streamOrigins() {
+		return this.streamOrigins;
+	}
+
 	/**
 	 * Returns the names of all gateways of the fleet.
 	 * @return the names, including this gateway
@@ -301,6 +315,7 @@
 					this.remoteUsage.accept(this.peerTable.receive(received.summary(), this.clock.nanos()));
 				case PeerMessage.Relay received -> this.relayedRecords.accept(received.records());
 				case PeerMessage.Suspects received -> this.quarantine.merge(received.reports(), this.clock.nanos());
+				case StreamOriginMessage received -> this.streamOrigins.receive(sender, gateway, received);
 			}
 		}
 		catch (RuntimeException ex) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -14,7 +14,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.DemandEstimator;
@@ -35,6 +37,7 @@
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutController;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
@@ -132,6 +135,8 @@
 
 	private final RequestQuarantine quarantine;
 
+	private final OnlyVersions onlyVersions = new OnlyVersions(this::endpointsRecent);
+
 	private final RequestDispatcher requestDispatcher;
 
 	private final CallerServer callerServer;
@@ -190,16 +195,17 @@
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placementRule = new PlacementRule(settings.dataCenter(), random::nextDouble);
 		this.quarantine = new RequestQuarantine(this.endpoints);
-		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
-				connections, this.servingEndpoints, this::endpointsCurrent, this.placementRule,
-				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits(), this.quarantine);
-		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.peerTable = new PeerTable(this.incarnation, settings.dataCenter());
 		this.address = new GatewayAddress(settings.name(), settings.peers(), settings.dataCenter(),
 				settings.processorShare());
 		this.fleetExchange = new FleetExchange(this.address, this.eventLoop, this.clock, this.peerChannel,
-				this.peerTable, this::report, this.requestDispatcher::addRemoteUsage, this::applyRelayed,
-				this.quarantine);
+				this.peerTable, this::report, this::addRemoteUsage, this::applyRelayed, this.quarantine,
+				this.onlyVersions);
+		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
+				connections, this.servingEndpoints, this::endpointsCurrent, this.placementRule,
+				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits(), this.quarantine,
+				this.fleetExchange.streamOrigins());
+		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.eventLoops = eventLoops;
 		this.tunnelPeers = connections.connector().peers();
 		this.tunnelServer = new TunnelServer(eventLoops, connections.connector(), this.fleetExchange::isGateway,
@@ -283,6 +289,10 @@
 		return this.sharedState.endpointsCurrent(this.clock.nanos());
 	}
 
+	private boolean endpointsRecent() {
+		return this.sharedState.endpointsAge(this.clock.nanos()).compareTo(this.settings.changeDeadline()) <= 0;
+	}
+
 	private CallerLimits callerLimits() {
 		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
 	}
@@ -295,6 +305,7 @@
 		this.configuration = newConfiguration;
 		this.endpoints.configure(newConfiguration);
 		this.leaseHolderDuties.configure(newConfiguration);
+		this.fleetExchange.streamOrigins().configure(newConfiguration.routes());
 		this.requestDispatcher.configure(newConfiguration);
 	}
 
@@ -302,6 +313,10 @@
 		this.fleetExchange.handleDatagram(sender, message);
 	}
 
+	private void addRemoteUsage(Map<AccountName, Double> used) {
+		this.requestDispatcher.addRemoteUsage(used);
+	}
+
 	private void applyRelayed(RelayedRecords records) {
 		this.sharedState.applyRelayed(records);
 	}
@@ -355,6 +370,9 @@
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.servingEndpoints.recordVersions(this.configuration.serviceNames());
+			for (ServiceName service : this.configuration.serviceNames()) {
+				this.onlyVersions.recordVersions(service, this.servingEndpoints.versions(service), now);
+			}
 		}
 		for (Endpoint endpoint : this.endpoints.all()) {
 			EndpointLoad load = this.fleetView.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE);
@@ -381,6 +399,8 @@
 			this.peerTable.expire(now);
 			applyFleetView(now);
 			updateTunnels();
+			this.fleetExchange.streamOrigins().tick(now);
+			this.metrics.rememberedStreamOrigins(this.fleetExchange.streamOrigins().size());
 			this.quarantine.expire(now);
 			this.metrics.quarantined(this.quarantine.quarantined(now));
 			this.metrics.backedOffEndpoints(
@@ -410,6 +430,7 @@
 	 */
 	public void stop() throws InterruptedException {
 		this.eventLoop.execute(() -> this.stopping = true);
+		this.eventLoop.execute(this.fleetExchange.streamOrigins()::handOver);
 		new GracefulShutdown(this.eventLoop, this.clock, this.callerServer, this.tunnelServer, this.requestDispatcher)
 			.run(this.settings.shutdownTimeout());
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.banyancove.gateway.resumption.OriginHolders;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -43,6 +44,8 @@
 
 	private @Nullable Map<String, List<String>> groups;
 
+	private @Nullable List<OriginHolders.Member> originHolders;
+
 	/**
 	 * Creates the directory.
 	 * @param own this gateway, which is listed before its record is written
@@ -74,6 +77,7 @@
 		}
 		this.namesByAddress.put(gateway.address(), gateway.name());
 		this.groups = null;
+		this.originHolders = null;
 	}
 
 	// A process reads all addresses at startup; sorting after each of them would take
@@ -134,6 +138,22 @@
 		return this.gateways.values();
 	}
 
+	/**
+	 * Returns the gateways that may remember the origins of streams.
+	 * @return all gateways, including this one
+	 */
+	List<OriginHolders.Member> originHolders() {
+		List<OriginHolders.Member> cached = this.originHolders;
+		if (cached == null) {
+			cached = this.gateways.values()
+				.stream()
+				.map((gateway) -> new OriginHolders.Member(gateway.name(), gateway.dataCenter()))
+				.toList();
+			this.originHolders = cached;
+		}
+		return cached;
+	}
+
 	int largestGroup() {
 		return membersByGroup().values().stream().mapToInt(List::size).max().orElse(1);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 
@@ -13,6 +14,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.exchange.RequestLog;
+import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.tunnel.TunnelRefusal;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -50,6 +52,8 @@
 
 	private final Counter tunnels;
 
+	private final Counter streamOriginSearches;
+
 	private final Counter droppedLines;
 
 	private final Histogram firstByteLatency;
@@ -62,6 +66,8 @@
 
 	private final Gauge quarantinedRequests;
 
+	private final Gauge rememberedStreamOrigins;
+
 	private Set<Fingerprint> quarantined = Set.of();
 
 	private int availableLines = MAXIMUM_LINES_PER_SECOND;
@@ -87,6 +93,15 @@
 			.help("Tunnels to endpoints through other gateways, by what became of them")
 			.labelNames("outcome")
 			.register(registry);
+		this.streamOriginSearches = Counter.builder()
+			.name("banyancove_stream_origin_searches_total")
+			.help("Streams that callers resumed, by where their version was known from")
+			.labelNames("source")
+			.register(registry);
+		this.rememberedStreamOrigins = Gauge.builder()
+			.name("banyancove_remembered_stream_origins")
+			.help("Streams whose version this gateway remembers")
+			.register(registry);
 		this.droppedLines = Counter.builder()
 			.name("banyancove_dropped_log_lines_total")
 			.help("Log lines left out to bound their volume")
@@ -143,6 +158,10 @@
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
 
+	void rememberedStreamOrigins(int count) {
+		this.rememberedStreamOrigins.set(count);
+	}
+
 	void backedOffEndpoints(int count) {
 		this.backedOffEndpoints.set(count);
 	}
@@ -231,6 +250,24 @@
 				: text.substring(0, MAXIMUM_IDENTIFIER_LENGTH);
 	}
 
+	@Override
+	public void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
+			@Nullable KnownOrigin origin, Duration elapsed) {
+		String source = (origin != null) ? origin.source().name().toLowerCase(Locale.ROOT) : "unknown";
+		this.streamOriginSearches.labelValues(source).inc();
+		if (tryAcquireLine()) {
+			log.atInfo()
+				.addKeyValue("requestId", requestId)
+				.addKeyValue("resumes", abbreviated(resumedRequestId))
+				.addKeyValue("source", source)
+				.addKeyValue("service", (origin != null) ? origin.origin().service() : null)
+				.addKeyValue("version", (origin != null) ? origin.origin().version() : null)
+				.addKeyValue("ageMs", (origin != null) ? origin.age().toMillis() : null)
+				.addKeyValue("elapsedMs", elapsed.toMillis())
+				.log("stream origin searched");
+		}
+	}
+
 	@Override
 	public void shutdownAnnounced(EndpointId endpoint) {
 		log.atInfo().addKeyValue("endpoint", endpoint).log("endpoint announced shutdown");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessage.java
@@ -10,7 +10,8 @@
 /**
  * A message between gateways, sent as a datagram.
  */
-sealed interface PeerMessage {
+sealed interface PeerMessage
+		permits PeerMessage.Report, PeerMessage.Summary, PeerMessage.Relay, PeerMessage.Suspects, StreamOriginMessage {
 
 	/**
 	 * A report of a gateway to the aggregators of its group, or in a small fleet to all
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PeerMessageCodec.java
@@ -29,6 +29,12 @@
 
 	private static final byte SUSPECTS = 4;
 
+	private static final byte ORIGINS = 5;
+
+	private static final byte ORIGIN_QUERY = 6;
+
+	private static final byte ORIGIN_REPLY = 7;
+
 	private static final int INITIAL_BYTES = 2048;
 
 	byte[] write(PeerMessage message) {
@@ -44,10 +50,22 @@
 				out.writeByte(SUSPECTS);
 				SuspectReportsCodec.write(out, suspects.reports());
 			}
+			case StreamOriginMessage origins -> {
+				out.writeByte(kindOf(origins));
+				StreamOriginCodec.write(out, origins);
+			}
 		}
 		return ByteBufUtil.getBytes(out);
 	}
 
+	private static byte kindOf(StreamOriginMessage message) {
+		return switch (message) {
+			case StreamOriginMessage.Replication replication -> ORIGINS;
+			case StreamOriginMessage.Query query -> ORIGIN_QUERY;
+			case StreamOriginMessage.Reply reply -> ORIGIN_REPLY;
+		};
+	}
+
 	private static void write(ByteBuf out, GatewayReport report) {
 		out.writeByte(REPORT);
 		out.writeLong(report.incarnation());
@@ -100,6 +118,9 @@
 				case SUMMARY -> new PeerMessage.Summary(readSummary(in));
 				case RELAY -> new PeerMessage.Relay(RelayedRecordsCodec.read(in));
 				case SUSPECTS -> new PeerMessage.Suspects(SuspectReportsCodec.read(in));
+				case ORIGINS -> StreamOriginCodec.readReplication(in);
+				case ORIGIN_QUERY -> StreamOriginCodec.readQuery(in);
+				case ORIGIN_REPLY -> StreamOriginCodec.readReply(in);
 				default -> throw new IllegalArgumentException("kind is unknown: " + kind);
 			};
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RendezvousHash.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RendezvousHash.java
@@ -3,7 +3,7 @@
 /**
  * The weights of rendezvous hashing, which are identical on all gateways.
  */
-final class RendezvousHash {
+public final class RendezvousHash {
 
 	private RendezvousHash() {
 	}
@@ -15,7 +15,7 @@
 	 * @param member the member's name
 	 * @return the weight
 	 */
-	static long weight(long key, String member) {
+	public static long weight(long key, String member) {
 		return mix(key ^ mix(member.hashCode()));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerRequest.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import org.banyancove.core.AccountName;
 import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.resumption.StreamKey;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,20 @@
 		return new Fingerprint(hash(account), contentChecksum());
 	}
 
+	/**
+	 * Returns the key of the stream that a request with the same path began.
+	 * @param requestId the id of that request
+	 * @param account the client account, or {@code null} for an anonymous request
+	 * @return the key
+	 */
+	StreamKey streamKey(String requestId, @Nullable AccountName account) {
+		CRC32 first = new CRC32();
+		CRC32C second = new CRC32C();
+		String text = requestId + '\n' + this.head.headers().get(HttpHeaderNames.HOST) + this.head.uri();
+		update(first, second, text.getBytes(StandardCharsets.UTF_8));
+		return new StreamKey(hash(account), first.getValue() << Integer.SIZE | second.getValue());
+	}
+
 	// Another account cannot obtain the same value by its choice of a request.
 	private static long hash(@Nullable AccountName account) {
 		long hash = 0;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -23,6 +23,7 @@
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
@@ -109,7 +110,7 @@
 	private @Nullable ScheduledFuture<?> placementTimer;
 
 	Exchange(RequestDispatcher dispatcher, CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
-			RoutingDecision.Accepted accepted) {
+			RoutingDecision.Accepted accepted, @Nullable KnownOrigin streamOrigin) {
 		this.dispatcher = dispatcher;
 		this.caller = caller;
 		this.request = request;
@@ -127,7 +128,7 @@
 		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
-		this.continuation = new StreamContinuation(dispatcher.endpoints(), this.service.name());
+		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -159,9 +160,10 @@
 			this.dispatcher.meters()
 				.demand()
 				.add(this.service.name(), placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now());
-			Duration retryAfter = this.dispatcher.admission()
-				.retryAfter(this.route, Duration.ofNanos((long) (placement.predictedMillis() * 1e6)), elapsed(),
-						remaining());
+			Duration predicted = Duration.ofNanos((long) (placement.predictedMillis() * 1e6));
+			Duration retryAfter = this.continuation.isBound()
+					? this.dispatcher.admission().retryAfterResumption(predicted, remaining())
+					: this.dispatcher.admission().retryAfter(this.route, predicted, elapsed(), remaining());
 			if (!retryAfter.isZero()) {
 				reject(ErrorKind.OVERLOADED, retryAfter);
 				return;
@@ -206,7 +208,10 @@
 		Duration wait = this.dispatcher.admission().maximumWait(this.route, remaining()).minus(elapsed());
 		Duration retryAfter = (this.attempts == 0)
 				? this.dispatcher.placement().retryAfterBackoff(eligible(), wait, now()) : null;
-		if (retryAfter != null) {
+		if (this.continuation.isBound() && eligible().stream().allMatch(Endpoint::draining)) {
+			endWithError(ErrorKind.STREAM_VERSION_UNAVAILABLE);
+		}
+		else if (retryAfter != null) {
 			reject(ErrorKind.NO_ENDPOINT, this.dispatcher.admission().retryAfter(retryAfter));
 		}
 		else if (wait.isPositive() && this.attempts == 0) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -25,6 +25,8 @@
 import org.banyancove.gateway.configuration.TokenQuota;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.KnownOrigin;
+import org.banyancove.gateway.resumption.StreamOrigins;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
@@ -77,6 +79,8 @@
 
 	private final RequestQuarantine quarantine;
 
+	private final StreamOrigins streamOrigins;
+
 	private final AdmissionRule admission = new AdmissionRule();
 
 	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
@@ -112,11 +116,12 @@
 	 * @param requestLog receives the outcomes of requests
 	 * @param retryLimits the retry limits of the fleet
 	 * @param quarantine the requests that crash endpoints
+	 * @param streamOrigins the origins of the fleet's streams
 	 */
 	public RequestDispatcher(EventLoop eventLoop, MonotonicClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderCodec headerCodec, ConnectionPool connections, ServingEndpoints endpoints,
 			BooleanSupplier endpointsCurrent, PlacementRule placement, Meters meters, RequestLog requestLog,
-			RetryLimits retryLimits, RequestQuarantine quarantine) {
+			RetryLimits retryLimits, RequestQuarantine quarantine, StreamOrigins streamOrigins) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -131,6 +136,7 @@
 		this.announcements = new EndpointAnnouncements(requestLog);
 		this.retryLimits = retryLimits;
 		this.quarantine = quarantine;
+		this.streamOrigins = streamOrigins;
 	}
 
 	/**
@@ -255,16 +261,26 @@
 				requestHeaders, this.random.nextDouble());
 		return switch (decision) {
 			case RoutingDecision.Rejected rejected -> {
-				reject(caller, new RequestLog.RejectedRequest(requestHeaders.requestId(), rejected.kind(),
-						rejected.retryAfter(), null, null, configurationVersion()));
+				reject(caller, requestHeaders, rejected.kind(), rejected.retryAfter());
 				yield InFlightRequest.NO_OP;
 			}
-			case RoutingDecision.Accepted accepted -> begin(caller, request, requestHeaders, accepted);
+			case RoutingDecision.Accepted accepted when StreamResumption.isResumption(accepted.route(),
+					requestHeaders) -> {
+				StreamResumption resumption = new StreamResumption(this, caller, request, requestHeaders);
+				resumption.start(accepted);
+				yield resumption;
+			}
+			case RoutingDecision.Accepted accepted -> begin(caller, request, requestHeaders, accepted, null);
 		};
 	}
 
-	private InFlightRequest begin(CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
-			RoutingDecision.Accepted accepted) {
+	RoutingDecision route(CallerRequest request, CallerHeaders requestHeaders, ServiceName streamOrigin) {
+		return new RequestRouter(this.configuration, this.drainPhase)
+			.decideResumption(request.head().headers().get("host"), request.head().uri(), requestHeaders, streamOrigin);
+	}
+
+	InFlightRequest begin(CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
+			RoutingDecision.Accepted accepted, @Nullable KnownOrigin streamOrigin) {
 		RequestLog.RejectedRequest rejection = chargeQuota(accepted.account(), requestHeaders);
 		if (rejection != null) {
 			reject(caller, rejection);
@@ -272,7 +288,7 @@
 		}
 		this.inProgress++;
 		retryBudget(accepted.service().name()).firstAttempt();
-		Exchange exchange = new Exchange(this, caller, request, requestHeaders, accepted);
+		Exchange exchange = new Exchange(this, caller, request, requestHeaders, accepted, streamOrigin);
 		exchange.begin();
 		return exchange;
 	}
@@ -288,6 +304,11 @@
 				limiter.retryAfter(), account.name(), Math.round(limiter.available()), configurationVersion());
 	}
 
+	void reject(CallerConnection caller, CallerHeaders requestHeaders, ErrorKind kind, @Nullable Duration retryAfter) {
+		reject(caller, new RequestLog.RejectedRequest(requestHeaders.requestId(), kind, retryAfter, null, null,
+				configurationVersion()));
+	}
+
 	private void reject(CallerConnection caller, RequestLog.RejectedRequest rejection) {
 		this.requestLog.rejected(rejection);
 		caller.respond(ErrorResponse.of(rejection.kind(), rejection.retryAfter()));
@@ -360,6 +381,10 @@
 		return this.quarantine;
 	}
 
+	StreamOrigins streamOrigins() {
+		return this.streamOrigins;
+	}
+
 	AdmissionRule admission() {
 		return this.admission;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -6,6 +6,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.tunnel.TunnelListener;
 import org.jspecify.annotations.Nullable;
 
@@ -33,6 +34,16 @@
 	 */
 	void ended(EndedRequest request);
 
+	/**
+	 * Called when the origin of a stream that a caller resumes was searched for.
+	 * @param requestId the id of the request that resumes the stream, or {@code null}
+	 * @param resumedRequestId the id that it names, or {@code null} if it names none
+	 * @param origin the origin, or {@code null} if it is unknown
+	 * @param elapsed the time since the request's arrival
+	 */
+	void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
+			@Nullable KnownOrigin origin, Duration elapsed);
+
 	/**
 	 * Called when an endpoint has changed its rate limit.
 	 * @param endpoint the endpoint
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Configuration;
@@ -59,6 +60,27 @@
 		return new RoutingDecision.Accepted(route, service, account);
 	}
 
+	/**
+	 * Decides on a request that resumes a stream.
+	 * @param host its host
+	 * @param uri its URI
+	 * @param requestHeaders its headers
+	 * @param origin the service that began the stream
+	 * @return the decision; no other service is accepted
+	 */
+	RoutingDecision decideResumption(@Nullable String host, String uri, CallerHeaders requestHeaders,
+			ServiceName origin) {
+		RoutingDecision decision = decide(host, uri, requestHeaders, 0);
+		Configuration current = this.configuration;
+		if (current == null || !(decision instanceof RoutingDecision.Accepted accepted)) {
+			return decision;
+		}
+		boolean routed = accepted.route().services().stream().anyMatch((each) -> each.service().equals(origin));
+		Service service = routed ? current.service(origin) : null;
+		return (service != null) ? new RoutingDecision.Accepted(accepted.route(), service, accepted.account())
+				: new RoutingDecision.Rejected(ErrorKind.STREAM_VERSION_UNAVAILABLE, RETRY_AFTER);
+	}
+
 	private boolean accepts(Route route) {
 		return switch (this.phase) {
 			case ALL -> true;
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/OnlyVersions.java
@@ -0,0 +1,110 @@
+package org.banyancove.gateway.resumption;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.WeightedService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The routes whose streams can only have begun at one version: their service, and its
+ * only version, have been the same for longer than a caller may take to return.
+ * <p>
+ * Times are nanoseconds of the monotonic clock.
+ */
+public final class OnlyVersions {
+
+	private final BooleanSupplier endpointsRecent;
+
+	private final Map<ServiceName, Since<Set<String>>> versionsByService = new HashMap<>();
+
+	private final Map<String, Since<List<WeightedService>>> servicesByRoute = new HashMap<>();
+
+	/**
+	 * Creates an empty record.
+	 * @param endpointsRecent whether the endpoints are recent; otherwise, another version
+	 * may have been listed that is unknown here
+	 */
+	public OnlyVersions(BooleanSupplier endpointsRecent) {
+		this.endpointsRecent = endpointsRecent;
+	}
+
+	/**
+	 * Records the listed versions of a service.
+	 * @param service the service
+	 * @param listed the versions; none are listed while all endpoints are lost
+	 * @param now the current time
+	 */
+	public void recordVersions(ServiceName service, Set<String> listed, long now) {
+		Since<Set<String>> recorded = this.versionsByService.get(service);
+		if (!listed.isEmpty() && (recorded == null || !recorded.value().equals(listed))) {
+			this.versionsByService.put(service, new Since<>(Set.copyOf(listed), now));
+		}
+	}
+
+	/**
+	 * Records the routes of a configuration.
+	 * @param routes the routes
+	 * @param now the current time
+	 */
+	public void recordRoutes(List<Route> routes, long now) {
+		Map<String, Since<List<WeightedService>>> updated = new HashMap<>();
+		for (Route route : routes) {
+			Since<List<WeightedService>> recorded = this.servicesByRoute.get(key(route));
+			updated.put(key(route), (recorded != null && recorded.value().equals(route.services())) ? recorded
+					: new Since<>(route.services(), now));
+		}
+		this.servicesByRoute.clear();
+		this.servicesByRoute.putAll(updated);
+	}
+
+	private static String key(Route route) {
+		return route.host() + route.pathPrefix();
+	}
+
+	/**
+	 * Returns the origin of all streams of a route that can be resumed.
+	 * @param route the route
+	 * @param now the current time
+	 * @return the origin, or {@code null} if there may be several
+	 */
+	public @Nullable KnownOrigin originOf(Route route, long now) {
+		Since<List<WeightedService>> services = this.servicesByRoute.get(key(route));
+		if (services == null || services.value().size() != 1 || !services.value().equals(route.services())
+				|| !this.endpointsRecent.getAsBoolean()) {
+			return null;
+		}
+		ServiceName service = services.value().getFirst().service();
+		Since<Set<String>> versions = this.versionsByService.get(service);
+		if (versions == null || versions.value().size() != 1) {
+			return null;
+		}
+		String version = versions.value().iterator().next();
+		long unchanged = now - Math.max(services.at(), versions.at());
+		if (version.isEmpty() || unchanged <= StreamOriginTable.RETENTION.toNanos()) {
+			return null;
+		}
+		return new KnownOrigin(new StreamOrigin(service, version), KnownOrigin.Source.ONLY_VERSION,
+				Duration.ofNanos(unchanged));
+	}
+
+	/**
+	 * Returns whether a version is the only one that a service lists now.
+	 * @param origin the service and version
+	 * @return whether it lists no other
+	 */
+	public boolean listsOnly(StreamOrigin origin) {
+		Since<Set<String>> versions = this.versionsByService.get(origin.service());
+		return versions != null && versions.value().equals(Set.of(origin.version()));
+	}
+
+	private record Since<T>(T value, long at) {
+	}
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.endpoint.Endpoint;
@@ -72,6 +74,18 @@
 		return this.filter.ofVersion(service, this.endpoints.endpointsOf(service), version);
 	}
 
+	/**
+	 * Returns the versions of a service's endpoints.
+	 * @param service the service
+	 * @return the listed versions, including those of draining endpoints
+	 */
+	public Set<String> versions(ServiceName service) {
+		return this.endpoints.endpointsOf(service)
+			.stream()
+			.map((endpoint) -> endpoint.entry().version())
+			.collect(Collectors.toSet());
+	}
+
 	/**
 	 * Returns the number of endpoints of a service.
 	 * @param service the service
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -26,6 +26,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.jspecify.annotations.Nullable;
@@ -306,7 +307,7 @@
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> CrashingRequestFleetTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, this.quarantine);
+					}, this.quarantine, new OnlyVersions(() -> true));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
@@ -32,6 +32,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
 import org.banyancove.gateway.shared.AppendOutcome;
@@ -311,7 +312,8 @@
 			this.delegation = new ReadDelegation(() -> DrainingPropagationTests.this.now, this.incarnation);
 			this.exchange = new FleetExchange(this.address, this.channel.eventLoop(),
 					() -> DrainingPropagationTests.this.now, this, this.table, this::report, (used) -> {
-					}, (records) -> this.sharedState().applyRelayed(records), new RequestQuarantine(this.endpoints));
+					}, (records) -> this.sharedState().applyRelayed(records), new RequestQuarantine(this.endpoints),
+					new OnlyVersions(() -> true));
 			this.sharedState = new SharedStateFollower(this, this.channel.eventLoop(),
 					() -> DrainingPropagationTests.this.now, new StateRecordCodec(), this.endpoints,
 					this.delegation::delegatesSharedState, () -> Duration.ofMillis(this.view.aggregator() ? 250 : 2000),
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -31,6 +31,7 @@
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.jspecify.annotations.Nullable;
@@ -198,7 +199,7 @@
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, new RequestQuarantine(this.endpoints));
+					}, new RequestQuarantine(this.endpoints), new OnlyVersions(() -> true));
 			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
 			this.endpoints.put(entry(LIMITED, dataCenter));
 			this.endpoints.put(entry(OTHER, dataCenter));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -25,6 +25,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -302,7 +303,8 @@
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(), () -> FleetExchangeTests.this.now,
 					this, this.table, this::report,
 					(remoteUsage) -> remoteUsage.values().forEach((amount) -> this.charged += amount), this::relayed,
-					new RequestQuarantine(new EndpointTable(new FleetAllocation(this.name, () -> List.of(this.name)))));
+					new RequestQuarantine(new EndpointTable(new FleetAllocation(this.name, () -> List.of(this.name)))),
+					new OnlyVersions(() -> true));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -35,6 +35,7 @@
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -308,7 +309,7 @@
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> RejectionLimitFleetTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, new RequestQuarantine(this.endpoints));
+					}, new RequestQuarantine(this.endpoints), new OnlyVersions(() -> true));
 			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
 			for (int i = 0; i < RejectionLimitFleetTests.this.backends.size(); i++) {
 				this.endpoints.put(new EndpointEntry(new EndpointId("e-" + i), SERVICE, "v1",
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -40,6 +40,7 @@
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.tunnel.TunnelRefusal;
@@ -94,7 +95,7 @@
 				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
 				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
-				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints));
+				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
 	}
 
 	private CallerServer newServer(RequestDispatcher servedDispatcher) {
@@ -683,6 +684,11 @@
 		public void ended(EndedRequest request) {
 		}
 
+		@Override
+		public void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
+				@Nullable KnownOrigin origin, Duration elapsed) {
+		}
+
 		@Override
 		public void shutdownAnnounced(EndpointId endpoint) {
 		}
