Resume streams only at processes whose version is known

Some streams still mixed two versions after endpoints had returned under their identifier, at their address, as another version: for up to a second gateways that had not read the new entry began streams there, and sent the rest of others' streams there, by the version of the process before (StreamVersionFleetTests, up to 10 of some 800 streams).

The rest of a stream is placed only once the store has been asked for the endpoints since then; an answer takes some ms, and after 100 ms without one what is known is used. An origin names its endpoint: if that has become another version, the stream is resumed only if it began before the new process did, and is rejected otherwise.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -34,6 +34,7 @@
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ConnectionPool;
+import org.banyancove.gateway.exchange.EndpointFreshness;
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
@@ -202,7 +203,7 @@
 				this.peerTable, this::report, this::addRemoteUsage, this::applyRelayed, this.quarantine,
 				this.onlyVersions);
 		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
-				connections, this.servingEndpoints, this::endpointsCurrent, this.placementRule,
+				connections, this.servingEndpoints, new Freshness(), this.placementRule,
 				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits(), this.quarantine,
 				this.fleetExchange.streamOrigins());
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
@@ -285,10 +286,6 @@
 		return this.fleetExchange.gateways();
 	}
 
-	private boolean endpointsCurrent() {
-		return this.sharedState.endpointsCurrent(this.clock.nanos());
-	}
-
 	private boolean endpointsRecent() {
 		return this.sharedState.endpointsAge(this.clock.nanos()).compareTo(this.settings.changeDeadline()) <= 0;
 	}
@@ -369,7 +366,7 @@
 		applyRateLimits(now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
-			this.servingEndpoints.recordVersions(this.configuration.serviceNames());
+			this.servingEndpoints.recordVersions(this.configuration.serviceNames(), now);
 			for (ServiceName service : this.configuration.serviceNames()) {
 				this.onlyVersions.recordVersions(service, this.servingEndpoints.versions(service), now);
 			}
@@ -435,6 +432,23 @@
 			.run(this.settings.shutdownTimeout());
 	}
 
+	/**
+	 * How recent the endpoints are that the store was asked for.
+	 */
+	private final class Freshness implements EndpointFreshness {
+
+		@Override
+		public boolean current() {
+			return Gateway.this.sharedState.endpointsCurrent(Gateway.this.clock.nanos());
+		}
+
+		@Override
+		public boolean confirmedSince(long time) {
+			return Gateway.this.sharedState.endpointsConfirmedSince(time, Gateway.this.clock.nanos());
+		}
+
+	}
+
 	/**
 	 * The clocks of a gateway.
 	 *
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
@@ -291,6 +291,22 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether the known endpoints were confirmed since a time; if they were not,
+	 * reads them.
+	 * @param time the time
+	 * @param now the current time
+	 * @return whether they were the state of the store at that time or later
+	 */
+	boolean endpointsConfirmedSince(long time, long now) {
+		Duration age = this.endpointFollower.age(now);
+		if (age != null && now - age.toNanos() >= time) {
+			return true;
+		}
+		this.endpointFollower.refresh();
+		return false;
+	}
+
 	// A single failed read is not sufficient: it may have timed out while this process
 	// was paused.
 	private boolean storeUnavailable() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginCodec.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import io.netty.buffer.ByteBuf;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.resumption.StreamKey;
@@ -53,6 +54,8 @@
 	private static void write(ByteBuf out, KnownOrigin known) {
 		BinaryFields.writeText(out, known.origin().service().value());
 		BinaryFields.writeText(out, known.origin().version());
+		EndpointId endpoint = known.origin().endpoint();
+		BinaryFields.writeText(out, (endpoint != null) ? endpoint.value() : "");
 		BinaryFields.writeVarint(out, known.age().toMillis());
 	}
 
@@ -83,7 +86,10 @@
 	}
 
 	private static KnownOrigin readOrigin(ByteBuf in, KnownOrigin.Source source) {
-		StreamOrigin origin = new StreamOrigin(new ServiceName(BinaryFields.readText(in)), BinaryFields.readText(in));
+		ServiceName service = new ServiceName(BinaryFields.readText(in));
+		String version = BinaryFields.readText(in);
+		String endpoint = BinaryFields.readText(in);
+		StreamOrigin origin = new StreamOrigin(service, version, endpoint.isEmpty() ? null : new EndpointId(endpoint));
 		return new KnownOrigin(origin, source, Duration.ofMillis(BinaryFields.readVarint(in)));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
@@ -109,7 +109,7 @@
 		long now = this.clock.nanos();
 		this.table.put(stream, origin, Duration.ZERO, now);
 		KnownOrigin only = this.onlyVersions.originOf(route, now);
-		if (only != null && only.origin().equals(origin)) {
+		if (only != null && only.origin().version().equals(origin.version())) {
 			this.unreplicated.add(stream);
 			return;
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -147,10 +147,14 @@
 			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
 			return;
 		}
-		if (!this.dispatcher.endpointsCurrent()) {
+		if (!this.dispatcher.endpointsCurrent() || !this.continuation.isReady()) {
 			this.placementTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
 			return;
 		}
+		if (!this.continuation.isCertain()) {
+			endWithError(ErrorKind.STREAM_ORIGIN_UNKNOWN, Duration.ZERO);
+			return;
+		}
 		Placement placement = choosePlacement();
 		if (placement == null) {
 			placementFailed();
@@ -228,6 +232,7 @@
 		this.triedEndpoints.add(placement.endpoint().id());
 		Attempt newAttempt = new Attempt(this, placement, this.attempts, now());
 		this.currentAttempt = newAttempt;
+		this.continuation.attemptSent();
 		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
 		boolean nonRepeatable = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -65,7 +64,7 @@
 
 	private final ServingEndpoints endpoints;
 
-	private final BooleanSupplier endpointsCurrent;
+	private final EndpointFreshness freshness;
 
 	private final PlacementRule placement;
 
@@ -110,7 +109,7 @@
 	 * @param headerCodec reads and writes headers
 	 * @param connections the connections to endpoints
 	 * @param endpoints the endpoints
-	 * @param endpointsCurrent whether the endpoints are up to date
+	 * @param freshness how recent the endpoints are
 	 * @param placement selects an endpoint
 	 * @param meters count the requests that ran and estimate their demand
 	 * @param requestLog receives the outcomes of requests
@@ -120,7 +119,7 @@
 	 */
 	public RequestDispatcher(EventLoop eventLoop, MonotonicClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderCodec headerCodec, ConnectionPool connections, ServingEndpoints endpoints,
-			BooleanSupplier endpointsCurrent, PlacementRule placement, Meters meters, RequestLog requestLog,
+			EndpointFreshness freshness, PlacementRule placement, Meters meters, RequestLog requestLog,
 			RetryLimits retryLimits, RequestQuarantine quarantine, StreamOrigins streamOrigins) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
@@ -129,7 +128,7 @@
 		this.headerCodec = headerCodec;
 		this.connections = connections;
 		this.endpoints = endpoints;
-		this.endpointsCurrent = endpointsCurrent;
+		this.freshness = freshness;
 		this.placement = placement;
 		this.meters = meters;
 		this.requestLog = requestLog;
@@ -366,7 +365,11 @@
 	}
 
 	boolean endpointsCurrent() {
-		return this.endpointsCurrent.getAsBoolean();
+		return this.freshness.current();
+	}
+
+	EndpointFreshness freshness() {
+		return this.freshness;
 	}
 
 	ServingEndpoints endpoints() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
@@ -1,9 +1,12 @@
 package org.banyancove.gateway.exchange;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 
 import org.banyancove.core.AccountName;
 import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.resumption.StreamOrigin;
 import org.banyancove.gateway.shared.CallerHeaders;
@@ -18,6 +21,12 @@
  */
 final class StreamContinuation {
 
+	/** Maximum time that the rest of a stream waits for the store. */
+	private static final Duration MAXIMUM_CONFIRMATION_WAIT = Duration.ofMillis(100);
+
+	/** Difference between the clocks of VMs. */
+	private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(50);
+
 	private final RequestDispatcher dispatcher;
 
 	private final CallerRequest request;
@@ -26,7 +35,11 @@
 
 	private final RoutingDecision.Accepted accepted;
 
-	private @Nullable String version;
+	private @Nullable StreamOrigin origin;
+
+	private long beganAt;
+
+	private @Nullable Long endpointsNeededAt;
 
 	private boolean begun;
 
@@ -45,7 +58,10 @@
 		this.request = request;
 		this.requestHeaders = requestHeaders;
 		this.accepted = accepted;
-		this.version = (origin != null) ? origin.origin().version() : null;
+		if (origin != null) {
+			this.origin = origin.origin();
+			this.beganAt = dispatcher.clock().nanos() - origin.age().toNanos();
+		}
 	}
 
 	/**
@@ -53,7 +69,7 @@
 	 * @return whether only one version may serve the rest
 	 */
 	boolean isBound() {
-		return this.version != null;
+		return this.origin != null;
 	}
 
 	/**
@@ -66,21 +82,64 @@
 			return;
 		}
 		this.begun = true;
-		String bound = (this.version != null) ? this.version : attempt.version();
-		this.version = bound;
-		if (this.accepted.route().resumable() && !bound.isEmpty()) {
-			StreamOrigin origin = new StreamOrigin(this.accepted.service().name(), bound);
-			record(this.requestHeaders.requestId(), origin);
-			record(this.requestHeaders.resumedRequestId(), origin);
+		StreamOrigin bound = this.origin;
+		if (bound == null) {
+			bound = new StreamOrigin(this.accepted.service().name(), attempt.version(), attempt.endpoint().id());
+			this.origin = bound;
+			this.beganAt = this.dispatcher.clock().nanos();
+		}
+		if (this.accepted.route().resumable() && bound.hasVersion()) {
+			record(this.requestHeaders.requestId(), bound);
+			record(this.requestHeaders.resumedRequestId(), bound);
 		}
 	}
 
-	private void record(@Nullable String requestId, StreamOrigin origin) {
+	private void record(@Nullable String requestId, StreamOrigin bound) {
 		if (requestId != null) {
 			AccountName account = (this.accepted.account() != null) ? this.accepted.account().name() : null;
 			this.dispatcher.streamOrigins()
-				.record(this.request.streamKey(requestId, account), this.accepted.route(), origin);
+				.record(this.request.streamKey(requestId, account), this.accepted.route(), bound);
+		}
+	}
+
+	/**
+	 * Returns whether the endpoints are recent enough to place the rest of the stream. An
+	 * endpoint may have started again as another version since they were last confirmed.
+	 * @return whether they were confirmed since this method was first called for an
+	 * attempt, or the store has not answered in time
+	 */
+	boolean isReady() {
+		long now = this.dispatcher.clock().nanos();
+		if (this.origin == null) {
+			return true;
+		}
+		if (this.endpointsNeededAt == null) {
+			this.endpointsNeededAt = now;
+		}
+		return this.dispatcher.freshness().confirmedSince(this.endpointsNeededAt)
+				|| now - this.endpointsNeededAt > MAXIMUM_CONFIRMATION_WAIT.toNanos();
+	}
+
+	/** Requires that the endpoints are confirmed again before the next attempt. */
+	void attemptSent() {
+		this.endpointsNeededAt = null;
+	}
+
+	/**
+	 * Returns whether the version that began the stream is certain. If its endpoint has
+	 * become another version, the stream may have begun there before this was known.
+	 * @return whether the stream began before the endpoint's current process did
+	 */
+	boolean isCertain() {
+		StreamOrigin bound = this.origin;
+		EndpointEntry current = (bound != null && bound.endpoint() != null)
+				? this.dispatcher.endpoints().entry(bound.endpoint()) : null;
+		if (bound == null || current == null || current.version().equals(bound.version())) {
+			return true;
 		}
+		Duration age = Duration.ofNanos(this.dispatcher.clock().nanos() - this.beganAt);
+		Instant began = this.dispatcher.wallClock().instant().minus(age);
+		return began.plus(CLOCK_TOLERANCE).toEpochMilli() < current.startedAt();
 	}
 
 	/**
@@ -90,10 +149,10 @@
 	 * @throws IllegalStateException if the stream is not bound
 	 */
 	List<Endpoint> eligible(long now) {
-		if (this.version == null) {
+		if (this.origin == null) {
 			throw new IllegalStateException("stream must be bound to a version");
 		}
-		return this.dispatcher.endpoints().ofVersion(this.accepted.service().name(), this.version, now);
+		return this.dispatcher.endpoints().ofVersion(this.accepted.service().name(), this.origin.version(), now);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/OnlyVersions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/OnlyVersions.java
@@ -20,6 +20,12 @@
  */
 public final class OnlyVersions {
 
+	/**
+	 * Time within which a caller returns, relative to its route's timeout: its deadline
+	 * covers all its tries and may exceed the timeout of one.
+	 */
+	private static final int RETURN_TIMEOUT_FACTOR = 2;
+
 	private final BooleanSupplier endpointsRecent;
 
 	private final Map<ServiceName, Since<Set<String>>> versionsByService = new HashMap<>();
@@ -87,10 +93,10 @@
 		}
 		String version = versions.value().iterator().next();
 		long unchanged = now - Math.max(services.at(), versions.at());
-		if (version.isEmpty() || unchanged <= StreamOriginTable.RETENTION.toNanos()) {
+		if (version.isEmpty() || unchanged <= route.timeout().toNanos() * RETURN_TIMEOUT_FACTOR) {
 			return null;
 		}
-		return new KnownOrigin(new StreamOrigin(service, version), KnownOrigin.Source.ONLY_VERSION,
+		return new KnownOrigin(new StreamOrigin(service, version, null), KnownOrigin.Source.ONLY_VERSION,
 				Duration.ofNanos(unchanged));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
@@ -174,9 +174,10 @@
 	 * @param service the service
 	 * @param version the version
 	 * @param listed all listed versions of the service
+	 * @param now the current time
 	 * @return {@code true} if the version may serve requests without a rollout
 	 */
-	public boolean isTrusted(ServiceName service, String version, Set<String> listed) {
+	public boolean isTrusted(ServiceName service, String version, Set<String> listed, long now) {
 		Set<String> trusted = trustedVersionsOf(service);
 		if (trusted.stream().noneMatch(listed::contains)) {
 			RolloutOrder order = this.orders.get(service);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/ServingEndpoints.java
@@ -5,9 +5,12 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The endpoints whose versions may serve requests according to the rollouts.
@@ -45,7 +48,7 @@
 	 */
 	public List<Endpoint> forRequest(ServiceName service, boolean nonResumable, double randomValue, long now) {
 		VersionChoice choice = this.rollouts.choose(service, nonResumable, randomValue, now);
-		return this.filter.eligible(service, this.endpoints.endpointsOf(service), choice);
+		return this.filter.eligible(service, this.endpoints.endpointsOf(service), choice, now);
 	}
 
 	/**
@@ -71,7 +74,17 @@
 		if (version.isEmpty() || this.rollouts.withholds(service, version, now)) {
 			return List.of();
 		}
-		return this.filter.ofVersion(service, this.endpoints.endpointsOf(service), version);
+		return this.filter.ofVersion(service, this.endpoints.endpointsOf(service), version, now);
+	}
+
+	/**
+	 * Returns the entry of an endpoint.
+	 * @param endpoint the endpoint's identifier
+	 * @return the entry, or {@code null} if it is not listed
+	 */
+	public @Nullable EndpointEntry entry(EndpointId endpoint) {
+		Endpoint listed = this.endpoints.get(endpoint);
+		return (listed != null) ? listed.entry() : null;
 	}
 
 	/**
@@ -116,9 +129,10 @@
 	/**
 	 * Records the listed versions of services.
 	 * @param services the services
+	 * @param now the current time
 	 */
-	public void recordVersions(Collection<ServiceName> services) {
-		services.forEach((service) -> this.filter.recordVersions(service, this.endpoints.endpointsOf(service)));
+	public void recordVersions(Collection<ServiceName> services, long now) {
+		services.forEach((service) -> this.filter.recordVersions(service, this.endpoints.endpointsOf(service), now));
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/VersionFilter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/VersionFilter.java
@@ -40,17 +40,18 @@
 	 * @param service its service
 	 * @param listed the service's endpoints
 	 * @param choice the versions that may serve it
+	 * @param now the current time
 	 * @return the eligible endpoints
 	 */
-	public List<Endpoint> eligible(ServiceName service, List<Endpoint> listed, VersionChoice choice) {
-		VersionGroups groups = groupsFor(service, listed);
+	public List<Endpoint> eligible(ServiceName service, List<Endpoint> listed, VersionChoice choice, long now) {
+		VersionGroups groups = groupsFor(service, listed, now);
 		if (groups.hasSingleVersion() && choice instanceof VersionChoice.Trusted) {
 			return listed;
 		}
 		return switch (choice) {
-			case VersionChoice.Trusted trusted -> trustedEndpoints(service, groups, null);
-			case VersionChoice.Baseline baseline -> baselineEndpoints(service, groups, baseline.candidate());
-			case VersionChoice.Candidate candidate -> candidateEndpoints(service, groups, candidate);
+			case VersionChoice.Trusted trusted -> trustedEndpoints(service, groups, null, now);
+			case VersionChoice.Baseline baseline -> baselineEndpoints(service, groups, baseline.candidate(), now);
+			case VersionChoice.Candidate candidate -> candidateEndpoints(service, groups, candidate, now);
 		};
 	}
 
@@ -59,10 +60,11 @@
 	 * @param service the service
 	 * @param listed the service's endpoints
 	 * @param version the version
+	 * @param now the current time
 	 * @return the endpoints
 	 */
-	public List<Endpoint> ofVersion(ServiceName service, List<Endpoint> listed, String version) {
-		return groupsFor(service, listed).endpointsOf(version);
+	public List<Endpoint> ofVersion(ServiceName service, List<Endpoint> listed, String version, long now) {
+		return groupsFor(service, listed, now).endpointsOf(version);
 	}
 
 	/**
@@ -70,14 +72,15 @@
 	 * trusted, even if no request arrives before another version is listed.
 	 * @param service the service
 	 * @param listed its endpoints
+	 * @param now the current time
 	 */
-	public void recordVersions(ServiceName service, List<Endpoint> listed) {
-		groupsFor(service, listed);
+	public void recordVersions(ServiceName service, List<Endpoint> listed, long now) {
+		groupsFor(service, listed, now);
 	}
 
 	// Compares identities since each change of an endpoint creates a new list.
 	@SuppressWarnings("ReferenceEquality")
-	private VersionGroups groupsFor(ServiceName service, List<Endpoint> listed) {
+	private VersionGroups groupsFor(ServiceName service, List<Endpoint> listed, long now) {
 		VersionGroups current = this.groupsByService.get(service);
 		if (current != null && current.listed() == listed) {
 			return current;
@@ -86,15 +89,16 @@
 				listed.stream().collect(Collectors.groupingBy((endpoint) -> endpoint.entry().version())));
 		this.groupsByService.put(service, updated);
 		Set<String> versions = updated.byVersion().keySet();
-		versions.forEach((version) -> this.table.isTrusted(service, version, versions));
+		versions.forEach((version) -> this.table.isTrusted(service, version, versions, now));
 		return updated;
 	}
 
-	private List<Endpoint> trustedEndpoints(ServiceName service, VersionGroups groups, @Nullable String excluded) {
+	private List<Endpoint> trustedEndpoints(ServiceName service, VersionGroups groups, @Nullable String excluded,
+			long now) {
 		Set<String> versions = groups.byVersion().keySet();
 		List<Endpoint> eligible = new ArrayList<>();
 		groups.byVersion().forEach((version, endpoints) -> {
-			if (!version.equals(excluded) && this.table.isTrusted(service, version, versions)) {
+			if (!version.equals(excluded) && this.table.isTrusted(service, version, versions, now)) {
 				eligible.addAll(endpoints);
 			}
 		});
@@ -103,17 +107,17 @@
 
 	// Once the baseline has stopped, only the candidate is available. A gateway that
 	// has just started may not have received the completion of the rollout yet.
-	private List<Endpoint> baselineEndpoints(ServiceName service, VersionGroups groups, String candidate) {
-		List<Endpoint> eligible = trustedEndpoints(service, groups, candidate);
+	private List<Endpoint> baselineEndpoints(ServiceName service, VersionGroups groups, String candidate, long now) {
+		List<Endpoint> eligible = trustedEndpoints(service, groups, candidate, now);
 		boolean noDecision = this.table.decision(service) == null;
 		return (eligible.isEmpty() && noDecision) ? groups.endpointsOf(candidate) : eligible;
 	}
 
-	private List<Endpoint> candidateEndpoints(ServiceName service, VersionGroups groups,
-			VersionChoice.Candidate choice) {
+	private List<Endpoint> candidateEndpoints(ServiceName service, VersionGroups groups, VersionChoice.Candidate choice,
+			long now) {
 		List<Endpoint> endpoints = groups.endpointsOf(choice.candidate());
 		if (endpoints.isEmpty()) {
-			return trustedEndpoints(service, groups, choice.candidate());
+			return trustedEndpoints(service, groups, choice.candidate(), now);
 		}
 		int count = Math.max(MINIMUM_CANARY_ENDPOINTS, (int) Math.ceil(choice.endpointShare() * endpoints.size()));
 		return (count >= endpoints.size()) ? endpoints
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/admission/AdmissionRuleTests.java
@@ -67,6 +67,14 @@
 		assertThat(this.rule.maximumStartupWait(null)).isLessThan(Duration.ofSeconds(1));
 	}
 
+	// Guards against a resumed stream that is rejected for the target of a first event,
+	// which its caller already has.
+	@Test
+	void resumedStreamIsAdmittedIfItCanMeetItsDeadline() {
+		assertThat(this.rule.retryAfterResumption(Duration.ofMillis(1400), Duration.ofMillis(2100))).isZero();
+		assertThat(this.rule.retryAfterResumption(Duration.ofMillis(1600), Duration.ofMillis(2100))).isPositive();
+	}
+
 	private static Route withTarget(Duration target) {
 		return new Route("plain", "h", "/q/", RouteKind.NON_IDEMPOTENT, false, Duration.ofSeconds(9), target,
 				Duration.ofSeconds(1), 0, STREAM_ROUTE.services(), 1, false);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -95,10 +95,10 @@
 	}
 
 	/** Lists an endpoint, or changes its entry. */
-	void list(int endpoint, InetSocketAddress address, String version, int start, boolean draining) {
+	void list(int endpoint, InetSocketAddress address, String version, long startedAt, boolean draining) {
 		this.endpointAddresses.add(address);
 		String value = String.join(" ", String.valueOf(address.getPort()), dataCenter(endpoint).value(), version,
-				String.valueOf(start), String.valueOf(draining));
+				String.valueOf(startedAt), String.valueOf(draining));
 		this.store.append(Topic.ENDPOINTS, "endpoint-" + endpoint, value.getBytes(StandardCharsets.US_ASCII));
 	}
 
@@ -291,7 +291,7 @@
 			return new EndpointEntry(id, SERVICE, fields[2],
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(fields[0])),
 					new DataCenterName(fields[1]), 100, Boolean.parseBoolean(fields[4]), false,
-					Integer.parseInt(fields[3]));
+					Long.parseLong(fields[3]));
 		}
 
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -27,6 +27,9 @@
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.quarantine.CrashObservation;
 import org.banyancove.gateway.quarantine.SuspectReport;
+import org.banyancove.gateway.resumption.KnownOrigin;
+import org.banyancove.gateway.resumption.StreamKey;
+import org.banyancove.gateway.resumption.StreamOrigin;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
 import org.banyancove.gateway.rollout.RolloutReport;
@@ -53,6 +56,18 @@
 	private static final SharedStateVersion SHARED_STATE = new SharedStateVersion(true, 5, -9, Duration.ofMillis(350),
 			2);
 
+	private static final StreamKey STREAM = new StreamKey(5, -6);
+
+	private static final KnownOrigin RECORD = new KnownOrigin(
+			new StreamOrigin(new ServiceName("service"), "v1", new EndpointId("e")), KnownOrigin.Source.RECORD,
+			Duration.ofMillis(700));
+
+	private static final KnownOrigin PEER = new KnownOrigin(RECORD.origin(), KnownOrigin.Source.PEER, RECORD.age());
+
+	private static final KnownOrigin ONLY_VERSION = new KnownOrigin(
+			new StreamOrigin(new ServiceName("service"), "v1", null), KnownOrigin.Source.ONLY_VERSION,
+			Duration.ofSeconds(20));
+
 	private static final PeerMessage SUSPECTS = new PeerMessage.Suspects(Map.of(new Fingerprint(5, -6),
 			new SuspectReport(
 					List.of(new CrashObservation(new EndpointId("e"), Duration.ofMillis(400), Duration.ofMillis(300)),
@@ -62,6 +77,16 @@
 
 	private final PeerMessageCodec codec = new PeerMessageCodec();
 
+	@Test
+	void originsOfStreamsAreReadAsWritten() {
+		List<StreamOriginMessage> messages = List.of(new StreamOriginMessage.Replication(Map.of(STREAM, RECORD)),
+				new StreamOriginMessage.Query(9, STREAM, "host", "/path/"), new StreamOriginMessage.Reply(9, null),
+				new StreamOriginMessage.Reply(9, PEER), new StreamOriginMessage.Reply(9, ONLY_VERSION));
+		PeerMessageCodec peerMessageCodec = new PeerMessageCodec();
+		assertThat(messages).allSatisfy(
+				(message) -> assertThat(peerMessageCodec.read(peerMessageCodec.write(message))).isEqualTo(message));
+	}
+
 	@Test
 	void readsTheRolloutsThatItWrote() {
 		RolloutOrder order = new RolloutOrder(new ServiceName("engines"), "v2", Duration.ofSeconds(12), 7);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
@@ -95,7 +95,7 @@
 
 	private static void list(GatewayFleet fleet, List<VersionedEndpoint> endpoints, int number, boolean draining) {
 		VersionedEndpoint endpoint = endpoints.get(number);
-		fleet.list(number, endpoint.address(), endpoint.version(), endpoint.startCount(), draining);
+		fleet.list(number, endpoint.address(), endpoint.version(), endpoint.startedAt(), draining);
 	}
 
 	private static void assertStreamsWhole(List<ResumingCallers.Stream> streams, Map<String, Integer> refusals) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
@@ -29,8 +29,6 @@
 
 	private static final int EVENT_INTERVAL_MILLIS = 25;
 
-	private final AtomicInteger starts = new AtomicInteger();
-
 	private final AtomicInteger running = new AtomicInteger();
 
 	private final Map<Socket, Boolean> connections = new ConcurrentHashMap<>();
@@ -51,7 +49,7 @@
 		ServerSocket server = new ServerSocket();
 		server.bind(listened, 500);
 		this.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
-		Incarnation started = new Incarnation(server, version, this.starts.incrementAndGet());
+		Incarnation started = new Incarnation(server, version, System.currentTimeMillis());
 		this.current = started;
 		Thread.ofVirtual().start(() -> accept(started));
 	}
@@ -64,8 +62,9 @@
 		return Objects.requireNonNull(this.current, "running").version();
 	}
 
-	int startCount() {
-		return this.starts.get();
+	/** Returns when the current process started, in Unix milliseconds. */
+	long startedAt() {
+		return Objects.requireNonNull(this.current, "running").startedAt;
 	}
 
 	int running() {
@@ -208,27 +207,22 @@
 
 		private final String version;
 
-		private final int number;
+		private final long startedAt;
 
 		private volatile boolean alive = true;
 
 		private volatile boolean crashWithinEvent;
 
-		Incarnation(ServerSocket server, String version, int number) {
+		Incarnation(ServerSocket server, String version, long startedAt) {
 			this.server = server;
 			this.version = version;
-			this.number = number;
+			this.startedAt = startedAt;
 		}
 
 		String version() {
 			return this.version;
 		}
 
-		@Override
-		public String toString() {
-			return this.version + " #" + this.number;
-		}
-
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -67,6 +67,12 @@
 
 	private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 
+	private static final String FIRST_EVENT = "7\r\nid: 1\n\n\r\n";
+
+	private static final String LAST_EVENT = "7\r\nid: 2\n\n\r\n0\r\n\r\n";
+
+	private static final String RESUMED = "POST /resumed/x HTTP/1.1\r\n";
+
 	private final MultiThreadIoEventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1,
 			NioIoHandler.newFactory());
 
@@ -93,7 +99,7 @@
 	private RequestDispatcher newDispatcher() {
 		return new RequestDispatcher(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
 				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
-				() -> this.endpointsCurrent.getAsBoolean(), new PlacementRule(DATA_CENTER, () -> 0),
+				new SuppliedFreshness(), new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
 				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
 	}
@@ -589,15 +595,151 @@
 		return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
 	}
 
+	// Guards against an answer whose events come from two versions because its endpoint
+	// crashed.
+	@Test
+	void streamGoesOnWithinItsAnswerOnlyAtItsVersion() throws Exception {
+		ScriptedEndpoint other = endpoint("b", "v2");
+		endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
+		ScriptedEndpoint same = endpoint("c").thenRespond(STREAM_HEAD + LAST_EVENT);
+		put("b", "v2", other, true, 1);
+		put("c", "v1", same, true, 1);
+		try (Caller caller = new Caller()) {
+			caller.send("POST /resumed/x HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+			TimeUnit.MILLISECONDS.sleep(40);
+			put("b", "v2", other, false, 1);
+			put("c", "v1", same, false, 1);
+			assertThat(caller.read().body()).isEqualTo("id: 1\n\nid: 2\n\n");
+		}
+		assertThat(other.unreadRequests()).isZero();
+	}
+
+	// Guards against a stream that is given up although the only endpoint of its version
+	// has merely reset a connection.
+	@Test
+	void streamGoesOnAtTheLastEndpointOfItsVersion() throws Exception {
+		ScriptedEndpoint last = endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT)
+			.thenRespond(STREAM_HEAD + LAST_EVENT);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /resumed/x HTTP/1.1", "1").body()).isEqualTo("id: 1\n\nid: 2\n\n");
+		}
+		assertThat(last.unreadRequests()).isEqualTo(2);
+	}
+
+	// Guards against a stream that its caller takes up again and that goes on at another
+	// version.
+	@Test
+	void resumedStreamGoesOnOnlyAtItsVersion() throws Exception {
+		beginStream("1");
+		ScriptedEndpoint same = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
+		ScriptedEndpoint other = endpoint("c", "v2");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2").body()).isEqualTo("id: 2\n\n");
+		}
+		assertThat(same.nextRequest()).contains("last-event: 1");
+		assertThat(other.unreadRequests()).isZero();
+	}
+
+	// Guards against an origin that is forgotten with the request that resumed the
+	// stream.
+	@Test
+	void resumedStreamCanBeResumedUnderEitherRequest() throws Exception {
+		beginStream("1");
+		endpoint("b").thenReset(STREAM_HEAD + LAST_EVENT)
+			.thenRespond(STREAM_HEAD + LAST_EVENT)
+			.thenRespond(STREAM_HEAD + LAST_EVENT);
+		try (Caller caller = new Caller()) {
+			caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2");
+		}
+		for (String earlier : List.of("1", "2")) {
+			try (Caller caller = new Caller()) {
+				assertThat(caller.call(RESUMED + "resumes: " + earlier + "\r\nlast-event: 1", "3" + earlier).status())
+					.isEqualTo(200);
+			}
+		}
+	}
+
+	// Guards against a guess: a stream that never was, one of another path, one that is
+	// named twice, and one that is not named at all.
+	@Test
+	void streamOfUnknownOriginIsRejectedAtOnceAsNotRun() throws Exception {
+		beginStream("1");
+		ScriptedEndpoint same = endpoint("b");
+		try (Caller caller = new Caller()) {
+			assertRejected(caller.call(RESUMED + "resumes: 7\r\nlast-event: 1", "2"), "stream_origin_unknown");
+			assertRejected(caller.call(RESUMED + "last-event: 1", "3"), "stream_origin_unknown");
+			assertRejected(caller.call(RESUMED.replace("/x", "/y") + "resumes: 1", "4"), "stream_origin_unknown");
+			assertThat(caller.call(RESUMED + "resumes: 1\r\nresumes: 1", "5").status()).isEqualTo(400);
+			assertThat(caller.call(RESUMED + "resumes: ", "6").status()).isEqualTo(400);
+			assertThat(caller.call(RESUMED + "resumes: " + "1".repeat(129), "7").status()).isEqualTo(400);
+		}
+		assertThat(same.unreadRequests()).isZero();
+	}
+
+	// Guards against callers that wait although no endpoint of the version is left.
+	@Test
+	void streamWhoseVersionIsGoneIsRejectedAtOnceAsNotRun() throws Exception {
+		ScriptedEndpoint gone = beginStream("1");
+		put("a", "v1", gone, true, 1);
+		ScriptedEndpoint other = endpoint("c", "v2");
+		try (Caller caller = new Caller()) {
+			long start = System.nanoTime();
+			assertRejected(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2"), "stream_version_unavailable");
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(1));
+		}
+		assertThat(other.unreadRequests()).isZero();
+	}
+
+	// Guards against a stream whose version was known wrongly, because its endpoint had
+	// returned under its identifier as another version when the stream began.
+	@Test
+	void streamOfAnEndpointThatHasBecomeAnotherVersionIsResumedOnlyIfItBeganBefore() throws Exception {
+		ScriptedEndpoint restarted = beginStream("1");
+		ScriptedEndpoint same = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
+		put("a", "v2", restarted, false, System.currentTimeMillis() - 5000);
+		try (Caller caller = new Caller()) {
+			assertRejected(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2"), "stream_origin_unknown");
+			assertThat(same.unreadRequests()).isZero();
+			put("a", "v2", restarted, false, System.currentTimeMillis() + 5000);
+			assertThat(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "3").status()).isEqualTo(200);
+		}
+	}
+
+	private static void assertRejected(Response response, String error) {
+		assertThat(response.status()).isEqualTo(503);
+		assertThat(response.body()).contains(error);
+		assertThat(response.head().toLowerCase(Locale.ROOT)).contains("retry-after: 0.");
+	}
+
+	// Begins a stream at an endpoint of the first version that breaks off and is drained.
+	private ScriptedEndpoint beginStream(String id) throws Exception {
+		ScriptedEndpoint first = endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
+		first.thenReset("");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /resumed/x HTTP/1.1", id).body()).isEqualTo("id: 1\n\n");
+		}
+		put("a", "v1", first, true, 1);
+		return first;
+	}
+
 	private ScriptedEndpoint endpoint(String name) throws Exception {
+		return endpoint(name, "v1");
+	}
+
+	private ScriptedEndpoint endpoint(String name, String version) throws Exception {
 		ScriptedEndpoint endpoint = new ScriptedEndpoint();
 		this.scriptedEndpoints.add(endpoint);
-		EndpointEntry entry = new EndpointEntry(new EndpointId(name), SERVICE, "v1", endpoint.address(), DATA_CENTER,
-				10, false, false, 1);
-		this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
+		put(name, version, endpoint, false, 1);
 		return endpoint;
 	}
 
+	private void put(String name, String version, ScriptedEndpoint endpoint, boolean draining, long startedAt)
+			throws InterruptedException {
+		EndpointEntry entry = new EndpointEntry(new EndpointId(name), SERVICE, version, endpoint.address(), DATA_CENTER,
+				10, draining, false, startedAt);
+		this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
+	}
+
 	private record Response(int status, String head, String body, boolean complete) {
 	}
 
@@ -670,6 +812,23 @@
 
 	}
 
+	/**
+	 * Endpoints that are confirmed whenever they are current.
+	 */
+	private final class SuppliedFreshness implements EndpointFreshness {
+
+		@Override
+		public boolean current() {
+			return ExchangeTests.this.endpointsCurrent.getAsBoolean();
+		}
+
+		@Override
+		public boolean confirmedSince(long time) {
+			return true;
+		}
+
+	}
+
 	private static final class NoOpRequestLog implements RequestLog {
 
 		@Override
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/RequestRouterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/RequestRouterTests.java
@@ -67,6 +67,20 @@
 		assertThat(rejectionKind(CONFIGURATION, DrainPhase.NONE, "/plain/", "key")).isEqualTo(ErrorKind.STOPPING);
 	}
 
+	// Guards against a stream that goes on at a service that did not begin it, or that no
+	// configuration allows any more.
+	@Test
+	void resumedStreamIsRoutedToTheServiceThatBeganIt() {
+		assertThat(decideResumption("service")).isInstanceOf(RoutingDecision.Accepted.class);
+		assertThat(decideResumption("former"))
+			.isEqualTo(new RoutingDecision.Rejected(ErrorKind.STREAM_VERSION_UNAVAILABLE, Duration.ofMillis(300)));
+	}
+
+	private static RoutingDecision decideResumption(String origin) {
+		return new RequestRouter(CONFIGURATION, DrainPhase.ALL).decideResumption("host", "/stream/x",
+				new CallerHeaders("1", null, "key", "1", "0", Prompt.NONE), new ServiceName(origin));
+	}
+
 	private static ErrorKind rejectionKind(@Nullable Configuration configuration, DrainPhase phase, String uri,
 			@Nullable String key) {
 		return ((RoutingDecision.Rejected) decide(configuration, phase, uri, key)).kind();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
@@ -37,11 +37,26 @@
 	@Test
 	void laterVersionReceivesNoRequestsWithoutOrder() {
 		list("a", "v1");
-		this.serving.recordVersions(List.of(SERVICE));
+		this.serving.recordVersions(List.of(SERVICE), 0);
 		list("b", "v2");
 		assertThat(versions(0)).containsOnly("v1");
 	}
 
+	// Guards against a stream of a candidate that goes on there after the rollback, or
+	// while this gateway cannot know of it.
+	@Test
+	void streamOfACandidateGoesOnThereUntilTheRollback() {
+		listBoth();
+		assertThat(this.serving.ofVersion(SERVICE, "v2", 0)).isEmpty();
+		decide(1, new RolloutStage.InProgress(0.1, 0.1));
+		assertThat(this.serving.ofVersion(SERVICE, "v2", 0)).hasSize(1);
+		assertThat(this.serving.ofVersion(SERVICE, "v2", 5 * SECOND)).isEmpty();
+		decide(2, new RolloutStage.RolledBack());
+		assertThat(this.serving.ofVersion(SERVICE, "v2", 0)).isEmpty();
+		assertThat(this.serving.ofVersion(SERVICE, "v1", 0)).hasSize(1);
+		assertThat(this.serving.ofVersion(SERVICE, "", 0)).isEmpty();
+	}
+
 	@Test
 	void additionalEndpointOfSameVersionServes() {
 		list("a", "v1");
@@ -143,7 +158,7 @@
 
 	private void listBoth() {
 		list("a", "v1");
-		this.serving.recordVersions(List.of(SERVICE));
+		this.serving.recordVersions(List.of(SERVICE), 0);
 		list("b", "v2");
 		this.table.addOrder(ORDER);
 	}
