Serve requests at versions that nobody ordered

Endpoints of a version that appeared beside others without an order got no requests as long as an endpoint of an earlier version was listed, except from gateways that had started since: in the incident, five endpoints of v1.1 were listed from 2.0 s on and got 3 requests from 6 to 12 s, v1 121. Versions may now serve side by side.

A version without an order is used three seconds after it was first listed: by then an order is known if there is one, and all gateways know that there is a second version. Candidates of all orders, not only of the newest, wait for their rollout: otherwise a version that was rolled back would be used after the next order. RolloutTableTests has a test of each, the first of which failed before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
@@ -26,12 +26,23 @@
 	 */
 	private static final Duration DECISION_TIMEOUT = Duration.ofMillis(2500);
 
+	/**
+	 * Time after which the order of a version is known, if there is one. All gateways
+	 * have also read by then that the version is listed.
+	 */
+	private static final Duration ORDER_DELAY = Duration.ofSeconds(3);
+
 	private final Map<ServiceName, RolloutOrder> orders = new HashMap<>();
 
 	private final Map<ServiceName, TimedDecision> decisions = new HashMap<>();
 
 	private final Map<ServiceName, Set<String>> trustedVersions = new HashMap<>();
 
+	/** The candidates of all orders; the newest order of a service may hide others. */
+	private final Map<ServiceName, Set<String>> orderedVersions = new HashMap<>();
+
+	private final Map<ServiceName, Map<String, Long>> firstListedAt = new HashMap<>();
+
 	private final Map<SampleKey, VersionSamples> samples = new HashMap<>();
 
 	private final Map<ServiceName, SlowAnswerDetector> slowAnswerDetectors = new HashMap<>();
@@ -47,6 +58,7 @@
 			return false;
 		}
 		this.orders.put(order.service(), order);
+		this.orderedVersions.computeIfAbsent(order.service(), (service) -> new HashSet<>()).add(order.candidate());
 		return true;
 	}
 
@@ -168,9 +180,9 @@
 	}
 
 	/**
-	 * Returns whether a version is trusted, because it served before any rollout or its
-	 * rollout was completed. A version listed before its order is known receives no
-	 * requests, since the order may still be in flight.
+	 * Returns whether a version is trusted, because it served before any rollout, its
+	 * rollout was completed, or nobody has ordered one. A version receives no requests
+	 * for a while after it was first listed, since its order may still be in flight.
 	 * @param service the service
 	 * @param version the version
 	 * @param listed all listed versions of the service
@@ -179,9 +191,15 @@
 	 */
 	public boolean isTrusted(ServiceName service, String version, Set<String> listed, long now) {
 		Set<String> trusted = trustedVersionsOf(service);
+		Map<String, Long> firstListed = this.firstListedAt.computeIfAbsent(service, (name) -> new HashMap<>());
+		firstListed.keySet().retainAll(listed);
+		listed.forEach((name) -> firstListed.putIfAbsent(name, now));
+		Set<String> ordered = this.orderedVersions.getOrDefault(service, Set.of());
 		if (trusted.stream().noneMatch(listed::contains)) {
-			RolloutOrder order = this.orders.get(service);
-			listed.stream().filter((name) -> order == null || !name.equals(order.candidate())).forEach(trusted::add);
+			listed.stream().filter((name) -> !ordered.contains(name)).forEach(trusted::add);
+		}
+		if (!ordered.contains(version) && now - firstListed.getOrDefault(version, now) >= ORDER_DELAY.toNanos()) {
+			trusted.add(version);
 		}
 		return trusted.contains(version);
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
@@ -42,6 +42,28 @@
 		assertThat(versions(0)).containsOnly("v1");
 	}
 
+	// Guards against endpoints that stay idle because nobody orders the rollout of their
+	// version.
+	@Test
+	void laterVersionServesOnceAnOrderWouldBeKnown() {
+		list("a", "v1");
+		this.serving.recordVersions(List.of(SERVICE), 0);
+		list("b", "v2");
+		this.serving.recordVersions(List.of(SERVICE), 0);
+		assertThat(versionsAt(2 * SECOND)).containsOnly("v1");
+		assertThat(versionsAt(4 * SECOND)).containsOnly("v1", "v2");
+	}
+
+	// Guards against requests to a candidate that was rolled back, after the order of
+	// another version.
+	@Test
+	void candidateOfAnEarlierOrderIsNotTrusted() {
+		listBoth();
+		decide(1, new RolloutStage.RolledBack());
+		this.table.addOrder(new RolloutOrder(SERVICE, "v3", Duration.ofSeconds(12), 8));
+		assertThat(versionsAt(60 * SECOND)).containsOnly("v1");
+	}
+
 	// Guards against a stream of a candidate that goes on there after the rollback, or
 	// while this gateway cannot know of it.
 	@Test
