Reset a connection that is closed already without an error

While an event loop ends, or in the moment between the end of an endpoint's connection and its notice, a caller that leaves had its endpoint's connection reset once more: setting an option of a closed socket throws, and the request was never counted as ended. Seen as 'Caller connection failed' in the logs of killed gateways in StreamVersionFleetTests.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -103,6 +103,9 @@
 	 * unknown.
 	 */
 	void reset() {
+		if (!this.channel.isOpen()) {
+			return;
+		}
 		this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
 		this.channel.close();
 	}
