Record the endpoint that resumed a stream as its origin

A stream that had been resumed kept the endpoint that began it as its origin, with the time of the resumption: if that endpoint returned as another version in between, the next return was rejected as uncertain although the version was known. The origin is now the endpoint of the last run. Tests of gateways that are cut off from endpoints, and of what a stream costs the other gateways: three datagrams of less than 64 bytes at 9, 90 and 300 gateways.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
@@ -73,8 +73,7 @@
 	}
 
 	/**
-	 * Binds the stream to the version of an attempt whose first event is about to be
-	 * forwarded.
+	 * Binds the stream to an attempt whose first event is about to be forwarded.
 	 * @param attempt the attempt
 	 */
 	void begin(Attempt attempt) {
@@ -82,12 +81,11 @@
 			return;
 		}
 		this.begun = true;
-		StreamOrigin bound = this.origin;
-		if (bound == null) {
-			bound = new StreamOrigin(this.accepted.service().name(), attempt.version(), attempt.endpoint().id());
-			this.origin = bound;
-			this.beganAt = this.dispatcher.clock().nanos();
-		}
+		StreamOrigin resumed = this.origin;
+		StreamOrigin bound = new StreamOrigin(this.accepted.service().name(),
+				(resumed != null) ? resumed.version() : attempt.version(), attempt.endpoint().id());
+		this.origin = bound;
+		this.beganAt = this.dispatcher.clock().nanos();
 		if (this.accepted.route().resumable() && bound.hasVersion()) {
 			record(this.requestHeaders.requestId(), bound);
 			record(this.requestHeaders.resumedRequestId(), bound);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
@@ -52,6 +52,9 @@
 
 	private static final int STREAMS = 600;
 
+	/** A record must stay small beside the headers of a datagram. */
+	private static final int MAXIMUM_RECORD_BYTES = 64;
+
 	private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
 
 	private final List<Peer> fleet = new ArrayList<>();
@@ -223,6 +226,21 @@
 		assertThat(this.found).isEqualTo(9);
 	}
 
+	// Guards against streams whose cost to other gateways grows with the fleet.
+	@ParameterizedTest
+	@CsvSource({ "9", "90", "300" })
+	void aStreamCostsThreeSmallDatagrams(int gateways) {
+		start(gateways, 1);
+		for (int i = 0; i < STREAMS; i++) {
+			begin(randomPeer(), i);
+		}
+		runFor(Duration.ofMillis(20));
+		assertThat(this.datagrams).isEqualTo(3 * STREAMS);
+		assertThat(this.bytes).isLessThan(3 * STREAMS * MAXIMUM_RECORD_BYTES);
+		int most = this.fleet.stream().mapToInt((peer) -> peer.exchange.size()).max().orElse(0);
+		assertThat(most).as("records at one gateway").isLessThan(STREAMS * 4 * 4 / gateways + 20);
+	}
+
 	// Guards against an origin that is guessed for a request that never was, or one of
 	// another account.
 	@ParameterizedTest
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamVersionFleetTests.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -52,6 +53,14 @@
 		play(gateways, versions, seed, Disruption.GATEWAYS_KILLED);
 	}
 
+	// Guards against streams that are lost, or go on at another version, because gateways
+	// are cut off from all endpoints and reach them through others.
+	@ParameterizedTest
+	@CsvSource({ "9, 2, 14", "9, 3, 15", "90, 3, 16" })
+	void streamsOfGatewaysThatAreCutOffGoOnAtTheirVersion(int gateways, int versions, long seed) throws Exception {
+		play(gateways, versions, seed, Disruption.GATEWAYS_CUT);
+	}
+
 	// Guards against streams that mix versions because an endpoint starts again under its
 	// identifier and at its address as another version.
 	@ParameterizedTest
@@ -120,7 +129,7 @@
 	 */
 	enum Disruption {
 
-		ENDPOINT_CRASHES, GATEWAYS_KILLED, ENDPOINTS_RETURN_AS_ANOTHER_VERSION, ALL
+		ENDPOINT_CRASHES, GATEWAYS_KILLED, GATEWAYS_CUT, ENDPOINTS_RETURN_AS_ANOTHER_VERSION, ALL
 
 	}
 
@@ -151,6 +160,7 @@
 			switch (disruption) {
 				case ENDPOINT_CRASHES -> restartEndpoint(false);
 				case GATEWAYS_KILLED -> restartGateways();
+				case GATEWAYS_CUT -> cutGateways();
 				case ENDPOINTS_RETURN_AS_ANOTHER_VERSION -> restartEndpoint(true);
 				case ALL -> {
 					switch (this.count % 4) {
@@ -190,15 +200,29 @@
 			list(this.fleet, this.endpoints, number, false);
 		}
 
+		private void cutGateways() throws InterruptedException {
+			List<GatewayFleet.Node> cut = nextGateways(this.fleet.nodes().size() / 3);
+			Partition.Kind kind = (this.count % 2 == 0) ? Partition.Kind.RESET : Partition.Kind.HANG;
+			cut.forEach((node) -> node.partition().begin(kind));
+			TimeUnit.MILLISECONDS.sleep(600);
+			cut.forEach((node) -> node.partition().end());
+			TimeUnit.MILLISECONDS.sleep(400);
+		}
+
 		private void restartGateways() throws IOException, InterruptedException {
-			int first = this.random.nextInt(this.fleet.nodes().size());
-			int together = Math.max(1, this.fleet.nodes().size() / 9);
-			for (int i = 0; i < together; i++) {
-				this.fleet.nodes().get((first + i) % this.fleet.nodes().size()).restart();
+			for (GatewayFleet.Node node : nextGateways(this.fleet.nodes().size() / 9)) {
+				node.restart();
 			}
 			TimeUnit.MILLISECONDS.sleep(300);
 		}
 
+		private List<GatewayFleet.Node> nextGateways(int number) {
+			int first = this.random.nextInt(this.fleet.nodes().size());
+			return IntStream.range(first, first + number)
+				.mapToObj((index) -> this.fleet.nodes().get(index % this.fleet.nodes().size()))
+				.toList();
+		}
+
 	}
 
 }
