--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
@@ -186,25 +186,33 @@
 		}
 		long number = ++this.searchCount;
 		Search search = new Search(new StreamOriginMessage.Query(number, stream, route.host(), route.pathPrefix()),
-				route, listener, new HashSet<>(this.holders.candidates(stream, this.directory.originHolders())));
+				route, listener);
 		this.searches.put(number, search);
 		query(search);
 	}
 
+	// A gateway that has just started may not know the others yet.
 	private void query(Search search) {
 		if (!this.searches.containsKey(search.query.number())) {
 			return;
 		}
-		if (search.unanswered.isEmpty() || search.sends == MAXIMUM_SENDS) {
+		if (search.sends == MAXIMUM_SENDS) {
 			conclude(search);
 			return;
 		}
 		search.sends++;
-		search.unanswered.forEach((gateway) -> write(gateway, search.query));
+		unanswered(search).forEach((gateway) -> write(gateway, search.query));
 		this.transport.flush();
 		this.scheduler.accept(() -> query(search), REPEAT_INTERVAL);
 	}
 
+	private List<String> unanswered(Search search) {
+		return this.holders.candidates(search.query.stream(), this.directory.originHolders())
+			.stream()
+			.filter((gateway) -> !search.answered.contains(gateway))
+			.toList();
+	}
+
 	// Without a record, the stream can only have begun at the only version.
 	private void conclude(Search search) {
 		this.searches.remove(search.query.number());
@@ -258,8 +266,10 @@
 		if (origin != null) {
 			search.onlyVersion = origin;
 		}
-		search.unanswered.remove(gateway);
-		if (search.unanswered.isEmpty()) {
+		if (gateway != null) {
+			search.answered.add(gateway);
+		}
+		if (unanswered(search).isEmpty()) {
 			conclude(search);
 		}
 	}
@@ -283,18 +293,16 @@
 
 		private final Consumer<@Nullable KnownOrigin> listener;
 
-		private final Set<String> unanswered;
+		private final Set<String> answered = new HashSet<>();
 
 		private @Nullable KnownOrigin onlyVersion;
 
 		private int sends;
 
-		Search(StreamOriginMessage.Query query, Route route, Consumer<@Nullable KnownOrigin> listener,
-				Set<String> unanswered) {
+		Search(StreamOriginMessage.Query query, Route route, Consumer<@Nullable KnownOrigin> listener) {
 			this.query = query;
 			this.route = route;
 			this.listener = listener;
-			this.unanswered = unanswered;
 		}
 
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
@@ -104,6 +104,24 @@
 		assertFound(0.99);
 	}
 
+	// Guards against streams that are lost because their callers return to a gateway that
+	// has just started and does not know the others yet.
+	@ParameterizedTest
+	@CsvSource({ "9, 1", "90, 2" })
+	void originIsFoundByAGatewayThatHasJustStarted(int gateways, long seed) {
+		start(gateways, seed);
+		for (int i = 0; i < STREAMS / 10; i++) {
+			Peer first = randomPeer();
+			StreamKey stream = begin(first, i);
+			runFor(Duration.ofMillis(5));
+			Peer started = otherPeer(first, null);
+			started.restart(Duration.ofMillis(80));
+			returnTo(started, stream, i);
+			runFor(Duration.ofMillis(300));
+		}
+		assertFound(0.99);
+	}
+
 	// Guards against streams that are lost because a tenth of the gateways, three at the
 	// least, are restarted together, among them those that remember the stream.
 	@ParameterizedTest
@@ -396,12 +414,21 @@
 			}
 		}
 
-		// A process that starts knows nothing of before.
 		void restart() {
+			restart(Duration.ZERO);
+		}
+
+		// A process that starts knows nothing of before.
+		void restart(Duration untilOthersAreKnown) {
 			this.directory = new GatewayDirectory(this.address);
 			this.onlyVersions = new OnlyVersions(() -> true);
 			this.exchange = newExchange();
-			start();
+			if (untilOthersAreKnown.isZero()) {
+				start();
+			}
+			else {
+				schedule(this::start, untilOthersAreKnown);
+			}
 		}
 
 		private StreamOriginExchange newExchange() {
