--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PartitionedGatewayTests.java
@@ -135,6 +135,9 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	// Guards against requests that are held although no gateway reaches any endpoint, and
