--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -273,7 +273,7 @@
 		};
 	}
 
-	RoutingDecision route(CallerRequest request, CallerHeaders requestHeaders, ServiceName streamOrigin) {
+	RoutingDecision decideResumption(CallerRequest request, CallerHeaders requestHeaders, ServiceName streamOrigin) {
 		return new RequestRouter(this.configuration, this.drainPhase)
 			.decideResumption(request.head().headers().get("host"), request.head().uri(), requestHeaders, streamOrigin);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
@@ -80,7 +80,7 @@
 			reject(ErrorKind.STREAM_ORIGIN_UNKNOWN, RETRY_AFTER_UNKNOWN_ORIGIN);
 			return;
 		}
-		switch (this.dispatcher.route(this.request, this.requestHeaders, origin.origin().service())) {
+		switch (this.dispatcher.decideResumption(this.request, this.requestHeaders, origin.origin().service())) {
 			case RoutingDecision.Rejected rejected -> reject(rejected.kind(), rejected.retryAfter());
 			case RoutingDecision.Accepted accepted ->
 				this.started = this.dispatcher.begin(this.caller, this.request, this.requestHeaders, accepted, origin);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
@@ -8,7 +8,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -112,7 +111,8 @@
 		try (connection) {
 			connection.setTcpNoDelay(true);
 			InputStream input = new BufferedInputStream(connection.getInputStream());
-			for (String head = readHead(input); !head.isEmpty() && serving.alive; head = readHead(input)) {
+			for (String head = RawHttp.readHead(input); !head.isEmpty()
+					&& serving.alive; head = RawHttp.readHead(input)) {
 				this.connections.put(connection, true);
 				this.running.incrementAndGet();
 				try {
@@ -136,54 +136,28 @@
 	}
 
 	private void stream(Incarnation serving, Socket connection, String head) throws IOException, InterruptedException {
-		String id = header(head, "id");
-		String lastEvent = header(head, "last-event");
+		String id = RawHttp.header(head, "id");
+		String lastEvent = RawHttp.header(head, "last-event");
 		this.versionsByRequest.add(id + " " + serving.version);
 		OutputStream output = connection.getOutputStream();
 		TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MILLIS);
-		write(output, "HTTP/1.1 200 OK\r\nid: " + id
+		RawHttp.write(output, "HTTP/1.1 200 OK\r\nid: " + id
 				+ "\r\nseal: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
 		for (int event = lastEvent.isEmpty() ? 1 : Integer.parseInt(lastEvent) + 1; event <= EVENTS; event++) {
 			String text = "id: " + event + "\ndata: " + serving.version + "\n\n";
 			if (!serving.alive) {
 				if (serving.crashWithinEvent) {
-					write(output, Integer.toHexString(text.length()) + "\r\n" + text.substring(0, text.length() / 2));
+					RawHttp.write(output,
+							Integer.toHexString(text.length()) + "\r\n" + text.substring(0, text.length() / 2));
 					TimeUnit.MILLISECONDS.sleep(5);
 				}
 				reset(connection);
 				return;
 			}
-			write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+			RawHttp.write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
 			TimeUnit.MILLISECONDS.sleep(EVENT_INTERVAL_MILLIS);
 		}
-		write(output, "0\r\n\r\n");
-	}
-
-	private static void write(OutputStream output, String text) throws IOException {
-		output.write(text.getBytes(StandardCharsets.US_ASCII));
-		output.flush();
-	}
-
-	private static String header(String head, String name) {
-		for (String line : head.split("\r\n")) {
-			if (line.startsWith(name + ": ")) {
-				return line.substring(name.length() + 2);
-			}
-		}
-		return "";
-	}
-
-	// Returns an empty text at the end of the connection.
-	private static String readHead(InputStream input) throws IOException {
-		StringBuilder head = new StringBuilder();
-		while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-			int read = input.read();
-			if (read < 0) {
-				return "";
-			}
-			head.append((char) read);
-		}
-		return head.toString();
+		RawHttp.write(output, "0\r\n\r\n");
 	}
 
 	@Override
