List the other version first in the test of a resumed stream

resumedStreamGoesOnOnlyAtItsVersion listed the right endpoint first, which placement prefers among equals, so that it could pass without the binding. The assertions are the same; ExchangeTests passes.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -631,8 +631,8 @@
 	@Test
 	void resumedStreamGoesOnOnlyAtItsVersion() throws Exception {
 		beginStream("1");
-		ScriptedEndpoint same = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
-		ScriptedEndpoint other = endpoint("c", "v2");
+		ScriptedEndpoint other = endpoint("b", "v2");
+		ScriptedEndpoint same = endpoint("c").thenRespond(STREAM_HEAD + LAST_EVENT);
 		try (Caller caller = new Caller()) {
 			assertThat(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2").body()).isEqualTo("id: 2\n\n");
 		}
