--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
@@ -14,6 +14,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
@@ -93,14 +94,7 @@
 	void originIsFoundAfterTheGatewayThatBeganTheStreamWasKilled(int gateways, double loss, long seed) {
 		start(gateways, seed);
 		this.lossRate = loss;
-		for (int i = 0; i < STREAMS; i++) {
-			Peer first = randomPeer();
-			StreamKey stream = begin(first, i);
-			runFor(Duration.ofMillis(5));
-			first.restart();
-			returnTo(otherPeer(first, first.dataCenter), stream, i);
-			runFor(Duration.ofMillis(300));
-		}
+		resumeAfter(STREAMS, Peer::restart, true);
 		assertFound(0.99);
 	}
 
@@ -130,35 +124,22 @@
 		start(gateways, seed);
 		this.lossRate = 0.01;
 		int together = Math.max(3, gateways / 10);
-		for (int i = 0; i < STREAMS / 6; i++) {
-			Peer first = randomPeer();
-			StreamKey stream = begin(first, i);
-			runFor(Duration.ofMillis(5));
+		resumeAfter(STREAMS / 6, (first) -> {
 			for (int killed = 0; killed < together; killed++) {
 				this.fleet.get((first.number + killed) % gateways).restart();
 			}
-			returnTo(otherPeer(first, null), stream, i);
-			runFor(Duration.ofMillis(300));
-		}
+		}, false);
 		assertFound(0.9);
 	}
 
-	// Guards against streams that are lost while a data center is cut off from the
-	// others,
-	// and against callers that wait for gateways that do not answer.
+	// Guards against streams that are lost while a data center is cut off, and against
+	// callers that wait for gateways that do not answer.
 	@ParameterizedTest
 	@CsvSource({ "9, 1", "90, 2" })
 	void originIsFoundWithinADataCenterThatIsCutOff(int gateways, long seed) {
 		start(gateways, seed);
 		this.cut.add(this.fleet.getFirst().dataCenter);
-		for (int i = 0; i < STREAMS; i++) {
-			Peer first = randomPeer();
-			StreamKey stream = begin(first, i);
-			runFor(Duration.ofMillis(5));
-			first.restart();
-			returnTo(otherPeer(first, first.dataCenter), stream, i);
-			runFor(Duration.ofMillis(300));
-		}
+		resumeAfter(STREAMS, Peer::restart, true);
 		assertFound(0.99);
 		assertThat(this.slowest).isLessThan(Duration.ofMillis(250));
 	}
@@ -169,14 +150,11 @@
 	@CsvSource({ "9, 1", "90, 2" })
 	void originOutlivesItsDataCenter(int gateways, long seed) {
 		start(gateways, seed);
-		for (int i = 0; i < STREAMS / 10; i++) {
-			Peer first = randomPeer();
-			StreamKey stream = begin(first, i);
-			runFor(Duration.ofMillis(5));
-			this.fleet.stream().filter((peer) -> peer.dataCenter.equals(first.dataCenter)).forEach(Peer::restart);
-			returnTo(otherPeer(first, null), stream, i);
-			runFor(Duration.ofMillis(300));
-		}
+		resumeAfter(STREAMS / 10,
+				(first) -> this.fleet.stream()
+					.filter((peer) -> peer.dataCenter.equals(first.dataCenter))
+					.forEach(Peer::restart),
+				false);
 		assertFound(0.99);
 	}
 
@@ -277,6 +255,19 @@
 		assertThat(this.slowest).isLessThan(Duration.ofMillis(250));
 	}
 
+	// Begins streams one after the other and takes each up at another gateway after a
+	// failure.
+	private void resumeAfter(int streams, Consumer<Peer> failure, boolean inSameDataCenter) {
+		for (int i = 0; i < streams; i++) {
+			Peer first = randomPeer();
+			StreamKey stream = begin(first, i);
+			runFor(Duration.ofMillis(5));
+			failure.accept(first);
+			returnTo(otherPeer(first, inSameDataCenter ? first.dataCenter : null), stream, i);
+			runFor(Duration.ofMillis(300));
+		}
+	}
+
 	private void assertFound(double minimumShare) {
 		String measured = "%d found, %d wrong, %d unknown, slowest %s, %.1f datagrams and %.0f bytes a stream"
 			.formatted(this.found, this.wrong, this.unknown, this.slowest,
