--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -152,7 +152,7 @@
 			return;
 		}
 		if (!this.continuation.isCertain()) {
-			endWithError(ErrorKind.STREAM_ORIGIN_UNKNOWN, Duration.ZERO);
+			endWithError(ErrorKind.STREAM_ORIGIN_UNKNOWN, StreamResumption.RETRY_AFTER_UNKNOWN_ORIGIN);
 			return;
 		}
 		Placement placement = choosePlacement();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
@@ -22,7 +22,7 @@
 final class StreamResumption implements InFlightRequest {
 
 	/** A caller that begins the stream anew need not wait. */
-	private static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ZERO;
+	static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ZERO;
 
 	private static final Predicate<String> VALID_REQUEST_ID = Pattern.compile("[!-+\\--~]{1,128}").asMatchPredicate();
 
