Let tests of resumed streams choose among trusted versions

Three tests of ExchangeTests passed without the binding that they guard (38 of 38 with the bound endpoints left out of Exchange): the other version was listed after the first request, so that nothing would have been sent to it anyway, or placement preferred the right endpoint among equals. The other version is now listed from the start, and the endpoint of the right one has failed a request, so that placement prefers the wrong one. Without the binding these three fail; with it all 38 pass.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -92,6 +93,8 @@
 
 	private final CallerServer server = newServer(this.dispatcher);
 
+	private final ScriptedEndpoint otherVersion = newScriptedEndpoint();
+
 	private @Nullable Configuration configuration;
 
 	private @Nullable Channel serverChannel;
@@ -609,6 +612,7 @@
 			TimeUnit.MILLISECONDS.sleep(40);
 			put("b", "v2", other, false, 1);
 			put("c", "v1", same, false, 1);
+			recordFailure("c");
 			assertThat(caller.read().body()).isEqualTo("id: 1\n\nid: 2\n\n");
 		}
 		assertThat(other.unreadRequests()).isZero();
@@ -631,8 +635,9 @@
 	@Test
 	void resumedStreamGoesOnOnlyAtItsVersion() throws Exception {
 		beginStream("1");
-		ScriptedEndpoint other = endpoint("b", "v2");
+		ScriptedEndpoint other = admitOtherVersion();
 		ScriptedEndpoint same = endpoint("c").thenRespond(STREAM_HEAD + LAST_EVENT);
+		recordFailure("c");
 		try (Caller caller = new Caller()) {
 			assertThat(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2").body()).isEqualTo("id: 2\n\n");
 		}
@@ -645,7 +650,7 @@
 	@Test
 	void resumedStreamCanBeResumedUnderEitherRequest() throws Exception {
 		beginStream("1");
-		endpoint("b").thenReset(STREAM_HEAD + LAST_EVENT)
+		endpoint("c").thenReset(STREAM_HEAD + LAST_EVENT)
 			.thenRespond(STREAM_HEAD + LAST_EVENT)
 			.thenRespond(STREAM_HEAD + LAST_EVENT);
 		try (Caller caller = new Caller()) {
@@ -664,7 +669,7 @@
 	@Test
 	void streamOfUnknownOriginIsRejectedAtOnceAsNotRun() throws Exception {
 		beginStream("1");
-		ScriptedEndpoint same = endpoint("b");
+		ScriptedEndpoint same = endpoint("c");
 		try (Caller caller = new Caller()) {
 			assertRejected(caller.call(RESUMED + "resumes: 7\r\nlast-event: 1", "2"), "stream_origin_unknown");
 			assertRejected(caller.call(RESUMED + "last-event: 1", "3"), "stream_origin_unknown");
@@ -679,9 +684,8 @@
 	// Guards against callers that wait although no endpoint of the version is left.
 	@Test
 	void streamWhoseVersionIsGoneIsRejectedAtOnceAsNotRun() throws Exception {
-		ScriptedEndpoint gone = beginStream("1");
-		put("a", "v1", gone, true, 1);
-		ScriptedEndpoint other = endpoint("c", "v2");
+		beginStream("1");
+		ScriptedEndpoint other = admitOtherVersion();
 		try (Caller caller = new Caller()) {
 			long start = System.nanoTime();
 			assertRejected(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2"), "stream_version_unavailable");
@@ -695,7 +699,7 @@
 	@Test
 	void streamOfAnEndpointThatHasBecomeAnotherVersionIsResumedOnlyIfItBeganBefore() throws Exception {
 		ScriptedEndpoint restarted = beginStream("1");
-		ScriptedEndpoint same = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
+		ScriptedEndpoint same = endpoint("c").thenRespond(STREAM_HEAD + LAST_EVENT);
 		put("a", "v2", restarted, false, System.currentTimeMillis() - 5000);
 		try (Caller caller = new Caller()) {
 			assertRejected(caller.call(RESUMED + "resumes: 1\r\nlast-event: 1", "2"), "stream_origin_unknown");
@@ -712,7 +716,9 @@
 	}
 
 	// Begins a stream at an endpoint of the first version that breaks off and is drained.
+	// An endpoint of another version is listed from the start, and so trusted.
 	private ScriptedEndpoint beginStream(String id) throws Exception {
+		put("b", "v2", this.otherVersion, true, 1);
 		ScriptedEndpoint first = endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
 		first.thenReset("");
 		try (Caller caller = new Caller()) {
@@ -722,13 +728,34 @@
 		return first;
 	}
 
+	private ScriptedEndpoint admitOtherVersion() throws InterruptedException {
+		put("b", "v2", this.otherVersion, false, 1);
+		return this.otherVersion;
+	}
+
+	// Makes placement prefer other endpoints.
+	private void recordFailure(String name) throws InterruptedException {
+		Endpoint failed = Objects.requireNonNull(this.endpoints.get(new EndpointId(name)));
+		this.eventLoop.submit(() -> failed.requestFailed(System.nanoTime(), System.nanoTime())).sync();
+	}
+
 	private ScriptedEndpoint endpoint(String name) throws Exception {
 		return endpoint(name, "v1");
 	}
 
+	private ScriptedEndpoint newScriptedEndpoint() {
+		try {
+			ScriptedEndpoint endpoint = new ScriptedEndpoint();
+			this.scriptedEndpoints.add(endpoint);
+			return endpoint;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	private ScriptedEndpoint endpoint(String name, String version) throws Exception {
-		ScriptedEndpoint endpoint = new ScriptedEndpoint();
-		this.scriptedEndpoints.add(endpoint);
+		ScriptedEndpoint endpoint = newScriptedEndpoint();
 		put(name, version, endpoint, false, 1);
 		return endpoint;
 	}
