Withhold streams from the candidate of an earlier order

A candidate that was rolled back got its streams again as soon as another version was ordered, as it would have got new requests: withholds looked at the newest order alone. Any candidate that no completed rollout made trusted is withheld. RolloutTableTests asserts it in the case that it has for new requests; its classes and RolloutFleetTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/rollout/RolloutTable.java
@@ -161,12 +161,14 @@
 	 * @param service the service
 	 * @param version the version
 	 * @param now the current time
-	 * @return whether the newest order of the service withholds requests from the version
+	 * @return whether it is the candidate of an order that was not completed, and does
+	 * not serve a part of the requests now
 	 */
 	public boolean withholds(ServiceName service, String version, long now) {
 		RolloutOrder order = this.orders.get(service);
 		if (order == null || !version.equals(order.candidate())) {
-			return false;
+			return this.orderedVersions.getOrDefault(service, Set.of()).contains(version)
+					&& !trustedVersionsOf(service).contains(version);
 		}
 		TimedDecision newest = this.decisions.get(service);
 		if (newest == null || newest.rollout().order().offset() != order.offset()) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/rollout/RolloutTableTests.java
@@ -62,6 +62,7 @@
 		decide(1, new RolloutStage.RolledBack());
 		this.table.addOrder(new RolloutOrder(SERVICE, "v3", Duration.ofSeconds(12), 8));
 		assertThat(versionsAt(60 * SECOND)).containsOnly("v1");
+		assertThat(this.serving.ofVersion(SERVICE, "v2", 60 * SECOND)).isEmpty();
 	}
 
 	// Guards against a stream of a candidate that goes on there after the rollback, or
