Say what identifiers, ages and routes of stream origins are

The valid identifiers of requests and the age of a known origin are described; the exchange keeps its routes in a map instead of a function over one; the retention is private. No behaviour changed; the tests of origins and of the exchange pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Function;
 
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -70,7 +69,7 @@
 	/** Streams whose route had only one version when they began. */
 	private final Set<StreamKey> unreplicated = new HashSet<>();
 
-	private Function<StreamOriginMessage.Query, @Nullable Route> routes = (query) -> null;
+	private final Map<String, Route> routesByPath = new HashMap<>();
 
 	private long searchCount;
 
@@ -98,9 +97,8 @@
 	 * @param newRoutes the routes
 	 */
 	void configure(List<Route> newRoutes) {
-		Map<String, Route> byPath = new HashMap<>();
-		newRoutes.forEach((route) -> byPath.put(route.host() + route.pathPrefix(), route));
-		this.routes = (query) -> byPath.get(query.host() + query.pathPrefix());
+		this.routesByPath.clear();
+		newRoutes.forEach((route) -> this.routesByPath.put(route.host() + route.pathPrefix(), route));
 		this.onlyVersions.recordRoutes(newRoutes, this.clock.nanos());
 	}
 
@@ -244,7 +242,7 @@
 
 	private StreamOriginMessage.Reply reply(StreamOriginMessage.Query query, long now) {
 		KnownOrigin known = this.table.find(query.stream(), now);
-		Route route = this.routes.apply(query);
+		Route route = this.routesByPath.get(query.host() + query.pathPrefix());
 		if (known == null && route != null) {
 			known = this.onlyVersions.originOf(route, now);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
@@ -24,7 +24,7 @@
 	/** Maximum time that the rest of a stream waits for the store. */
 	private static final Duration MAXIMUM_CONFIRMATION_WAIT = Duration.ofMillis(100);
 
-	/** Difference between the clocks of VMs. */
+	/** Maximum difference between the clocks of VMs. */
 	private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(50);
 
 	private final RequestDispatcher dispatcher;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
@@ -24,6 +24,7 @@
 	/** A caller that begins the stream anew need not wait. */
 	static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ZERO;
 
+	/** Visible ASCII characters but the comma, which joins repeated headers. */
 	private static final Predicate<String> VALID_REQUEST_ID = Pattern.compile("[!-+\\--~]{1,128}").asMatchPredicate();
 
 	private final RequestDispatcher dispatcher;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/KnownOrigin.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/KnownOrigin.java
@@ -7,8 +7,8 @@
  *
  * @param origin the origin
  * @param source where it is known from
- * @param age the time since the stream began, or for the only version of a service the
- * time since this gateway began to watch it
+ * @param age the time since the stream's first event, or for which a version has been the
+ * only one
  */
 public record KnownOrigin(StreamOrigin origin, Source source, Duration age) {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/StreamOriginTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/StreamOriginTable.java
@@ -16,7 +16,7 @@
 public final class StreamOriginTable {
 
 	/** Time after its first event within which a stream can be resumed. */
-	public static final Duration RETENTION = Duration.ofMinutes(1);
+	private static final Duration RETENTION = Duration.ofMinutes(1);
 
 	private static final int MAXIMUM_ORIGINS = 16_384;
 
