Log and count the decisions of the retry budgets

The logs could not tell why retries exceeded their budget: no line said that one was granted or refused, how many were available, or how large the fleet was believed to be.

Each granted retry has a line of its own, beyond the limit of lines, since the budget bounds them; refused ones fall under the limit and are counted. The decision moves from Exchange to RequestRetries; what is decided stays as it was.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -407,6 +407,7 @@
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.leaseHolderDuties.tick();
 			}
+			this.metrics.availableRetries(this.requestDispatcher.availableRetries());
 			this.metrics.replenishLogLines();
 			if (ready() != this.wasReady) {
 				this.wasReady = ready();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.exchange.RequestLog;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -48,6 +49,8 @@
 
 	private final Counter failedAttempts;
 
+	private final RetryMetrics retries;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -84,6 +87,7 @@
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
 			.register(registry);
+		this.retries = new RetryMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
@@ -154,6 +158,10 @@
 		this.quarantinedRequests.set(current.size());
 	}
 
+	void availableRetries(Map<ServiceName, Double> byService) {
+		this.retries.available(byService);
+	}
+
 	void endpointsAge(Duration age) {
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
@@ -219,6 +227,15 @@
 		}
 	}
 
+	// The budget bounds the granted retries, so that each of them is logged.
+	@Override
+	public void retryDecided(RetryDecision retry) {
+		this.retries.count(retry);
+		if (retry.granted() || tryAcquireLine()) {
+			this.retries.log(retry);
+		}
+	}
+
 	@Override
 	public void ended(EndedRequest request) {
 		this.requests.labelValues(request.outcome()).inc();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -89,6 +89,8 @@
 
 	private final StreamContinuation continuation;
 
+	private final RequestRetries retries;
+
 	private final double versionDraw;
 
 	private int attempts;
@@ -129,6 +131,7 @@
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
 		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
+		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name());
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -445,7 +448,7 @@
 	private boolean retryIfAllowed() {
 		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
 		if (!allowed || !remaining().isPositive() || this.crashTracking.quarantine().isPositive()
-				|| !this.dispatcher.retryBudget(this.service.name()).tryRetry()) {
+				|| !this.retries.tryRetry()) {
 			return false;
 		}
 		place();
@@ -469,7 +472,7 @@
 
 	private void responseTimedOut() {
 		Attempt current = this.currentAttempt;
-		if (this.ended || current == null || this.dispatcher.retryBudget(this.service.name()).available() < 1) {
+		if (this.ended || current == null || !this.retries.available()) {
 			return;
 		}
 		current.cancel();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -94,6 +94,8 @@
 
 	private int gatewayCount = 1;
 
+	private long gatewayCountChangedAt;
+
 	private double reachableShare = 1;
 
 	private DrainPhase drainPhase = DrainPhase.ALL;
@@ -136,6 +138,7 @@
 		this.retryLimits = retryLimits;
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
+		this.gatewayCountChangedAt = clock.nanos();
 	}
 
 	/**
@@ -175,6 +178,9 @@
 	 * @param newReachableShare the fraction of them that is reachable, from 0 to 1
 	 */
 	public void updateFleet(int newGatewayCount, double newReachableShare) {
+		if (newGatewayCount != this.gatewayCount) {
+			this.gatewayCountChangedAt = this.clock.nanos();
+		}
 		this.gatewayCount = newGatewayCount;
 		this.reachableShare = newReachableShare;
 		this.quotaLimiters.values().forEach((limiter) -> limiter.setReachableShare(newReachableShare));
@@ -336,6 +342,24 @@
 		return Math.max(2, (int) (service.maxConnections() * 0.9 / this.gatewayCount));
 	}
 
+	int gatewayCount() {
+		return this.gatewayCount;
+	}
+
+	Duration gatewayCountAge() {
+		return Duration.ofNanos(this.clock.nanos() - this.gatewayCountChangedAt);
+	}
+
+	/**
+	 * Returns the retries that are available for each service.
+	 * @return the number of retries by service
+	 */
+	public Map<ServiceName, Double> availableRetries() {
+		Map<ServiceName, Double> available = new HashMap<>();
+		this.retryBudgets.forEach((service, retryBudget) -> available.put(service, retryBudget.available()));
+		return available;
+	}
+
 	long configurationVersion() {
 		return (this.configuration != null) ? this.configuration.version() : 0;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -4,6 +4,7 @@
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -28,6 +29,12 @@
 	 */
 	void attemptFailed(FailedAttempt attempt, String reason);
 
+	/**
+	 * Called when the retry budget has granted or refused a retry.
+	 * @param retry the decision
+	 */
+	void retryDecided(RetryDecision retry);
+
 	/**
 	 * Called when a request has ended.
 	 * @param request the request
@@ -111,6 +118,22 @@
 
 	}
 
+	/**
+	 * A decision of the retry budget.
+	 *
+	 * @param requestId the request id
+	 * @param service the service of the request, whose budget decided
+	 * @param granted whether the request may be sent once more
+	 * @param available the retries that were available before the decision
+	 * @param grantedTotal the retries granted for the service since the process started,
+	 * including this one
+	 * @param fleetSize the number of gateways that the budget is divided by
+	 * @param fleetSizeAge the time for which the gateway has known that number
+	 */
+	record RetryDecision(String requestId, ServiceName service, boolean granted, double available, long grantedTotal,
+			int fleetSize, Duration fleetSizeAge) {
+	}
+
 	/**
 	 * A request that has ended.
 	 *
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -866,6 +866,10 @@
 		public void attemptFailed(FailedAttempt attempt, String reason) {
 		}
 
+		@Override
+		public void retryDecided(RetryDecision retry) {
+		}
+
 		@Override
 		public void ended(EndedRequest request) {
 		}
