Earn retries instead of bringing a reserve with each process

Cause: each process began with a reserve of half of what it might save, and that was the whole burst divided by the gateways it had heard, which is none at a start. Nine gateways brought three bursts with them, again after each kill. A gateway that had not heard the others for 12 s could also save the whole burst. The class: a limit of the fleet is divided by who is heard, and what a process knows nothing of counts as unspent.

Change: a gateway's retries are earned, 0.6 of the ratio by each of its requests and its share of 0.3 of the burst in a window, by the gateways that the store lists and one window after the list was read. They expire after half a window and two windows, so that any window sees at most 1.5 x 0.6 and 3 x 0.3 of the limits, whatever starts, ends or is silent. Fractions begin at random: in a large fleet each gateway earns less than one. A granted retry is held until it is sent, and given back if the request ends without sending it.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/AddressAnnouncement.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/AddressAnnouncement.java
@@ -63,6 +63,7 @@
 
 	@Override
 	public void readThrough(long nextOffset) {
+		this.directory.readThrough(nextOffset);
 		if (!this.announced) {
 			this.announced = true;
 			write();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -143,6 +143,14 @@
 		return this.directory.names();
 	}
 
+	/**
+	 * Returns the number of gateways that the store lists.
+	 * @return the number, including this gateway, or 0 if the list has not been read
+	 */
+	int listedGateways() {
+		return this.directory.listed() ? this.directory.names().size() : 0;
+	}
+
 	/**
 	 * Returns the addresses of all gateways of the fleet.
 	 * @return the addresses, including this gateway's
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -39,6 +39,7 @@
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.OnlyVersions;
+import org.banyancove.gateway.retry.RetryBudgets;
 import org.banyancove.gateway.rollout.RolloutController;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
@@ -138,6 +139,8 @@
 
 	private final OnlyVersions onlyVersions = new OnlyVersions(this::endpointsRecent);
 
+	private final RetryBudgets retryBudgets;
+
 	private final RequestDispatcher requestDispatcher;
 
 	private final CallerServer callerServer;
@@ -202,9 +205,10 @@
 		this.fleetExchange = new FleetExchange(this.address, this.eventLoop, this.clock, this.peerChannel,
 				this.peerTable, this::report, this::addRemoteUsage, this::applyRelayed, this.quarantine,
 				this.onlyVersions);
+		this.retryBudgets = new RetryBudgets(settings.retryLimits(), random::nextDouble, this.clock.nanos());
 		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
 				connections, this.servingEndpoints, new Freshness(), this.placementRule,
-				new Meters(this.usage, this.demandEstimator), this.metrics, settings.retryLimits(), this.quarantine,
+				new Meters(this.usage, this.demandEstimator), this.metrics, this.retryBudgets, this.quarantine,
 				this.fleetExchange.streamOrigins());
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.eventLoops = eventLoops;
@@ -395,6 +399,7 @@
 				.forEach((id) -> log.atInfo().addKeyValue("endpoint", id).log("endpoint gone"));
 			this.peerTable.expire(now);
 			applyFleetView(now);
+			this.retryBudgets.tick(this.fleetExchange.listedGateways(), now);
 			updateTunnels();
 			this.fleetExchange.streamOrigins().tick(now);
 			this.metrics.rememberedStreamOrigins(this.fleetExchange.streamOrigins().size());
@@ -407,7 +412,7 @@
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
 				this.leaseHolderDuties.tick();
 			}
-			this.metrics.availableRetries(this.requestDispatcher.availableRetries());
+			this.metrics.availableRetries(this.retryBudgets.available(now));
 			this.metrics.replenishLogLines();
 			if (ready() != this.wasReady) {
 				this.wasReady = ready();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayDirectory.java
@@ -42,6 +42,8 @@
 
 	private final Map<InetSocketAddress, String> namesByAddress = new HashMap<>();
 
+	private boolean listed;
+
 	private @Nullable Map<String, List<String>> groups;
 
 	private @Nullable List<OriginHolders.Member> originHolders;
@@ -70,6 +72,19 @@
 		}
 	}
 
+	@Override
+	public void readThrough(long nextOffset) {
+		this.listed = true;
+	}
+
+	/**
+	 * Returns whether the gateways' topic has been read.
+	 * @return whether all gateways that it lists are known
+	 */
+	boolean listed() {
+		return this.listed;
+	}
+
 	private void put(GatewayAddress gateway) {
 		GatewayAddress previous = this.gateways.put(gateway.name(), gateway);
 		if (previous != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -158,7 +158,7 @@
 		this.quarantinedRequests.set(current.size());
 	}
 
-	void availableRetries(Map<ServiceName, Double> byService) {
+	void availableRetries(Map<ServiceName, Integer> byService) {
 		this.retries.available(byService);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewaySettings.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 
 import org.banyancove.core.DataCenterName;
-import org.banyancove.gateway.exchange.RetryLimits;
+import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.ExposureLimits;
 import org.jspecify.annotations.Nullable;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RetryMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RetryMetrics.java
@@ -56,7 +56,7 @@
 			.log(retry.granted() ? "retry granted" : "retry refused");
 	}
 
-	void available(Map<ServiceName, Double> byService) {
+	void available(Map<ServiceName, Integer> byService) {
 		byService.forEach((service, available) -> this.availableRetries.labelValues(service.value()).set(available));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ErrorResponse.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ErrorResponse.java
@@ -21,6 +21,18 @@
 	private ErrorResponse() {
 	}
 
+	/**
+	 * Returns whether a status tells the caller that the request was not run.
+	 * @param status the status of an endpoint's response
+	 * @return whether it must not be forwarded for a request that may have run
+	 */
+	static boolean impliesNotRun(HttpResponseStatus status) {
+		return switch (status.code()) {
+			case 408, 421, 429, 503 -> true;
+			default -> false;
+		};
+	}
+
 	static FullHttpResponse of(ErrorKind kind, @Nullable Duration retryAfter) {
 		byte[] body = ("{\"error\":\"" + kind.code() + "\"}").getBytes(StandardCharsets.US_ASCII);
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -93,8 +93,6 @@
 
 	private final double versionDraw;
 
-	private int attempts;
-
 	private boolean mayHaveRun;
 
 	private boolean usageRecorded;
@@ -131,7 +129,7 @@
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
 		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
-		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name());
+		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name(), this.route);
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -163,7 +161,7 @@
 			placementFailed();
 			return;
 		}
-		if (this.attempts == 0) {
+		if (this.retries.attempts() == 0) {
 			this.dispatcher.meters()
 				.demand()
 				.add(this.service.name(), placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now());
@@ -190,7 +188,7 @@
 	}
 
 	private void placementFailed() {
-		Duration retryAfter = (this.attempts == 0)
+		Duration retryAfter = (this.retries.attempts() == 0)
 				? this.dispatcher.placement().retryAfter(eligible(), this.triedEndpoints, now()) : null;
 		if (retryAfter != null) {
 			reject(ErrorKind.OVERLOADED, this.dispatcher.admission().retryAfter(retryAfter));
@@ -206,14 +204,14 @@
 			return this.continuation.eligible(now());
 		}
 		boolean boundToEndpoint = this.route.kind() == RouteKind.STREAMING && !this.route.resumable();
-		return (this.attempts == 0)
+		return (this.retries.attempts() == 0)
 				? this.dispatcher.endpoints().forRequest(this.service.name(), boundToEndpoint, this.versionDraw, now())
 				: this.dispatcher.endpoints().stableEndpoints(this.service.name(), now());
 	}
 
 	private void waitForEndpoint() {
 		Duration wait = this.dispatcher.admission().maximumWait(this.route, remaining()).minus(elapsed());
-		Duration retryAfter = (this.attempts == 0)
+		Duration retryAfter = (this.retries.attempts() == 0)
 				? this.dispatcher.placement().retryAfterBackoff(eligible(), wait, now()) : null;
 		if (this.continuation.isBound() && eligible().stream().allMatch(Endpoint::draining)) {
 			endWithError(ErrorKind.STREAM_VERSION_UNAVAILABLE);
@@ -221,7 +219,7 @@
 		else if (retryAfter != null) {
 			reject(ErrorKind.NO_ENDPOINT, this.dispatcher.admission().retryAfter(retryAfter));
 		}
-		else if (wait.isPositive() && this.attempts == 0) {
+		else if (wait.isPositive() && this.retries.attempts() == 0) {
 			this.triedEndpoints.clear();
 			this.placementTimer = schedule(this::place, POLL_INTERVAL.toNanos());
 		}
@@ -231,9 +229,9 @@
 	}
 
 	private void send(Placement placement) {
-		this.attempts++;
+		this.retries.attemptStarted();
 		this.triedEndpoints.add(placement.endpoint().id());
-		Attempt newAttempt = new Attempt(this, placement, this.attempts, now());
+		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now());
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
 		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
@@ -352,7 +350,7 @@
 		if (retryIfAllowed()) {
 			return;
 		}
-		if (success || impliesNotRun(status)) {
+		if (success || ErrorResponse.impliesNotRun(status)) {
 			endWithError(ErrorKind.ENDPOINT_FAILED);
 		}
 		else {
@@ -360,14 +358,6 @@
 		}
 	}
 
-	// These statuses would tell the caller that the request was not run.
-	private static boolean impliesNotRun(HttpResponseStatus status) {
-		return switch (status.code()) {
-			case 408, 421, 429, 503 -> true;
-			default -> false;
-		};
-	}
-
 	private void handleNotRun(Attempt attempt, HttpResponseStatus status) {
 		this.dispatcher.requestLog().attemptFailed(attempt.describe(), "not run, status " + status.code());
 		if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
@@ -410,7 +400,7 @@
 					? attempt.describe().withFingerprint(this.crashTracking.fingerprint()) : attempt.describe(),
 					failure.name());
 		if (!failure.mayHaveRun()) {
-			this.attempts--;
+			this.retries.attemptNotSent();
 			if (failure != CallFailure.WITHDRAWN) {
 				attempt.endpoint().unreachable(attempt.sentAt(), now());
 			}
@@ -446,9 +436,9 @@
 	}
 
 	private boolean retryIfAllowed() {
-		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.attempts < this.route.maxAttempts();
+		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.retries.hasAttemptsLeft();
 		if (!allowed || !remaining().isPositive() || this.crashTracking.quarantine().isPositive()
-				|| !this.retries.tryRetry()) {
+				|| !this.retries.tryAcquire()) {
 			return false;
 		}
 		place();
@@ -465,14 +455,14 @@
 	private void startResponseTimer(Duration timeout) {
 		cancel(this.responseTimer);
 		this.responseTimer = null;
-		if (this.route.repeatable() && this.attempts < this.route.maxAttempts()) {
+		if (this.route.repeatable() && this.retries.hasAttemptsLeft()) {
 			this.responseTimer = schedule(this::responseTimedOut, timeout.toNanos());
 		}
 	}
 
 	private void responseTimedOut() {
 		Attempt current = this.currentAttempt;
-		if (this.ended || current == null || !this.retries.available()) {
+		if (this.ended || current == null || !this.retries.tryAcquire()) {
 			return;
 		}
 		current.cancel();
@@ -534,7 +524,7 @@
 			this.caller.abort();
 			return;
 		}
-		boolean outcomeUnknown = this.mayHaveRun || (kind == ErrorKind.OUTCOME_UNKNOWN && this.attempts > 0);
+		boolean outcomeUnknown = this.mayHaveRun || (kind == ErrorKind.OUTCOME_UNKNOWN && this.retries.attempts() > 0);
 		if (outcomeUnknown) {
 			ErrorKind reported = (kind == ErrorKind.OUTCOME_UNKNOWN) ? kind : ErrorKind.ENDPOINT_FAILED;
 			end(reported.code(), reported.status());
@@ -555,6 +545,7 @@
 		cancel(this.deadlineTimer);
 		cancel(this.responseTimer);
 		cancel(this.placementTimer);
+		this.retries.end();
 		this.dispatcher.ended();
 		Duration timeToFirstByte = (this.firstByteAt != null)
 				? Duration.ofNanos(this.firstByteAt - this.request.arrivedAt()) : null;
@@ -563,8 +554,8 @@
 		String endpointVersion = (last != null) ? last.version() : null;
 		this.dispatcher.requestLog()
 			.ended(new RequestLog.EndedRequest(this.requestId, this.route.name(), outcome, status, endpoint,
-					endpointVersion, this.requestHeaders.resumedRequestId(), this.attempts, timeToFirstByte, elapsed(),
-					this.configurationVersion));
+					endpointVersion, this.requestHeaders.resumedRequestId(), this.retries.attempts(), timeToFirstByte,
+					elapsed(), this.configurationVersion));
 	}
 
 	String requestId() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -15,7 +15,6 @@
 import org.banyancove.core.AccountName;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.ErrorKind;
-import org.banyancove.core.retry.RetryBudget;
 import org.banyancove.gateway.admission.AdmissionRule;
 import org.banyancove.gateway.admission.QuotaLimiter;
 import org.banyancove.gateway.configuration.ClientAccount;
@@ -26,6 +25,7 @@
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.resumption.StreamOrigins;
+import org.banyancove.gateway.retry.RetryBudgets;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
@@ -37,13 +37,6 @@
  */
 public final class RequestDispatcher {
 
-	/**
-	 * The share of the fleet's retry budget in use. The remainder covers gateways that
-	 * have counted differently or restarted, so that all of them together stay within the
-	 * budget.
-	 */
-	private static final double RETRY_BUDGET_SHARE = 0.7;
-
 	/**
 	 * The maximum number of requests that wait for the first configuration: one second of
 	 * requests at a gateway's peak load.
@@ -74,7 +67,7 @@
 
 	private final EndpointAnnouncements announcements;
 
-	private final RetryLimits retryLimits;
+	private final RetryBudgets retryBudgets;
 
 	private final RequestQuarantine quarantine;
 
@@ -84,8 +77,6 @@
 
 	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
 
-	private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
-
 	private final List<DeferredRequest> deferred = new ArrayList<>();
 
 	private @Nullable Configuration configuration;
@@ -94,8 +85,6 @@
 
 	private int gatewayCount = 1;
 
-	private long gatewayCountChangedAt;
-
 	private double reachableShare = 1;
 
 	private DrainPhase drainPhase = DrainPhase.ALL;
@@ -115,14 +104,14 @@
 	 * @param placement selects an endpoint
 	 * @param meters count the requests that ran and estimate their demand
 	 * @param requestLog receives the outcomes of requests
-	 * @param retryLimits the retry limits of the fleet
+	 * @param retryBudgets the retries that this gateway may grant
 	 * @param quarantine the requests that crash endpoints
 	 * @param streamOrigins the origins of the fleet's streams
 	 */
 	public RequestDispatcher(EventLoop eventLoop, MonotonicClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderCodec headerCodec, ConnectionPool connections, ServingEndpoints endpoints,
 			EndpointFreshness freshness, PlacementRule placement, Meters meters, RequestLog requestLog,
-			RetryLimits retryLimits, RequestQuarantine quarantine, StreamOrigins streamOrigins) {
+			RetryBudgets retryBudgets, RequestQuarantine quarantine, StreamOrigins streamOrigins) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -135,10 +124,9 @@
 		this.meters = meters;
 		this.requestLog = requestLog;
 		this.announcements = new EndpointAnnouncements(requestLog);
-		this.retryLimits = retryLimits;
+		this.retryBudgets = retryBudgets;
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
-		this.gatewayCountChangedAt = clock.nanos();
 	}
 
 	/**
@@ -178,13 +166,9 @@
 	 * @param newReachableShare the fraction of them that is reachable, from 0 to 1
 	 */
 	public void updateFleet(int newGatewayCount, double newReachableShare) {
-		if (newGatewayCount != this.gatewayCount) {
-			this.gatewayCountChangedAt = this.clock.nanos();
-		}
 		this.gatewayCount = newGatewayCount;
 		this.reachableShare = newReachableShare;
 		this.quotaLimiters.values().forEach((limiter) -> limiter.setReachableShare(newReachableShare));
-		this.retryBudgets.values().forEach((retryBudget) -> retryBudget.changeMaximumAvailable(maximumSavedRetries()));
 	}
 
 	/**
@@ -292,7 +276,7 @@
 			return InFlightRequest.NO_OP;
 		}
 		this.inProgress++;
-		retryBudget(accepted.service().name()).firstAttempt();
+		this.retryBudgets.recordRequest(accepted.service().name(), this.clock.nanos());
 		Exchange exchange = new Exchange(this, caller, request, requestHeaders, accepted, streamOrigin);
 		exchange.begin();
 		return exchange;
@@ -327,14 +311,8 @@
 		this.inProgress--;
 	}
 
-	RetryBudget retryBudget(ServiceName service) {
-		return this.retryBudgets.computeIfAbsent(service,
-				(name) -> new RetryBudget(this.retryLimits.ratio() * RETRY_BUDGET_SHARE, maximumSavedRetries() / 2,
-						maximumSavedRetries()));
-	}
-
-	private double maximumSavedRetries() {
-		return this.retryLimits.burst() * RETRY_BUDGET_SHARE / this.gatewayCount;
+	RetryBudgets retryBudgets() {
+		return this.retryBudgets;
 	}
 
 	// This gateway's share of the connections that an endpoint accepts from all gateways.
@@ -342,24 +320,6 @@
 		return Math.max(2, (int) (service.maxConnections() * 0.9 / this.gatewayCount));
 	}
 
-	int gatewayCount() {
-		return this.gatewayCount;
-	}
-
-	Duration gatewayCountAge() {
-		return Duration.ofNanos(this.clock.nanos() - this.gatewayCountChangedAt);
-	}
-
-	/**
-	 * Returns the retries that are available for each service.
-	 * @return the number of retries by service
-	 */
-	public Map<ServiceName, Double> availableRetries() {
-		Map<ServiceName, Double> available = new HashMap<>();
-		this.retryBudgets.forEach((service, retryBudget) -> available.put(service, retryBudget.available()));
-		return available;
-	}
-
 	long configurationVersion() {
 		return (this.configuration != null) ? this.configuration.version() : 0;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -127,10 +127,10 @@
 	 * @param available the retries that were available before the decision
 	 * @param grantedTotal the retries granted for the service since the process started,
 	 * including this one
-	 * @param fleetSize the number of gateways that the budget is divided by
+	 * @param fleetSize the number of gateways that share the burst, 0 if it is unknown
 	 * @param fleetSizeAge the time for which the gateway has known that number
 	 */
-	record RetryDecision(String requestId, ServiceName service, boolean granted, double available, long grantedTotal,
+	record RetryDecision(String requestId, ServiceName service, boolean granted, int available, long grantedTotal,
 			int fleetSize, Duration fleetSizeAge) {
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -34,8 +34,8 @@
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.exchange.ConnectionPool;
 import org.banyancove.gateway.exchange.ListeningSocket;
-import org.banyancove.gateway.exchange.RetryLimits;
 import org.banyancove.gateway.exchange.TestHeaderCodec;
+import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.ExposureLimits;
 import org.banyancove.gateway.rollout.Rollout;
 import org.banyancove.gateway.rollout.RolloutOrder;
@@ -227,9 +227,9 @@
 			this.starts++;
 			GatewaySettings settings = new GatewaySettings("gateway-" + this.number,
 					GatewayFleet.dataCenter(this.number), this.callers,
-					new InetSocketAddress(this.peers.getAddress(), 0), null, this.peers, new RetryLimits(0.2, 50),
-					Duration.ofSeconds(3), Duration.ofSeconds(5), false, false, Duration.ofSeconds(8),
-					ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
+					new InetSocketAddress(this.peers.getAddress(), 0), null, this.peers,
+					new RetryLimits(0.2, 50, Duration.ofSeconds(10)), Duration.ofSeconds(3), Duration.ofSeconds(5),
+					false, false, Duration.ofSeconds(8), ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
 			ConnectionPool connections = new ConnectionPool(this.eventLoops.next(), System::nanoTime,
 					this.partition::newChannel);
 			Gateway started = new Gateway(settings, this.eventLoops,
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RetryMetricsTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RetryMetricsTests.java
@@ -23,15 +23,15 @@
 		this.metrics.retryDecided(decision("desk", true));
 		this.metrics.retryDecided(decision("desk", false));
 		this.metrics.retryDecided(decision("engines", false));
-		this.metrics.availableRetries(Map.of(new ServiceName("desk"), 0.5));
+		this.metrics.availableRetries(Map.of(new ServiceName("desk"), 4));
 		assertThat(new MetricsText(this.registry).text()).contains("banyancove_retries_total{service=\"desk\"} 2.0",
 				"banyancove_refused_retries_total{service=\"desk\"} 1.0",
 				"banyancove_refused_retries_total{service=\"engines\"} 1.0",
-				"banyancove_available_retries{service=\"desk\"} 0.5");
+				"banyancove_available_retries{service=\"desk\"} 4.0");
 	}
 
 	private static RetryDecision decision(String service, boolean granted) {
-		return new RetryDecision("id", new ServiceName(service), granted, 1.5, 1, 9, Duration.ofSeconds(3));
+		return new RetryDecision("id", new ServiceName(service), granted, 1, 1, 9, Duration.ofSeconds(3));
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -42,6 +42,8 @@
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.KnownOrigin;
+import org.banyancove.gateway.retry.RetryBudgets;
+import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.tunnel.TunnelRefusal;
@@ -104,7 +106,8 @@
 				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
 				new SuppliedFreshness(), new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
-				new RetryLimits(1, 100), new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
+				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
+				new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
 	}
 
 	private CallerServer newServer(RequestDispatcher servedDispatcher) {
