State the time that is left when a connection is established

Endpoints were given up to 0.75 s more than the caller waits: the time left was computed before the connection was established, and a gateway that is cut off from endpoints waits for a direct connection and then for tunnels.

Cause: a duration is computed before a wait and sent after it. The header is now written again when the connection stands; a pooled connection sends at once.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.banyancove.gateway.endpoint.Endpoint;
@@ -165,7 +166,8 @@
 
 	// Another process of the endpoint may be another version.
 	@Override
-	public boolean maySend() {
+	public boolean maySend(HttpHeaders requestHeaders) {
+		this.exchange.headerCodec().writeRemaining(requestHeaders, this.exchange.remaining());
 		return this.exchange.maySend(this.endpoint) && this.endpoint.entry().sameIncarnation(this.entryWhenSent);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -42,7 +42,7 @@
 	}
 
 	boolean maySend() {
-		return this.listener.maySend();
+		return this.listener.maySend(this.request.headers());
 	}
 
 	FullHttpRequest assignTo(ClientConnection assigned) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -578,7 +578,7 @@
 		return Duration.ofNanos(now() - this.request.arrivedAt());
 	}
 
-	private Duration remaining() {
+	Duration remaining() {
 		return Duration.ofNanos(Math.max(0, this.deadlineAt - now()));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseListener.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseListener.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
@@ -10,10 +11,11 @@
 
 	/**
 	 * Returns whether the request may still be sent. Called once a new connection has
-	 * been established.
+	 * been established, to update headers that depend on the time.
+	 * @param requestHeaders the headers of the request
 	 * @return {@code false} to fail the call with {@link CallFailure#WITHDRAWN}
 	 */
-	default boolean maySend() {
+	default boolean maySend(HttpHeaders requestHeaders) {
 		return true;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/HeaderCodec.java
@@ -1,5 +1,7 @@
 package org.banyancove.gateway.shared;
 
+import java.time.Duration;
+
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -28,6 +30,13 @@
 	 */
 	void writeCall(HttpHeaders headers, EndpointCall call);
 
+	/**
+	 * Updates the remaining time in a request that is sent later than it was created.
+	 * @param headers the request headers
+	 * @param remaining the remaining time that the caller waits
+	 */
+	void writeRemaining(HttpHeaders headers, Duration remaining);
+
 	/**
 	 * Reads the metadata of an endpoint's response.
 	 * @param headers the response headers
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -21,9 +21,12 @@
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
@@ -85,10 +88,13 @@
 
 	private final List<ScriptedEndpoint> scriptedEndpoints = new ArrayList<>();
 
-	private final ConnectionPool connections = new ConnectionPool(this.eventLoop, System::nanoTime);
+	private final ConnectionPool connections = new ConnectionPool(this.eventLoop, System::nanoTime,
+			() -> new SlowlyConnectingChannel(this.connectMillis));
 
 	private final RolloutTable rollouts = new RolloutTable();
 
+	private volatile long connectMillis;
+
 	private volatile BooleanSupplier endpointsCurrent = () -> true;
 
 	private final RequestDispatcher dispatcher = newDispatcher();
@@ -202,6 +208,20 @@
 		}
 	}
 
+	// Guards against endpoints that are given more time than is left, since establishing
+	// the connection took a part of it.
+	@Test
+	void endpointIsToldTheTimeThatIsLeftWhenItsConnectionIsEstablished() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").thenRespond(COMPLETE);
+		this.connectMillis = 600;
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "deadline-ms: 3000", "", ""));
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+		String request = Objects.requireNonNull(endpoint.nextRequest());
+		assertThat(Integer.parseInt(ScriptedEndpoint.header(request, "deadline-ms"))).isLessThanOrEqualTo(2400);
+	}
+
 	// Guards against a request that crashes each endpoint and that its caller repeats
 	// until none is left.
 	@Test
@@ -859,6 +879,26 @@
 
 	}
 
+	/**
+	 * A channel that takes a while to connect.
+	 */
+	private static final class SlowlyConnectingChannel extends NioSocketChannel {
+
+		private final long connectMillis;
+
+		SlowlyConnectingChannel(long connectMillis) {
+			this.connectMillis = connectMillis;
+		}
+
+		@Override
+		public ChannelFuture connect(SocketAddress remoteAddress, ChannelPromise promise) {
+			eventLoop().schedule(() -> super.connect(remoteAddress, promise), this.connectMillis,
+					TimeUnit.MILLISECONDS);
+			return promise;
+		}
+
+	}
+
 	private static final class NoOpRequestLog implements RequestLog {
 
 		@Override
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -31,11 +31,19 @@
 	@Override
 	public void writeCall(HttpHeaders headers, EndpointCall call) {
 		headers.set("endpoint", call.endpoint().value());
+		if (call.remaining() != null) {
+			writeRemaining(headers, call.remaining());
+		}
 		if (call.lastEventId() != null) {
 			headers.set("last-event", call.lastEventId());
 		}
 	}
 
+	@Override
+	public void writeRemaining(HttpHeaders headers, Duration remaining) {
+		headers.set("deadline-ms", remaining.toMillis());
+	}
+
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
 		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
