Share the connections of an endpoint among the gateways that the store lists

A fleet that starts at once has heard none, and gateways that lost each other's datagrams count only themselves after 12 s, so that 65 of them may open 65 times as many, which endpoints reset.

The limit is divided by the gateways that the store lists. Until the list is read, a gateway opens two connections at most.

Measured: ExchangeTests pass; before, the limit at a start was 405 of 450 at each gateway.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -365,7 +365,7 @@
 	private void applyFleetView(long now) {
 		this.fleetView = this.peerTable.view(now);
 		this.readDelegation.update(this.fleetView);
-		this.requestDispatcher.updateFleet(this.fleetView.otherGateways() + 1, this.fleetView.reachableShare());
+		this.requestDispatcher.updateFleet(this.fleetExchange.listedGateways(), this.fleetView.reachableShare());
 		this.placementRule.setUnreachableDataCenters(this.fleetView.unreachableDataCenters());
 		applyRateLimits(now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -43,6 +43,9 @@
 	 */
 	private static final int MAXIMUM_DEFERRED_REQUESTS = 256;
 
+	/** The connections to an endpoint that a gateway needs to serve at all. */
+	private static final int MINIMUM_CONNECTIONS = 2;
+
 	private final EventLoop eventLoop;
 
 	private final MonotonicClock clock;
@@ -83,7 +86,7 @@
 
 	private final Map<AccountName, Double> acceptedByRemovedLimiters = new HashMap<>();
 
-	private int gatewayCount = 1;
+	private int gatewayCount;
 
 	private double reachableShare = 1;
 
@@ -162,7 +165,8 @@
 
 	/**
 	 * Updates the size of the fleet.
-	 * @param newGatewayCount the number of gateways, including this one
+	 * @param newGatewayCount the number of gateways that may be running, including this
+	 * one, or 0 if it is unknown
 	 * @param newReachableShare the fraction of them that is reachable, from 0 to 1
 	 */
 	public void updateFleet(int newGatewayCount, double newReachableShare) {
@@ -317,7 +321,10 @@
 
 	// This gateway's share of the connections that an endpoint accepts from all gateways.
 	int maximumConnections(Service service) {
-		return Math.max(2, (int) (service.maxConnections() * 0.9 / this.gatewayCount));
+		if (this.gatewayCount == 0) {
+			return MINIMUM_CONNECTIONS;
+		}
+		return Math.max(MINIMUM_CONNECTIONS, (int) (service.maxConnections() * 0.9 / this.gatewayCount));
 	}
 
 	long configurationVersion() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -108,12 +108,15 @@
 	private @Nullable Channel serverChannel;
 
 	private RequestDispatcher newDispatcher() {
-		return new RequestDispatcher(this.eventLoop, System::nanoTime, InstantSource.system(), new SplittableRandom(1),
-				new TestHeaderCodec(), this.connections, new ServingEndpoints(this.endpoints, this.rollouts),
-				new SuppliedFreshness(), new PlacementRule(DATA_CENTER, () -> 0),
+		RequestDispatcher created = new RequestDispatcher(this.eventLoop, System::nanoTime, InstantSource.system(),
+				new SplittableRandom(1), new TestHeaderCodec(), this.connections,
+				new ServingEndpoints(this.endpoints, this.rollouts), new SuppliedFreshness(),
+				new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
 				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
 				new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
+		created.updateFleet(1, 1);
+		return created;
 	}
 
 	private CallerServer newServer(RequestDispatcher servedDispatcher) {
@@ -208,6 +211,17 @@
 		}
 	}
 
+	// Guards against gateways of a starting fleet that each open the connections that an
+	// endpoint accepts from all of them.
+	@Test
+	void connectionsToAnEndpointAreSharedByTheListedGateways() {
+		Service service = new Service(SERVICE, 450, null, null);
+		this.dispatcher.updateFleet(0, 1);
+		assertThat(this.dispatcher.maximumConnections(service)).isEqualTo(2);
+		this.dispatcher.updateFleet(65, 0.1);
+		assertThat(this.dispatcher.maximumConnections(service)).isEqualTo(6);
+	}
+
 	// Guards against endpoints that are given more time than is left, since establishing
 	// the connection took a part of it.
 	@Test
