--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -164,10 +164,11 @@
 		}
 	}
 
-	// Another process of the endpoint may be another version.
 	@Override
 	public boolean maySend(HttpHeaders requestHeaders) {
+		// Establishing the connection took a part of the time.
 		this.exchange.headerCodec().writeRemaining(requestHeaders, this.exchange.remaining());
+		// Another process of the endpoint may be another version.
 		return this.exchange.maySend(this.endpoint) && this.endpoint.entry().sameIncarnation(this.entryWhenSent);
 	}
 
