Reset connections of a test's endpoint that another thread has closed

A crash of the stand-in resets its connections while the thread that serves one of them may close it; setting an option of a closed socket throws.

The connection has ended either way, so the exception is ignored if the socket is closed and thrown otherwise. What the tests check stays as it was.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/VersionedEndpoint.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -90,7 +91,15 @@
 	}
 
 	private static void reset(Socket connection) throws IOException {
-		connection.setSoLinger(true, 0);
+		try {
+			connection.setSoLinger(true, 0);
+		}
+		catch (SocketException ex) {
+			// The thread that serves the connection may have closed it meanwhile.
+			if (!connection.isClosed()) {
+				throw ex;
+			}
+		}
 		connection.close();
 	}
 
