--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -199,8 +199,7 @@
 		}
 
 		// A killed gateway may leave a socket open. The next one then listens on other
-		// ports,
-		// as if another VM had replaced it.
+		// ports, as if another VM had replaced it.
 		void start() throws IOException, InterruptedException {
 			for (int attempt = 1;; attempt++) {
 				try {
