Log the parts of requests that are lost with an endpoint

Cause: the logs could not distinguish the hypotheses of the incident: a lost request was named by a fingerprint of all of it alone. Change: 'attempt failed' lines of lost requests name the shared parts of the prompt and whether an event had been received; a counter of lost attempts by the same. CrashTracking describes the request, so that Exchange does not grow. A prompt that lists thousands of parts is cut.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
@@ -45,10 +46,14 @@
 
 	private static final int MAXIMUM_IDENTIFIER_LENGTH = 64;
 
+	private static final int MAXIMUM_LOGGED_PARTS = 8;
+
 	private final Counter requests;
 
 	private final Counter failedAttempts;
 
+	private final Counter lostAttempts;
+
 	private final RetryMetrics retries;
 
 	private final Counter requestedPauses;
@@ -87,6 +92,11 @@
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
 			.register(registry);
+		this.lostAttempts = Counter.builder()
+			.name("banyancove_lost_attempts_total")
+			.help("Attempts whose connection the endpoint ended, by whether an event of the response had been received")
+			.labelNames("response")
+			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.name("banyancove_requested_pauses_total")
@@ -212,6 +222,9 @@
 	@Override
 	public void attemptFailed(FailedAttempt attempt, String reason) {
 		this.failedAttempts.inc();
+		if (attempt.lost() != null) {
+			this.lostAttempts.labelValues(attempt.lost().begun() ? "begun" : "not_begun").inc();
+		}
 		if (tryAcquireLine()) {
 			log.atInfo()
 				.addKeyValue("requestId", attempt.requestId())
@@ -222,11 +235,17 @@
 				.addKeyValue("elapsedMs", attempt.elapsed().toMillis())
 				.addKeyValue("reason", reason)
 				.addKeyValue("retryAfterMs", (attempt.retryAfter() != null) ? attempt.retryAfter().toMillis() : null)
-				.addKeyValue("fingerprint", (attempt.fingerprint() != null) ? attempt.fingerprint().toHex() : null)
+				.addKeyValue("fingerprint", (attempt.lost() != null) ? attempt.lost().fingerprint().toHex() : null)
+				.addKeyValue("sharedParts", (attempt.lost() != null) ? hexadecimal(attempt.lost().sharedParts()) : null)
+				.addKeyValue("begun", (attempt.lost() != null) ? attempt.lost().begun() : null)
 				.log("attempt failed");
 		}
 	}
 
+	private static String hexadecimal(List<Long> parts) {
+		return parts.stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).collect(Collectors.joining(","));
+	}
+
 	// The budget bounds the granted retries, so that each of them is logged.
 	@Override
 	public void retryDecided(RetryDecision retry) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
@@ -14,6 +14,9 @@
 	/** The prompt of a request whose headers do not describe one. */
 	public static final Prompt NONE = new Prompt(List.of(), 0, 0);
 
+	/** Bounds the work for a caller that lists thousands of parts. */
+	private static final int MAXIMUM_SHARED_PARTS = 64;
+
 	/**
 	 * Creates the prompt.
 	 */
@@ -30,6 +33,19 @@
 		return (long) this.inputTokens + this.maximumOutputTokens;
 	}
 
+	/**
+	 * Returns the identifiers of the parts that other requests may share, each once.
+	 * @return the first {@value #MAXIMUM_SHARED_PARTS} of them
+	 */
+	public List<Long> sharedPartIds() {
+		return this.parts.stream()
+			.limit(Math.max(0, this.parts.size() - 1))
+			.map(PromptPart::id)
+			.distinct()
+			.limit(MAXIMUM_SHARED_PARTS)
+			.toList();
+	}
+
 	/**
 	 * Returns the identifier of the last part that other requests may share.
 	 * @return the part's identifier, 0 if there is none
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -100,6 +100,10 @@
 		return this.head == null;
 	}
 
+	boolean begun() {
+		return this.eventCount > 0;
+	}
+
 	ByteBuf body() {
 		return this.body;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CrashTracking.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CrashTracking.java
@@ -4,6 +4,7 @@
 
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.configuration.ClientAccount;
+import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.jspecify.annotations.Nullable;
 
@@ -16,13 +17,16 @@
 
 	private final CallerRequest request;
 
+	private final Prompt prompt;
+
 	private final @Nullable ClientAccount account;
 
 	private @Nullable Fingerprint fingerprint;
 
-	CrashTracking(RequestDispatcher dispatcher, CallerRequest request, @Nullable ClientAccount account) {
+	CrashTracking(RequestDispatcher dispatcher, CallerRequest request, Prompt prompt, @Nullable ClientAccount account) {
 		this.dispatcher = dispatcher;
 		this.request = request;
+		this.prompt = prompt;
 		this.account = account;
 	}
 
@@ -53,7 +57,16 @@
 		this.dispatcher.quarantine().recordCompletion(fingerprint(), this.dispatcher.clock().nanos());
 	}
 
-	Fingerprint fingerprint() {
+	/**
+	 * Describes the request after an endpoint ended its connection.
+	 * @param attempt the attempt at the endpoint
+	 * @return what the request was and whether its response had begun
+	 */
+	RequestLog.LostRequest describe(Attempt attempt) {
+		return new RequestLog.LostRequest(fingerprint(), this.prompt.sharedPartIds(), attempt.begun());
+	}
+
+	private Fingerprint fingerprint() {
 		Fingerprint computed = this.fingerprint;
 		if (computed == null) {
 			computed = this.request.fingerprint((this.account != null) ? this.account.name() : null);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -127,7 +127,7 @@
 		this.deadlineAt = request.arrivedAt() + timeout.toNanos();
 		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
-		this.crashTracking = new CrashTracking(dispatcher, request, this.account);
+		this.crashTracking = new CrashTracking(dispatcher, request, requestHeaders.prompt(), this.account);
 		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
 		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name(), this.route);
 		this.versionDraw = dispatcher.nextRandom();
@@ -396,9 +396,8 @@
 			return;
 		}
 		this.dispatcher.requestLog()
-			.attemptFailed(failure.connectionLost()
-					? attempt.describe().withFingerprint(this.crashTracking.fingerprint()) : attempt.describe(),
-					failure.name());
+			.attemptFailed(failure.connectionLost() ? attempt.describe().withLost(this.crashTracking.describe(attempt))
+					: attempt.describe(), failure.name());
 		if (!failure.mayHaveRun()) {
 			this.retries.attemptNotSent();
 			if (failure != CallFailure.WITHDRAWN) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.exchange;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.EndpointId;
@@ -103,21 +104,40 @@
 	 * @param number the attempt number, starting at 1 for each request
 	 * @param predictedMillis the predicted response time, in ms
 	 * @param elapsed the time since the request was sent
-	 * @param fingerprint the fingerprint that copies of the request have in common, or
-	 * {@code null} if the endpoint did not end the connection
+	 * @param lost what the endpoint had of the request when it ended the connection, or
+	 * {@code null} if it did not end it
 	 * @param retryAfter the time for which the endpoint asked for no further requests, or
 	 * {@code null}
 	 */
 	record FailedAttempt(String requestId, String endpoint, String endpointVersion, int number, double predictedMillis,
-			Duration elapsed, @Nullable Fingerprint fingerprint, @Nullable Duration retryAfter) {
+			Duration elapsed, @Nullable LostRequest lost, @Nullable Duration retryAfter) {
 
-		FailedAttempt withFingerprint(Fingerprint known) {
+		FailedAttempt withLost(LostRequest known) {
 			return new FailedAttempt(this.requestId, this.endpoint, this.endpointVersion, this.number,
 					this.predictedMillis, this.elapsed, known, this.retryAfter);
 		}
 
 	}
 
+	/**
+	 * A request whose connection the endpoint ended.
+	 *
+	 * @param fingerprint the fingerprint that copies of the request have in common
+	 * @param sharedParts the identifiers of the parts of its prompt that other requests
+	 * may share
+	 * @param begun whether an event of the response had been received
+	 */
+	record LostRequest(Fingerprint fingerprint, List<Long> sharedParts, boolean begun) {
+
+		/**
+		 * Creates the description.
+		 */
+		public LostRequest {
+			sharedParts = List.copyOf(sharedParts);
+		}
+
+	}
+
 	/**
 	 * A decision of the retry budget.
 	 *
