--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -254,6 +254,26 @@
 		}
 	}
 
+	// Guards against requests of which no two are alike, but whose common part crashes
+	// each
+	// endpoint.
+	@Test
+	void requestsWithAPartThatCrashedEndpointsAreNotSent() throws Exception {
+		for (int i = 0; i < 12; i++) {
+			endpoint("crashing-" + i).thenCrash(STREAM_HEAD);
+		}
+		try (Caller caller = new Caller()) {
+			for (int i = 0; i < 6; i++) {
+				caller.call("GET /again/" + i + " HTTP/1.1\r\nparts: " + i + ",77," + (100 + i), "crash-" + i);
+			}
+			int arrived = this.scriptedEndpoints.stream().mapToInt(ScriptedEndpoint::unreadRequests).sum();
+			Response response = caller.call("GET /again/x HTTP/1.1\r\nparts: 77,9,200", "crash");
+			assertThat(response.status()).isEqualTo(503);
+			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [1-9]");
+			assertThat(arrived).isLessThanOrEqualTo(5);
+		}
+	}
+
 	// Guards against an endpoint that stays unused because of a late answer in which its
 	// former process announced its shutdown.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -1,13 +1,16 @@
 package org.banyancove.gateway.exchange;
 
 import java.time.Duration;
+import java.util.Arrays;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.endpoint.PromptPart;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.EndpointCall;
 import org.banyancove.gateway.shared.EndpointHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A header codec with short header names for tests.
@@ -20,7 +23,14 @@
 		return new CallerHeaders(headers.get("id"),
 				(deadline != null) ? Duration.ofMillis(Long.parseLong(deadline)) : null, headers.get("key"),
 				headers.get("last-event"),
-				headers.contains("resumes") ? String.join(",", headers.getAll("resumes")) : null, Prompt.NONE);
+				headers.contains("resumes") ? String.join(",", headers.getAll("resumes")) : null,
+				prompt(headers.get("parts")));
+	}
+
+	private static Prompt prompt(@Nullable String parts) {
+		return (parts != null) ? new Prompt(
+				Arrays.stream(parts.split(",")).map((id) -> new PromptPart(Long.parseLong(id), 1)).toList(), 1, 1)
+				: Prompt.NONE;
 	}
 
 	@Override
