Count an endpoint as alive only by answers of connections that it had before

Evidence of one process was taken for evidence of another. Measured: the new unit test fails on the code before (by the code: the old method knew no connections); CrashingRequestFleetTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -119,7 +119,7 @@
 
 	private @Nullable Long unlistedAt;
 
-	private @Nullable Long latestAnsweredSentAt;
+	private final ProcessLife processLife = new ProcessLife();
 
 	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefillLatency,
 			RejectionTolerance rejectionTolerance, FleetAllocation allocation) {
@@ -179,7 +179,7 @@
 			this.consecutiveFailures = 0;
 			this.failureRate = 0;
 			this.backoffUntil = Long.MIN_VALUE;
-			this.latestAnsweredSentAt = null;
+			this.processLife.clear();
 			this.pause = new EndpointPause();
 			this.shutdownAnnounced = false;
 			this.rateLimiter = new EndpointRateLimiter(newer.id(), this.allocation);
@@ -367,23 +367,11 @@
 	}
 
 	/**
-	 * Records that the endpoint itself began to answer a request.
-	 * @param sentAt when the request was sent
-	 */
-	public void recordAnswerStart(long sentAt) {
-		if (this.latestAnsweredSentAt == null || sentAt > this.latestAnsweredSentAt) {
-			this.latestAnsweredSentAt = sentAt;
-		}
-	}
-
-	/**
-	 * Returns whether the endpoint answered a request that was sent after a time, and was
-	 * therefore alive then.
-	 * @param time the time
-	 * @return whether it answered such a request
+	 * Returns the time in which the endpoint's process is known to have run.
+	 * @return the time
 	 */
-	boolean answeredRequestSentAfter(long time) {
-		return this.latestAnsweredSentAt != null && this.latestAnsweredSentAt > time;
+	public ProcessLife processLife() {
+		return this.processLife;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -187,16 +187,16 @@
 	}
 
 	/**
-	 * Returns whether an endpoint, listed or removed lately, answered a request that was
-	 * sent after a time.
+	 * Returns whether the process of an endpoint, listed or removed lately, is known not
+	 * to have ended at a time.
 	 * @param id the endpoint's identifier
 	 * @param time the time
-	 * @return whether it was alive then
+	 * @return whether the same process answered later
 	 */
-	public boolean answeredRequestSentAfter(EndpointId id, long time) {
+	public boolean wasAlive(EndpointId id, long time) {
 		RemovedEndpoint earlier = this.removed.get(id);
 		Endpoint endpoint = (earlier != null) ? earlier.endpoint() : this.endpoints.get(id);
-		return endpoint != null && endpoint.answeredRequestSentAfter(time);
+		return endpoint != null && endpoint.processLife().includes(time);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -187,7 +187,7 @@
 		boolean currentProcess = !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
 				&& this.endpoint.entry().sameIncarnation(this.entryWhenSent);
 		if (currentProcess) {
-			this.endpoint.recordAnswerStart(this.sentAt);
+			this.endpoint.processLife().answered(connectedAt(), this.sentAt);
 			this.exchange.announcements()
 				.applyProcessState(this.endpoint, response.status(), headers, this.exchange.now());
 		}
@@ -195,6 +195,10 @@
 		return true;
 	}
 
+	private long connectedAt() {
+		return (this.call != null) ? this.call.connectedAt() : this.sentAt;
+	}
+
 	@Override
 	public void content(ByteBuf content) {
 		if (this.exchange.isStreaming(this)) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -37,6 +37,18 @@
 		}
 	}
 
+	/**
+	 * Returns when the connection was established that the request was sent on.
+	 * @return the monotonic time in ns
+	 * @throws IllegalStateException if the request was not sent
+	 */
+	long connectedAt() {
+		if (this.connection == null) {
+			throw new IllegalStateException("the request was not sent");
+		}
+		return this.connection.connectedAt();
+	}
+
 	boolean ended() {
 		return this.ended;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -44,6 +44,8 @@
 
 	private final Channel channel;
 
+	private final long connectedAt;
+
 	private final long expiresAt;
 
 	private @Nullable ClientCall call;
@@ -60,10 +62,12 @@
 
 	private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
 
-	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, long expiresAt) {
+	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, long connectedAt,
+			long expiresAt) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
+		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
 	}
 
@@ -71,6 +75,10 @@
 		return this.address;
 	}
 
+	long connectedAt() {
+		return this.connectedAt;
+	}
+
 	void idleSince(long now) {
 		this.idleSince = now;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -149,9 +149,9 @@
 	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected) {
 		Channel channel = connected.channel();
 		channel.closeFuture().addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
-		long expiresAt = connected.tunnelled() ? this.clock.nanos() + TunnelServer.MAXIMUM_AGE.toNanos()
-				: Long.MAX_VALUE;
-		ClientConnection connection = new ClientConnection(this, address, channel, expiresAt);
+		long connectedAt = this.clock.nanos();
+		long expiresAt = connected.tunnelled() ? connectedAt + TunnelServer.MAXIMUM_AGE.toNanos() : Long.MAX_VALUE;
+		ClientConnection connection = new ClientConnection(this, address, channel, connectedAt, expiresAt);
 		channel.pipeline()
 			.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
 			.addLast(connection);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectRequest.java
@@ -102,7 +102,7 @@
 	List<Crash> successiveCrashes(EndpointTable endpoints) {
 		List<Crash> successive = new ArrayList<>(this.crashes.size());
 		for (Crash crash : this.crashes) {
-			boolean alive = endpoints.answeredRequestSentAfter(crash.endpoint(), crash.lostAt());
+			boolean alive = endpoints.wasAlive(crash.endpoint(), crash.lostAt());
 			if (!alive && (successive.isEmpty() || crash.sentAt() >= successive.getLast().lostAt())) {
 				successive.add(crash);
 			}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
@@ -498,7 +498,7 @@
 			}
 			else if (!run.begun && age >= TIME_TO_FIRST_EVENT.toNanos()) {
 				run.begun = true;
-				run.endpoint.recordAnswerStart(run.sentAt);
+				run.endpoint.processLife().answered(run.sentAt, run.sentAt);
 				if (run.firstAttempt && !isDeadly(run.request)) {
 					CrashSimulation.this.soundBegun++;
 				}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -398,7 +398,7 @@
 				else if (time - run.sentAt() >= RESPONSE_TIME.toNanos()) {
 					this.running.remove(run);
 					run.backend().runs.remove(run);
-					run.endpoint().recordAnswerStart(run.sentAt());
+					run.endpoint().processLife().answered(run.sentAt(), run.sentAt());
 					this.quarantine.recordCompletion(run.request(), time);
 					CrashingRequestFleetTests.this.answered++;
 				}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -89,9 +89,9 @@
 		crash("a", 0, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
-		endpoint.recordAnswerStart(millis(90));
+		endpoint.processLife().answered(millis(0), millis(90));
 		assertThat(remaining(600)).isPositive();
-		endpoint.recordAnswerStart(millis(550));
+		endpoint.processLife().answered(millis(0), millis(550));
 		assertThat(remaining(600)).isZero();
 	}
 
@@ -104,7 +104,7 @@
 		crash("a", 0, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
-		endpoint.recordAnswerStart(millis(550));
+		endpoint.processLife().answered(millis(0), millis(550));
 		this.endpoints.remove(endpoint.id(), millis(580));
 		assertThat(remaining(600)).isZero();
 	}
@@ -116,11 +116,23 @@
 		crash("a", 0, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
-		endpoint("a", 1).recordAnswerStart(millis(550));
+		endpoint("a", 1).processLife().answered(millis(0), millis(550));
 		endpoint("a", 2);
 		assertThat(remaining(600)).isPositive();
 	}
 
+	// Guards against an endpoint that counts as alive because it answers under its
+	// identifier before its new entry is read.
+	@Test
+	void answersOnALaterConnectionDoNotShowThatTheProcessSurvived() {
+		Endpoint endpoint = endpoint("a", 1);
+		crash("a", 0, 100);
+		crash("b", 200, 300);
+		crash("c", 400, 500);
+		endpoint.processLife().answered(millis(400), millis(550));
+		assertThat(remaining(600)).isPositive();
+	}
+
 	// Guards against a request that crashes three endpoints after each quarantine.
 	@Test
 	void oneCrashAfterTheQuarantineRenewsIt() {
