Quarantine the parts of prompts that crash endpoints

Callers saw: requests that shared one part of their prompts, no two alike, ended endpoint after endpoint; all that ran there failed with them. Cause: the quarantine had one key, the whole request, so that no key of these requests reached three crashes but those of their victims. The class: a failure is remembered under one key while the fault travels with another. Change: the same quarantine remembers each shared part beside the request. A part counts by crashes of attempts whose response had not been under way for 250 ms; a response begun later clears it. As an endpoint takes innocents with it, a suspect counts only by the crashes that no stronger one explains. A crash is told at once and relayed at once. After a minute, one gateway at a time, by turns, tries one request. Older gateways read the same reports.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/FleetExchange.java
@@ -58,6 +58,9 @@
 	 */
 	private static final Duration MEMBER_TIMEOUT = Duration.ofMillis(1500);
 
+	/** Lets the losses of one endpoint, of all its connections, arrive. */
+	private static final Duration CRASH_REPORT_DELAY = Duration.ofMillis(10);
+
 	private final String name;
 
 	private final EventLoop eventLoop;
@@ -88,6 +91,8 @@
 
 	private List<String> ownAggregators = List.of();
 
+	private boolean suspectReportDue;
+
 	/**
 	 * Creates the exchange.
 	 * @param own the address of this gateway
@@ -117,6 +122,7 @@
 		this.streamOrigins = new StreamOriginExchange(own, this.directory, transport, clock,
 				(action, delay) -> eventLoop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS), onlyVersions);
 		this.selection = new AggregatorSelection(own.name());
+		quarantine.setCrashListener(this::reportSuspectsSoon);
 	}
 
 	/**
@@ -218,6 +224,25 @@
 		reportSuspects(aggregator, now);
 	}
 
+	// The requests that are lost with one endpoint are reported together.
+	private void reportSuspectsSoon() {
+		if (!this.suspectReportDue) {
+			this.suspectReportDue = true;
+			this.eventLoop.schedule(() -> {
+				this.suspectReportDue = false;
+				long now = this.clock.nanos();
+				reportSuspects(aggregators(this.directory.ownGroup(), now).contains(this.name), now);
+			}, CRASH_REPORT_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void receiveSuspects(Map<Fingerprint, SuspectReport> reports) {
+		boolean added = this.quarantine.merge(reports, this.clock.nanos());
+		if (added && !this.directory.fullMesh() && this.ownAggregators.contains(this.name)) {
+			reportSuspectsSoon();
+		}
+	}
+
 	private void reportSuspects(boolean aggregator, long now) {
 		boolean relays = aggregator && !this.directory.fullMesh();
 		Map<Fingerprint, SuspectReport> reports = relays ? this.quarantine.relayedReports(now)
@@ -322,7 +347,7 @@
 				case PeerMessage.Summary received ->
 					this.remoteUsage.accept(this.peerTable.receive(received.summary(), this.clock.nanos()));
 				case PeerMessage.Relay received -> this.relayedRecords.accept(received.records());
-				case PeerMessage.Suspects received -> this.quarantine.merge(received.reports(), this.clock.nanos());
+				case PeerMessage.Suspects received -> receiveSuspects(received.reports());
 				case StreamOriginMessage received -> this.streamOrigins.receive(sender, gateway, received);
 			}
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.Configuration;
@@ -194,11 +195,25 @@
 	 * @return whether the same process answered later
 	 */
 	public boolean wasAlive(EndpointId id, long time) {
-		RemovedEndpoint earlier = this.removed.get(id);
-		Endpoint endpoint = (earlier != null) ? earlier.endpoint() : this.endpoints.get(id);
+		Endpoint endpoint = listedOrRemoved(id);
 		return endpoint != null && endpoint.processLife().includes(time);
 	}
 
+	/**
+	 * Returns the data center of an endpoint, listed or removed lately.
+	 * @param id the endpoint's identifier
+	 * @return its data center, or {@code null} if the endpoint is unknown
+	 */
+	public @Nullable DataCenterName dataCenterOf(EndpointId id) {
+		Endpoint endpoint = listedOrRemoved(id);
+		return (endpoint != null) ? endpoint.entry().dataCenter() : null;
+	}
+
+	private @Nullable Endpoint listedOrRemoved(EndpointId id) {
+		RemovedEndpoint earlier = this.removed.get(id);
+		return (earlier != null) ? earlier.endpoint() : this.endpoints.get(id);
+	}
+
 	/**
 	 * Returns all endpoints.
 	 * @return the endpoints
@@ -207,6 +222,14 @@
 		return List.copyOf(this.endpoints.values());
 	}
 
+	/**
+	 * Returns the allocation of what all gateways share.
+	 * @return the allocation
+	 */
+	public FleetAllocation fleetAllocation() {
+		return this.fleetAllocation;
+	}
+
 	/**
 	 * Returns an endpoint.
 	 * @param id the endpoint's identifier
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/FleetAllocation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/FleetAllocation.java
@@ -65,6 +65,18 @@
 		return places / names.size() + ((higherRanked < places % names.size()) ? 1 : 0);
 	}
 
+	/**
+	 * Returns whether this gateway is the one of the fleet whose turn it is.
+	 * @param key what the turn is for
+	 * @param turn the number of the turn
+	 * @return {@code false} if it is the turn of another gateway
+	 */
+	public boolean isSelected(long key, long turn) {
+		long turnKey = key + turn;
+		long ownWeight = RendezvousHash.weight(turnKey, this.ownName);
+		return this.gateways.get().stream().noneMatch((name) -> RendezvousHash.weight(turnKey, name) > ownWeight);
+	}
+
 	/**
 	 * Returns whether this gateway is among those that are drawn for a while. Gateways
 	 * draw independently, so that the number is met on average.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -23,6 +23,9 @@
 	/** A non-streaming response is buffered until it is known to be valid. */
 	private static final int MAXIMUM_BUFFERED_BYTES = 16 << 20;
 
+	/** An endpoint that a part crashes ends sooner after it began to answer. */
+	private static final Duration PROOF_TIME = Duration.ofMillis(250);
+
 	private final Exchange exchange;
 
 	private final Endpoint endpoint;
@@ -104,6 +107,24 @@
 		return this.eventCount > 0;
 	}
 
+	/**
+	 * Returns when the endpoint began the response, at the earliest.
+	 * @return the time of the first event, or when the request was sent
+	 */
+	long begunAt() {
+		return this.sentAt + ((this.timeToFirstEvent != null) ? this.timeToFirstEvent.toNanos() : 0);
+	}
+
+	/**
+	 * Returns whether the endpoint has been writing the response for long enough to show
+	 * that no part of the prompt crashes it.
+	 * @return {@code false} if it may have ended because it began to answer
+	 */
+	boolean proven() {
+		Duration first = this.timeToFirstEvent;
+		return first != null && elapsed().minus(first).compareTo(PROOF_TIME) >= 0;
+	}
+
 	ByteBuf body() {
 		return this.body;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CrashTracking.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CrashTracking.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 
-import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.quarantine.SuspectKeys;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -21,7 +21,9 @@
 
 	private final @Nullable ClientAccount account;
 
-	private @Nullable Fingerprint fingerprint;
+	private @Nullable SuspectKeys keys;
+
+	private boolean begun;
 
 	CrashTracking(RequestDispatcher dispatcher, CallerRequest request, Prompt prompt, @Nullable ClientAccount account) {
 		this.dispatcher = dispatcher;
@@ -36,8 +38,26 @@
 	 */
 	Duration quarantine() {
 		RequestQuarantine quarantine = this.dispatcher.quarantine();
-		return quarantine.isEmpty() ? Duration.ZERO
-				: quarantine.remaining(fingerprint(), this.dispatcher.clock().nanos());
+		return quarantine.isEmpty() ? Duration.ZERO : quarantine.remaining(keys(), this.dispatcher.clock().nanos());
+	}
+
+	/** Records that the request is sent to an endpoint. */
+	void recordSent() {
+		RequestQuarantine quarantine = this.dispatcher.quarantine();
+		if (!quarantine.isEmpty()) {
+			quarantine.recordSent(keys(), this.dispatcher.clock().nanos());
+		}
+	}
+
+	/**
+	 * Records that an event of the response was received.
+	 * @param attempt the attempt at the endpoint
+	 */
+	void recordEvent(Attempt attempt) {
+		if (!this.begun && attempt.proven()) {
+			this.begun = true;
+			this.dispatcher.quarantine().recordBegun(keys(), attempt.begunAt(), this.dispatcher.clock().nanos());
+		}
 	}
 
 	/**
@@ -48,13 +68,17 @@
 		// A draining endpoint ends its connections without a crash.
 		if (this.dispatcher.endpoints().accepts(attempt.endpoint())) {
 			this.dispatcher.quarantine()
-				.recordLoss(fingerprint(), attempt.endpoint().id(), attempt.sentAt(), this.dispatcher.clock().nanos());
+				.recordLoss(keys(), attempt.proven(), attempt.endpoint().id(), attempt.sentAt(),
+						this.dispatcher.clock().nanos());
 		}
 	}
 
-	/** Records that an endpoint completed the request. */
-	void recordSuccess() {
-		this.dispatcher.quarantine().recordCompletion(fingerprint(), this.dispatcher.clock().nanos());
+	/**
+	 * Records that an endpoint completed the request.
+	 * @param attempt the attempt at the endpoint
+	 */
+	void recordSuccess(Attempt attempt) {
+		this.dispatcher.quarantine().recordCompletion(keys(), attempt.begunAt(), this.dispatcher.clock().nanos());
 	}
 
 	/**
@@ -63,14 +87,15 @@
 	 * @return what the request was and whether its response had begun
 	 */
 	RequestLog.LostRequest describe(Attempt attempt) {
-		return new RequestLog.LostRequest(fingerprint(), this.prompt.sharedPartIds(), attempt.begun());
+		return new RequestLog.LostRequest(keys().content(), this.prompt.sharedPartIds(), attempt.begun());
 	}
 
-	private Fingerprint fingerprint() {
-		Fingerprint computed = this.fingerprint;
+	private SuspectKeys keys() {
+		SuspectKeys computed = this.keys;
 		if (computed == null) {
-			computed = this.request.fingerprint((this.account != null) ? this.account.name() : null);
-			this.fingerprint = computed;
+			computed = SuspectKeys.of(this.request.fingerprint((this.account != null) ? this.account.name() : null),
+					this.prompt);
+			this.keys = computed;
 		}
 		return computed;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -234,6 +234,7 @@
 		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now());
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
+		this.crashTracking.recordSent();
 		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
 		boolean nonRepeatable = !this.route.repeatable();
 		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
@@ -280,6 +281,7 @@
 			return;
 		}
 		attempt.eventReceived();
+		this.crashTracking.recordEvent(attempt);
 		recordUsage();
 		this.continuation.begin(attempt);
 		startStream(attempt);
@@ -307,7 +309,7 @@
 				return;
 			}
 			attempt.endpoint().requestAnswered(true, now());
-			this.crashTracking.recordSuccess();
+			this.crashTracking.recordSuccess(attempt);
 			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
 					attempt.responseTimes());
 			startStream(attempt);
@@ -331,7 +333,7 @@
 		attempt.endpoint().requestAnswered(valid, now());
 		if (valid && success) {
 			attempt.endpoint().recordResponseTime(attempt.elapsed());
-			this.crashTracking.recordSuccess();
+			this.crashTracking.recordSuccess(attempt);
 		}
 		if (valid) {
 			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -128,14 +128,6 @@
 	 * @param begun whether an event of the response had been received
 	 */
 	record LostRequest(Fingerprint fingerprint, List<Long> sharedParts, boolean begun) {
-
-		/**
-		 * Creates the description.
-		 */
-		public LostRequest {
-			sharedParts = List.copyOf(sharedParts);
-		}
-
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
 
 import org.banyancove.core.suspect.Fingerprint;
 import org.jspecify.annotations.Nullable;
@@ -19,12 +19,17 @@
 public record SuspectReport(List<CrashObservation> crashes, @Nullable Duration answeredAge) {
 
 	/**
-	 * Orders the reports closest to a quarantine first, the most recent of them first.
+	 * Orders the reports closest to a quarantine first, the most recent of them first. A
+	 * part is more likely to come again than a request.
 	 */
-	private static final Comparator<SuspectReport> MOST_RELEVANT_FIRST = Comparator
-		.comparingInt((SuspectReport report) -> report.crashes().size())
+	private static final Comparator<Map.Entry<Fingerprint, SuspectReport>> MOST_RELEVANT_FIRST = Comparator
+		.comparingInt((Map.Entry<Fingerprint, SuspectReport> report) -> report.getValue().crashes().size())
+		.thenComparing((report) -> SuspectKeys.isPart(report.getKey()))
 		.reversed()
-		.thenComparing(SuspectReport::age);
+		.thenComparing((report) -> report.getValue().age());
+
+	/** Bounds a message to some 20 KB. */
+	private static final int MAXIMUM_CRASHES = 800;
 
 	/**
 	 * Creates the report.
@@ -48,14 +53,19 @@
 	 * @return the selected reports
 	 */
 	static Map<Fingerprint, SuspectReport> mostRelevant(Map<Fingerprint, SuspectReport> reports, int maximum) {
-		if (reports.size() <= maximum) {
-			return reports;
-		}
-		return reports.entrySet()
+		Map<Fingerprint, SuspectReport> selected = new HashMap<>();
+		int crashes = 0;
+		for (Map.Entry<Fingerprint, SuspectReport> report : reports.entrySet()
 			.stream()
-			.sorted(Map.Entry.comparingByValue(MOST_RELEVANT_FIRST))
+			.sorted(MOST_RELEVANT_FIRST)
 			.limit(maximum)
-			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+			.toList()) {
+			crashes += report.getValue().crashes().size();
+			if (crashes <= MAXIMUM_CRASHES) {
+				selected.put(report.getKey(), report.getValue());
+			}
+		}
+		return selected;
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -29,6 +30,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.quarantine.SuspectKeys;
 import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -270,6 +272,11 @@
 	 * @param parts the parts of its prompt that other requests share
 	 */
 	private record Request(Fingerprint content, List<Long> parts) {
+
+		SuspectKeys keys() {
+			return new SuspectKeys(this.content, this.parts.stream().map(SuspectKeys::ofPart).toList());
+		}
+
 	}
 
 	private record Source(double perSecond, Supplier<List<Long>> parts) {
@@ -380,6 +387,8 @@
 
 		private FleetExchange exchange;
 
+		private EmbeddedChannel timers = new EmbeddedChannel();
+
 		private EndpointTable endpoints;
 
 		private RequestQuarantine quarantine;
@@ -404,7 +413,12 @@
 		}
 
 		private EndpointTable newEndpoints() {
-			return new EndpointTable(new FleetAllocation(this.address.name(), () -> List.of(this.address.name())));
+			return new EndpointTable(newAllocation());
+		}
+
+		private FleetAllocation newAllocation() {
+			return new FleetAllocation(this.address.name(),
+					() -> CrashSimulation.this.fleet.stream().map((node) -> node.address.name()).toList());
 		}
 
 		private RequestQuarantine newQuarantine() {
@@ -412,8 +426,10 @@
 		}
 
 		private FleetExchange newExchange() {
-			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(), () -> CrashSimulation.this.now,
-					this, this.table, this::report, (used) -> {
+			this.timers = new EmbeddedChannel();
+			this.timers.freezeTime();
+			return new FleetExchange(this.address, this.timers.eventLoop(), () -> CrashSimulation.this.now, this,
+					this.table, this::report, (used) -> {
 					}, (records) -> {
 					}, this.quarantine, new OnlyVersions(() -> true));
 		}
@@ -434,6 +450,12 @@
 			this.reportAt = CrashSimulation.this.now + Duration.ofMillis(this.number * 7L % 250).toNanos();
 		}
 
+		private void followEndpoints() {
+			CrashSimulation.this.backends.stream()
+				.filter(Backend::alive)
+				.forEach((backend) -> this.endpoints.put(backend.entry()));
+		}
+
 		private boolean frozen() {
 			return CrashSimulation.this.now < this.frozenUntil;
 		}
@@ -454,7 +476,7 @@
 
 		private void send(Request request, boolean firstAttempt) {
 			long time = CrashSimulation.this.now;
-			if (this.quarantine.remaining(request.content(), time).isPositive()) {
+			if (this.quarantine.remaining(request.keys(), time).isPositive()) {
 				return;
 			}
 			List<Backend> alive = new ArrayList<>(CrashSimulation.this.backends);
@@ -471,6 +493,7 @@
 			Run run = new Run(request, endpoint, backend, time, firstAttempt);
 			this.running.add(run);
 			backend.runs.add(run);
+			this.quarantine.recordSent(request.keys(), time);
 			countArrival(this, request);
 		}
 
@@ -484,7 +507,8 @@
 		}
 
 		private void lost(Run run) {
-			this.quarantine.recordLoss(run.request.content(), run.endpoint.id(), run.sentAt, CrashSimulation.this.now);
+			this.quarantine.recordLoss(run.request.keys(), run.begun, run.endpoint.id(), run.sentAt,
+					CrashSimulation.this.now);
 			if (run.firstAttempt && !run.begun) {
 				send(run.request, false);
 			}
@@ -506,7 +530,8 @@
 			else if (age >= RESPONSE_TIME.toNanos()) {
 				this.running.remove(run);
 				run.backend.runs.remove(run);
-				this.quarantine.recordCompletion(run.request.content(), CrashSimulation.this.now);
+				this.quarantine.recordCompletion(run.request.keys(), run.sentAt + TIME_TO_FIRST_EVENT.toNanos(),
+						CrashSimulation.this.now);
 			}
 		}
 
@@ -515,6 +540,8 @@
 				return;
 			}
 			long time = CrashSimulation.this.now;
+			this.timers.advanceTimeBy(STEP.toMillis(), TimeUnit.MILLISECONDS);
+			this.timers.runScheduledPendingTasks();
 			this.inbox.forEach((message) -> this.exchange.handleDatagram(message.from(), message.content()));
 			this.inbox.clear();
 			List.copyOf(this.running).forEach(this::advance);
@@ -526,6 +553,7 @@
 				this.tickAt = time + Duration.ofMillis(200).toNanos();
 				this.table.expire(time);
 				this.quarantine.expire(time);
+				followEndpoints();
 			}
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -26,6 +26,7 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.quarantine.SuspectKeys;
 import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.banyancove.gateway.shared.TopicRecord;
@@ -172,6 +173,10 @@
 		}
 	}
 
+	private static SuspectKeys keys(Fingerprint request) {
+		return new SuspectKeys(request, List.of());
+	}
+
 	private void disrupt(Node node) {
 		if (this.random.nextBoolean()) {
 			node.frozenUntil = this.now + Duration.ofMillis(200 + this.random.nextInt(1800)).toNanos();
@@ -342,7 +347,7 @@
 
 		private void send(Fingerprint request, boolean firstAttempt) {
 			long time = CrashingRequestFleetTests.this.now;
-			if (this.quarantine.remaining(request, time).isPositive()) {
+			if (this.quarantine.remaining(keys(request), time).isPositive()) {
 				CrashingRequestFleetTests.this.rejected++;
 				return;
 			}
@@ -376,7 +381,7 @@
 		}
 
 		private void lost(Running run) {
-			this.quarantine.recordLoss(run.request(), run.endpoint().id(), run.sentAt(),
+			this.quarantine.recordLoss(keys(run.request()), false, run.endpoint().id(), run.sentAt(),
 					CrashingRequestFleetTests.this.now);
 			if (run.firstAttempt()) {
 				send(run.request(), false);
@@ -399,7 +404,7 @@
 					this.running.remove(run);
 					run.backend().runs.remove(run);
 					run.endpoint().processLife().answered(run.sentAt(), run.sentAt());
-					this.quarantine.recordCompletion(run.request(), time);
+					this.quarantine.recordCompletion(keys(run.request()), time, time);
 					CrashingRequestFleetTests.this.answered++;
 				}
 			}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -23,6 +23,8 @@
 
 	private static final Fingerprint REQUEST = new Fingerprint(1, 1);
 
+	private static final SuspectKeys KEYS = new SuspectKeys(REQUEST, List.of());
+
 	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
 	private final RequestQuarantine quarantine = new RequestQuarantine(this.endpoints);
@@ -54,7 +56,7 @@
 	void aCompletedResponseClearsTheRequest() {
 		crash("a", 0, 100);
 		crash("b", 200, 300);
-		this.quarantine.recordCompletion(REQUEST, millis(350));
+		this.quarantine.recordCompletion(KEYS, millis(350), millis(350));
 		crash("c", 400, 500);
 		assertThat(remaining(500)).isZero();
 	}
@@ -73,7 +75,7 @@
 	// gateways completed are known.
 	@Test
 	void aRequestThatWasCompletedRecentlyIsRejectedLater() {
-		this.quarantine.recordCompletion(REQUEST, millis(0));
+		this.quarantine.recordCompletion(KEYS, millis(0), millis(0));
 		crash("a", 50, 100);
 		crash("b", 200, 300);
 		crash("c", 400, 500);
@@ -152,7 +154,7 @@
 		crash("c", 400, 500);
 		RequestQuarantine restarted = new RequestQuarantine(this.endpoints);
 		restarted.merge(this.quarantine.ownReports(millis(40_000)), millis(40_000));
-		assertThat(restarted.remaining(REQUEST, millis(40_000))).isEqualTo(remaining(40_000)).isPositive();
+		assertThat(restarted.remaining(KEYS, millis(40_000))).isEqualTo(remaining(40_000)).isPositive();
 	}
 
 	// Guards against a quarantine that gateways extend by repeating each other's reports.
@@ -167,7 +169,7 @@
 			this.quarantine.merge(other.ownReports(millis(at + 40)), millis(at + 80));
 		}
 		assertThat(remaining(60_500)).isZero();
-		assertThat(other.remaining(REQUEST, millis(60_541))).isZero();
+		assertThat(other.remaining(KEYS, millis(60_541))).isZero();
 	}
 
 	// Guards against memory that grows with the requests that were lost.
@@ -177,7 +179,8 @@
 		crash("b", 200, 300);
 		crash("c", 400, 500);
 		for (int i = 0; i < 5000; i++) {
-			this.quarantine.recordLoss(new Fingerprint(2, i), new EndpointId("e" + i), millis(600), millis(700));
+			this.quarantine.recordLoss(new SuspectKeys(new Fingerprint(2, i), List.of()), false,
+					new EndpointId("e" + i), millis(600), millis(700));
 		}
 		assertThat(this.quarantine.ownReports(millis(700))).hasSize(24).containsKey(REQUEST);
 		assertThat(remaining(700)).isPositive();
@@ -188,11 +191,11 @@
 	}
 
 	private void crash(String endpoint, long sentAtMillis, long lostAtMillis) {
-		this.quarantine.recordLoss(REQUEST, new EndpointId(endpoint), millis(sentAtMillis), millis(lostAtMillis));
+		this.quarantine.recordLoss(KEYS, false, new EndpointId(endpoint), millis(sentAtMillis), millis(lostAtMillis));
 	}
 
 	private Duration remaining(long atMillis) {
-		return this.quarantine.remaining(REQUEST, millis(atMillis));
+		return this.quarantine.remaining(KEYS, millis(atMillis));
 	}
 
 	private Endpoint endpoint(String id, long startedAt) {
