Add failing tests of deadlines, HTTP/1.0 callers and bytes without end

Cause: a request was sent when its connection stood, 60 ms after its deadline; callers of HTTP/1.0 got chunks, and an aborted stream looked complete to them; interim responses and responses to other requests were read without end.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketAddress;
+import java.net.SocketException;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -54,8 +55,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class ExchangeTests {
 
@@ -491,6 +496,87 @@
 		}
 	}
 
+	// Guards against a request that reaches an endpoint after its caller has given up,
+	// because establishing the connection took the rest of its time.
+	@Test
+	void requestIsNotSentAfterItsDeadline() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a").thenRespond(COMPLETE);
+		this.connectMillis = 360;
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "deadline-ms: 300", "", ""));
+			assertThat(caller.read().status()).isBetween(500, 504);
+		}
+		TimeUnit.MILLISECONDS.sleep(200);
+		assertThat(endpoint.unreadRequests()).isZero();
+	}
+
+	// Guards against chunks in the response to a caller that doesn't know them.
+	@Test
+	void streamToAnHttp10CallerEndsWithItsConnection() throws Exception {
+		endpoint("a").thenRespond(STREAM_HEAD + FIRST_EVENT + LAST_EVENT);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /stream/x HTTP/1.0", "host: host", "id: 1", "", ""));
+			String response = caller.readToEnd();
+			assertThat(response.toLowerCase(Locale.ROOT)).doesNotContain("transfer-encoding")
+				.endsWith("\r\n\r\nid: 1\n\nid: 2\n\n");
+		}
+	}
+
+	// Guards against a truncated stream that looks complete to a caller for which the end
+	// of the connection is the end of the stream.
+	@Test
+	void brokenStreamToAnHttp10CallerEndsWithAReset() throws Exception {
+		endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /stream/x HTTP/1.0", "host: host", "id: 1", "", ""));
+			assertThatThrownBy(caller::readToEnd).isInstanceOf(SocketException.class);
+		}
+	}
+
+	// Guards against an endpoint that holds a request, and the memory of the gateway,
+	// with
+	// bytes that never become a response.
+	@ParameterizedTest
+	@MethodSource("endlessResponses")
+	void requestIsRetriedAfterBytesWithoutEnd(String start, String repeated) throws Exception {
+		endpoint("a").then((connection, id) -> {
+			ScriptedEndpoint.write(connection, start.replace("ID", id));
+			while (!connection.isClosed()) {
+				ScriptedEndpoint.write(connection, repeated.repeat(64));
+			}
+		});
+		endpoint("b").thenRespond(COMPLETE);
+		recordFailure("b");
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "deadline-ms: 8000", "", ""));
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+	}
+
+	static List<Arguments> endlessResponses() {
+		String head = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n";
+		return List.of(Arguments.of("HTTP/1.1 200 ", "x".repeat(100)), Arguments.of(head, "name: value\r\n"),
+				Arguments.of(head + "name: ", "x".repeat(100)), Arguments.of("", "HTTP/1.1 102 Processing\r\n\r\n"),
+				Arguments.of(head + "transfer-encoding: chunked\r\n\r\n5;", "x".repeat(100)),
+				Arguments.of(head + "transfer-encoding: chunked\r\n\r\n0\r\n", "name: value\r\n"),
+				Arguments.of(head + "\r\n", "x".repeat(4096)),
+				Arguments.of("HTTP/1.1 200 OK\r\nid: other\r\n\r\n", "x".repeat(4096)));
+	}
+
+	// Guards against a gateway that has no memory left because many endpoints write
+	// bodies without end at once.
+	@Test
+	void bodiesWithoutEndTakeABoundedPartOfTheMemory() {
+		ResponseBuffers buffers = new ResponseBuffers();
+		int granted = 0;
+		for (int i = 0; i < 100 * 64; i++) {
+			granted += buffers.tryReserve(1 << 16) ? 1 << 16 : 0;
+		}
+		assertThat(granted).isPositive().isLessThanOrEqualTo(24 << 20);
+		buffers.release(granted);
+		assertThat(buffers.tryReserve(1 << 16)).isTrue();
+	}
+
 	// Guards against lost, truncated or duplicate events: the first engine fails within
 	// an event, and the stream is resumed on another engine after the last complete
 	// event, within the same response.
@@ -877,6 +963,10 @@
 			}
 		}
 
+		private String readToEnd() throws IOException {
+			return new String(this.connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+		}
+
 		private static String readUntil(InputStream input, String end) throws IOException {
 			StringBuilder text = new StringBuilder();
 			while (!text.toString().endsWith(end)) {
