Look at the deadline again before a request is sent

Callers saw: requests reached endpoints after they had given up, under load up to 1.9 s later (the users' crowded gateway). Cause: the deadline was only a timer, which fires late on a busy event loop and has a grace for responses in transit; neither the placement nor the moment when the connection stands looked at the time. Change: both do; a request without time left ends there, unsent.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -143,6 +143,11 @@
 		if (this.ended) {
 			return;
 		}
+		// A busy event loop may run this later than planned.
+		if (!remaining().isPositive()) {
+			endWithError(ErrorKind.OUTCOME_UNKNOWN);
+			return;
+		}
 		Duration quarantine = this.crashTracking.quarantine();
 		if (quarantine.isPositive()) {
 			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
@@ -254,8 +259,8 @@
 
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
 	boolean maySend(Endpoint endpoint) {
-		return this.dispatcher.endpointsCurrent() && this.dispatcher.endpoints().accepts(endpoint)
-				&& endpoint.pause().remaining(now()).isZero();
+		return remaining().isPositive() && this.dispatcher.endpointsCurrent()
+				&& this.dispatcher.endpoints().accepts(endpoint) && endpoint.pause().remaining(now()).isZero();
 	}
 
 	EndpointAnnouncements announcements() {
