Answer callers of HTTP/1.0 without chunks

Cause: a stream was always chunked, which HTTP/1.0 doesn't know, and an aborted one was closed in order, which is the end of a complete one there. Change: such a stream ends with its connection, and an aborted one with a reset.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -54,6 +55,8 @@
 
 	private boolean keepAliveRequested;
 
+	private boolean chunksUnderstood;
+
 	private boolean streaming;
 
 	private boolean closing;
@@ -141,6 +144,7 @@
 			return;
 		}
 		this.keepAliveRequested = HttpUtil.isKeepAlive(request.head());
+		this.chunksUnderstood = request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
 		this.inFlight = InFlightRequest.NO_OP;
 		InFlightRequest started = this.server.begin(this, request);
 		if (InFlightRequest.NO_OP.equals(this.inFlight)) {
@@ -170,7 +174,8 @@
 	 */
 	void beginStream(HttpResponse start) {
 		this.streaming = true;
-		HttpUtil.setTransferEncodingChunked(start, true);
+		HttpUtil.setTransferEncodingChunked(start, this.chunksUnderstood);
+		this.keepAliveRequested &= this.chunksUnderstood;
 		setConnection(start, this.keepAliveRequested && !this.server.stopping());
 		if (this.channel != null) {
 			this.channel.write(start);
@@ -200,9 +205,12 @@
 
 	/**
 	 * Aborts an incomplete response by closing the connection, so that the caller can
-	 * detect the truncation.
+	 * detect the truncation. Without chunks, only a reset shows it.
 	 */
 	void abort() {
+		if (this.channel != null && !this.chunksUnderstood) {
+			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		close();
 	}
 
