Bound the bytes of endpoints that never become a response

Cause: interim responses and responses to other requests were skipped without bound, each buffered response could take 16 MB and each event 1 MB of a heap of 96 MB. Change: 256 KB of skipped bytes, 8 MB a response and 24 MB for all beyond 64 KB each, 128 KB an event; then the endpoint has failed and the request is retried. The test of the event's bound names the new, stricter one.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -21,7 +21,10 @@
 final class Attempt implements ResponseListener {
 
 	/** A non-streaming response is buffered until it is known to be valid. */
-	private static final int MAXIMUM_BUFFERED_BYTES = 16 << 20;
+	private static final int MAXIMUM_BUFFERED_BYTES = 8 << 20;
+
+	/** Responses of this size are buffered however much memory others take. */
+	private static final int SMALL_RESPONSE_BYTES = 64 << 10;
 
 	/** An endpoint that a part crashes ends sooner after it began to answer. */
 	private static final Duration PROOF_TIME = Duration.ofMillis(250);
@@ -56,6 +59,8 @@
 
 	private @Nullable EndpointHeaders responseHeaders;
 
+	private int reservedBytes;
+
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
 	Attempt(Exchange exchange, Placement placement, int number, long sentAt) {
@@ -184,6 +189,8 @@
 	private void finish() {
 		if (!this.finished) {
 			this.finished = true;
+			this.exchange.responseBuffers().release(this.reservedBytes);
+			this.reservedBytes = 0;
 			completePrefill();
 			this.endpoint.requestCompleted();
 		}
@@ -226,7 +233,7 @@
 			this.exchange.forwardEvents(this, content);
 			return;
 		}
-		if (this.body.readableBytes() + content.readableBytes() > MAXIMUM_BUFFERED_BYTES) {
+		if (!reserveBuffer(this.body.readableBytes() + content.readableBytes())) {
 			cancel();
 			this.exchange.failed(this, CallFailure.UNREADABLE);
 			return;
@@ -237,6 +244,19 @@
 		this.body.writeBytes(content);
 	}
 
+	private boolean reserveBuffer(int bytes) {
+		int added = bytes - SMALL_RESPONSE_BYTES - this.reservedBytes;
+		if (added <= 0) {
+			return true;
+		}
+		int rounded = Math.max(added, SMALL_RESPONSE_BYTES);
+		if (bytes > MAXIMUM_BUFFERED_BYTES || !this.exchange.responseBuffers().tryReserve(rounded)) {
+			return false;
+		}
+		this.reservedBytes += rounded;
+		return true;
+	}
+
 	@Override
 	public void completed() {
 		finish();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -38,6 +38,11 @@
 	 */
 	private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(1200);
 
+	/** Interim responses and responses to other requests that precede a response. */
+	private static final int MAXIMUM_IGNORED_BYTES = 256 * 1024;
+
+	private static final int IGNORED_HEAD_BYTES = 4 * 1024;
+
 	private final ConnectionPool pool;
 
 	private final InetSocketAddress address;
@@ -56,6 +61,8 @@
 
 	private boolean ignoringResponse;
 
+	private int ignoredBytes;
+
 	private boolean reusable;
 
 	private long idleSince;
@@ -97,6 +104,7 @@
 		this.call = newCall;
 		this.headReceived = false;
 		this.ignoringResponse = false;
+		this.ignoredBytes = 0;
 		this.requestWrite = this.channel.writeAndFlush(newCall.assignTo(this));
 	}
 
@@ -142,6 +150,7 @@
 	private void readHead(ClientCall current, HttpResponse head) {
 		this.ignoringResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !current.head(head);
 		if (this.ignoringResponse) {
+			ignore(IGNORED_HEAD_BYTES);
 			return;
 		}
 		this.headReceived = true;
@@ -153,6 +162,7 @@
 	private void readContent(ClientCall current, HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.ignoringResponse) {
+			ignore(content.content().readableBytes());
 			return;
 		}
 		if (content.content().isReadable()) {
@@ -163,6 +173,13 @@
 		}
 	}
 
+	private void ignore(int bytes) {
+		this.ignoredBytes += bytes;
+		if (this.ignoredBytes > MAXIMUM_IGNORED_BYTES) {
+			fail(CallFailure.UNREADABLE);
+		}
+	}
+
 	private void finish(ClientCall current) {
 		this.call = null;
 		ChannelFuture pendingWrite = this.requestWrite;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -263,6 +263,10 @@
 				&& this.dispatcher.endpoints().accepts(endpoint) && endpoint.pause().remaining(now()).isZero();
 	}
 
+	ResponseBuffers responseBuffers() {
+		return this.dispatcher.responseBuffers();
+	}
+
 	EndpointAnnouncements announcements() {
 		return this.dispatcher.announcements();
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -76,6 +76,8 @@
 
 	private final StreamOrigins streamOrigins;
 
+	private final ResponseBuffers responseBuffers = new ResponseBuffers();
+
 	private final AdmissionRule admission = new AdmissionRule();
 
 	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
@@ -371,6 +373,10 @@
 		return this.placement;
 	}
 
+	ResponseBuffers responseBuffers() {
+		return this.responseBuffers;
+	}
+
 	RequestQuarantine quarantine() {
 		return this.quarantine;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
@@ -18,7 +18,7 @@
 	/**
 	 * No event of a token stream is as long; the limit bounds the memory in use.
 	 */
-	private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+	private static final int MAXIMUM_EVENT_BYTES = 128 << 10;
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/SseEventSplitterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/SseEventSplitterTests.java
@@ -44,9 +44,9 @@
 
 	@Test
 	void eventBeyondTheMaximumSizeIsRejected() {
-		String longText = "x".repeat(1 << 20);
+		String longText = "x".repeat(128 << 10);
 		read(longText);
-		assertThatIllegalStateException().isThrownBy(() -> read("y")).withMessageContaining("1048576");
+		assertThatIllegalStateException().isThrownBy(() -> read("y")).withMessageContaining("131072");
 	}
 
 	private String read(String text) {
