Keep the idle times of pooled connections with the options of a call

Change: the idle times and the memory of buffered responses are where they are used; behaviour is unchanged.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -31,6 +31,8 @@
 
 	private final Exchange exchange;
 
+	private final ResponseBuffers buffers;
+
 	private final Endpoint endpoint;
 
 	private final EndpointEntry entryWhenSent;
@@ -63,8 +65,9 @@
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-	Attempt(Exchange exchange, Placement placement, int number, long sentAt) {
+	Attempt(Exchange exchange, Placement placement, int number, long sentAt, ResponseBuffers buffers) {
 		this.exchange = exchange;
+		this.buffers = buffers;
 		this.endpoint = placement.endpoint();
 		this.entryWhenSent = this.endpoint.entry();
 		this.predictedMillis = placement.predictedMillis();
@@ -189,7 +192,7 @@
 	private void finish() {
 		if (!this.finished) {
 			this.finished = true;
-			this.exchange.responseBuffers().release(this.reservedBytes);
+			this.buffers.release(this.reservedBytes);
 			this.reservedBytes = 0;
 			completePrefill();
 			this.endpoint.requestCompleted();
@@ -250,7 +253,7 @@
 			return true;
 		}
 		int rounded = Math.max(added, SMALL_RESPONSE_BYTES);
-		if (bytes > MAXIMUM_BUFFERED_BYTES || !this.exchange.responseBuffers().tryReserve(rounded)) {
+		if (bytes > MAXIMUM_BUFFERED_BYTES || !this.buffers.tryReserve(rounded)) {
 			return false;
 		}
 		this.reservedBytes += rounded;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -50,12 +50,6 @@
 	 */
 	private static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
 
-	/** A pooled connection that has been idle for longer may be dead. */
-	private static final Duration MAXIMUM_IDLE_TIME = Duration.ofSeconds(10);
-
-	/** A non-repeatable request cannot be retried if its connection turns out dead. */
-	private static final Duration MAXIMUM_IDLE_TIME_NON_REPEATABLE = Duration.ofSeconds(2);
-
 	/** The retry delay reported to the caller of a request that was not run. */
 	private static final Duration RETRY_AFTER = Duration.ofMillis(400);
 
@@ -236,14 +230,14 @@
 	private void send(Placement placement) {
 		this.retries.attemptStarted();
 		this.triedEndpoints.add(placement.endpoint().id());
-		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now());
+		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now(),
+				this.dispatcher.responseBuffers());
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
 		this.crashTracking.recordSent();
 		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
-		boolean nonRepeatable = !this.route.repeatable();
-		CallOptions options = new CallOptions(this.dispatcher.admission().connectTimeout(this.route),
-				nonRepeatable ? MAXIMUM_IDLE_TIME_NON_REPEATABLE : MAXIMUM_IDLE_TIME,
+		CallOptions options = CallOptions.forRequest(this.route.repeatable(),
+				this.dispatcher.admission().connectTimeout(this.route),
 				this.dispatcher.maximumConnections(this.service), connectContext());
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(),
@@ -263,10 +257,6 @@
 				&& this.dispatcher.endpoints().accepts(endpoint) && endpoint.pause().remaining(now()).isZero();
 	}
 
-	ResponseBuffers responseBuffers() {
-		return this.dispatcher.responseBuffers();
-	}
-
 	EndpointAnnouncements announcements() {
 		return this.dispatcher.announcements();
 	}
