--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -16,6 +16,7 @@
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.suspect.Fingerprint;
 import org.banyancove.gateway.exchange.RequestLog;
+import org.banyancove.gateway.quarantine.SuspectKeys;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.tunnel.TunnelRefusal;
 import org.jspecify.annotations.Nullable;
@@ -142,7 +143,7 @@
 			.register(registry);
 		this.quarantinedRequests = Gauge.builder()
 			.name("banyancove_quarantined_requests")
-			.help("Requests that are rejected because they crashed several endpoints in succession")
+			.help("Requests, and parts of prompts, that are rejected because they crashed several endpoints")
 			.register(registry);
 	}
 
@@ -155,6 +156,7 @@
 			if (!this.quarantined.contains(request)) {
 				log.atWarn()
 					.addKeyValue("fingerprint", request.toHex())
+					.addKeyValue("part", SuspectKeys.isPart(request) ? Long.toHexString(request.low()) : null)
 					.addKeyValue("crashedEndpoints", crashed)
 					.log("request quarantined");
 			}
