Bound reports of suspects below a datagram, and keep verdicts that nothing changed

Cause: 800 crashes with long identifiers of endpoints exceed the 32 KB that a gateway reads of a datagram; each report, also a repeated one, had the culprits searched anew. Change: 500 crashes; the search follows only reports that add something.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/RequestQuarantine.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/RequestQuarantine.java
@@ -273,6 +273,7 @@
 	 */
 	public boolean merge(Map<Fingerprint, SuspectReport> reports, long now) {
 		boolean added = false;
+		boolean cleared = false;
 		for (Map.Entry<Fingerprint, SuspectReport> entry : reports.entrySet()) {
 			SuspectReport report = entry.getValue();
 			Suspect suspect = report.crashes().isEmpty() ? this.suspects.get(entry.getKey())
@@ -281,14 +282,16 @@
 				continue;
 			}
 			if (report.answeredAge() != null) {
-				suspect.reportedAnswered(now - report.answeredAge().toNanos());
+				cleared |= suspect.reportedAnswered(now - report.answeredAge().toNanos());
 			}
 			for (CrashObservation crash : report.crashes()) {
 				added |= suspect.addCrash(crash.endpoint(), now - crash.sentAge().toNanos(),
 						now - crash.lostAge().toNanos());
 			}
 		}
-		this.culprits = null;
+		if (added || cleared) {
+			this.culprits = null;
+		}
 		return added;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/Suspect.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/Suspect.java
@@ -79,8 +79,10 @@
 		if (this.answeredAt != null && at <= this.answeredAt) {
 			return false;
 		}
+		boolean crashesKnown = !this.crashes.isEmpty();
 		this.answeredAt = at;
-		return this.crashes.removeIf((crash) -> crash.lostAt() <= at);
+		this.crashes.removeIf((crash) -> crash.lostAt() <= at);
+		return crashesKnown;
 	}
 
 	/**
@@ -88,11 +90,10 @@
 	 * makes an answer appear later, so that one shortly after the last known answer may
 	 * be that answer.
 	 * @param at when the endpoint had answered
+	 * @return whether crashes had been known
 	 */
-	void reportedAnswered(long at) {
-		if (this.answeredAt == null || at - this.answeredAt > SAME_ANSWER_WINDOW.toNanos()) {
-			answered(at);
-		}
+	boolean reportedAnswered(long at) {
+		return (this.answeredAt == null || at - this.answeredAt > SAME_ANSWER_WINDOW.toNanos()) && answered(at);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -28,8 +28,8 @@
 		.reversed()
 		.thenComparing((report) -> report.getValue().age());
 
-	/** Bounds a message to some 20 KB. */
-	private static final int MAXIMUM_CRASHES = 800;
+	/** Bounds a message to less than a datagram, also with long identifiers. */
+	private static final int MAXIMUM_CRASHES = 500;
 
 	/**
 	 * Creates the report.
