Try no suspect at a gateway that does not know the others

Cause: a gateway that had not read the list of gateways knew only itself, took each turn as its own, and so tried a quarantined suspect each 5 s; with many of them while the store is silent, all at once. Change: the turn is never that of such a gateway. Measured: the new test fails without the condition and passes with it; the tests of the quarantine, its fleets and the exchange pass. No run of the gateway as processes with a silent store for over a minute.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -195,7 +195,7 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.eventLoopLag = new EventLoopLagMonitor(TICK_INTERVAL, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
-		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways));
+		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways, this::gatewaysListed));
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placementRule = new PlacementRule(settings.dataCenter(), random::nextDouble);
 		this.quarantine = new RequestQuarantine(this.endpoints);
@@ -290,6 +290,10 @@
 		return this.fleetExchange.gateways();
 	}
 
+	private boolean gatewaysListed() {
+		return this.fleetExchange.listedGateways() > 0;
+	}
+
 	private boolean endpointsRecent() {
 		return this.sharedState.endpointsAge(this.clock.nanos()).compareTo(this.settings.changeDeadline()) <= 0;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/FleetAllocation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/FleetAllocation.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.endpoint;
 
 import java.util.Collection;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.banyancove.core.EndpointId;
@@ -23,14 +24,27 @@
 
 	private final Supplier<? extends Collection<String>> gateways;
 
+	private final BooleanSupplier complete;
+
 	/**
-	 * Creates the allocation.
+	 * Creates the allocation to gateways that are all known.
 	 * @param ownName this gateway's name
 	 * @param gateways supplies the names of all gateways, this one's included
 	 */
 	public FleetAllocation(String ownName, Supplier<? extends Collection<String>> gateways) {
+		this(ownName, gateways, () -> true);
+	}
+
+	/**
+	 * Creates the allocation.
+	 * @param ownName this gateway's name
+	 * @param gateways supplies the names of the known gateways, this one's included
+	 * @param complete returns whether all gateways are known
+	 */
+	public FleetAllocation(String ownName, Supplier<? extends Collection<String>> gateways, BooleanSupplier complete) {
 		this.ownName = ownName;
 		this.gateways = gateways;
+		this.complete = complete;
 	}
 
 	/**
@@ -69,9 +83,12 @@
 	 * Returns whether this gateway is the one of the fleet whose turn it is.
 	 * @param key what the turn is for
 	 * @param turn the number of the turn
-	 * @return {@code false} if it is the turn of another gateway
+	 * @return {@code false} if it is, or may be, the turn of another gateway
 	 */
 	public boolean isSelected(long key, long turn) {
+		if (!this.complete.getAsBoolean()) {
+			return false;
+		}
 		long turnKey = key + turn;
 		long ownWeight = RendezvousHash.weight(turnKey, this.ownName);
 		return this.gateways.get().stream().noneMatch((name) -> RendezvousHash.weight(turnKey, name) > ownWeight);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/quarantine/SuspectReport.java
@@ -10,11 +10,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What gateways report to each other about a request that may crash endpoints.
+ * What gateways report to each other about a request, or a part of prompts, that may
+ * crash endpoints.
  *
- * @param crashes the crashes of endpoints that had the request, the most recent last
- * @param answeredAge the time since an endpoint completed the request, or {@code null} if
- * none did recently
+ * @param crashes the crashes of endpoints that had it, the most recent last
+ * @param answeredAge the time since an endpoint answered it, or {@code null} if none did
+ * recently
  */
 public record SuspectReport(List<CrashObservation> crashes, @Nullable Duration answeredAge) {
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/quarantine/RequestQuarantineTests.java
@@ -123,6 +123,19 @@
 		assertThat(remaining(600)).isPositive();
 	}
 
+	// Guards against many gateways that all try a suspect at once, because each knows
+	// only
+	// itself while the list of gateways can't be read.
+	@Test
+	void aGatewayThatDoesNotKnowTheOthersTriesNothing() {
+		RequestQuarantine alone = new RequestQuarantine(
+				new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway"), () -> false)));
+		alone.recordLoss(KEYS, false, new EndpointId("a"), millis(0), millis(100));
+		alone.recordLoss(KEYS, false, new EndpointId("b"), millis(200), millis(300));
+		alone.recordLoss(KEYS, false, new EndpointId("c"), millis(400), millis(500));
+		assertThat(alone.remaining(KEYS, millis(61_000))).isPositive();
+	}
+
 	// Guards against an endpoint that counts as alive because it answers under its
 	// identifier before its new entry is read.
 	@Test
