--- a/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/error/ErrorKind.java
@@ -80,9 +80,9 @@
 	/** No eligible endpoint is available. */
 	NO_ENDPOINT(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY, "No endpoint that may take the request is alive"),
 
-	/** Copies of the request crashed several endpoints; it is not sent for now. */
+	/** The request, or a part of its prompt, crashed several endpoints. */
 	REQUEST_QUARANTINED(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
-			"Copies of the request crashed several endpoints; it is not sent for now"),
+			"The request, or a part of its prompt, crashed several endpoints; it is not sent for now"),
 
 	/** It is not known which software version began the stream to resume. */
 	STREAM_ORIGIN_UNKNOWN(503, CallExecution.NOT_RUN, Repetition.AFTER_DELAY,
