Divide half of an endpoint's connections by the requests in flight

What callers saw: a gateway that gets most of the new connections of a region fails most of its requests, while the other gateways have free connections.

Cause: the connections that an endpoint accepts are divided equally by the gateways that are listed, whoever has the requests. The class: a limit of the fleet that is divided without looking where the demand is.

Change: half of them is divided equally, half by the requests in flight at the service, which the gateways report anyway, smoothed over a second; equally, as far as listed gateways are not heard. Idle connections are kept up to the equal half. The largest number of connections is checked at the endpoints.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -369,7 +369,7 @@
 	private void applyFleetView(long now) {
 		this.fleetView = this.peerTable.view(now);
 		this.readDelegation.update(this.fleetView);
-		this.requestDispatcher.updateFleet(this.fleetExchange.listedGateways(), this.fleetView.reachableShare());
+		this.requestDispatcher.updateFleet(this.fleetExchange.listedGateways(), this.fleetView, this.endpoints.all());
 		this.placementRule.setUnreachableDataCenters(this.fleetView.unreachableDataCenters());
 		applyRateLimits(now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -64,6 +64,14 @@
 				aggregator);
 	}
 
+	/**
+	 * Returns the number of reachable gateways.
+	 * @return the number, including this gateway
+	 */
+	public int reachableGateways() {
+		return (int) Math.round(this.reachableShare * (this.otherGateways + 1));
+	}
+
 	/**
 	 * Returns whether any other gateway is reachable.
 	 * @return {@code true} if at least one is reachable
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
@@ -10,11 +10,11 @@
  *
  * @param connectTimeout the timeout for establishing a new connection
  * @param maximumIdleTime the idle time beyond which a pooled connection is not reused
- * @param maximumConnections the maximum number of open connections per address
+ * @param connections the limit of connections to the address
  * @param context what a connection to an endpoint is needed for, or {@code null} for a
  * call to the platform
  */
-public record CallOptions(Duration connectTimeout, Duration maximumIdleTime, int maximumConnections,
+public record CallOptions(Duration connectTimeout, Duration maximumIdleTime, ConnectionLimit connections,
 		@Nullable ConnectContext context) {
 
 	/** A pooled connection that has been idle for longer may be dead. */
@@ -23,28 +23,18 @@
 	/** A non-repeatable request cannot be retried if its connection turns out dead. */
 	private static final Duration MAXIMUM_IDLE_TIME_NON_REPEATABLE = Duration.ofSeconds(2);
 
-	/**
-	 * Creates the options.
-	 * @throws IllegalArgumentException if {@code maximumConnections} is below 1
-	 */
-	public CallOptions {
-		if (maximumConnections < 1) {
-			throw new IllegalArgumentException("maximumConnections must be at least 1: " + maximumConnections);
-		}
-	}
-
 	/**
 	 * Returns the options of a caller's request.
 	 * @param repeatable whether the request may run more than once
 	 * @param connectTimeout the timeout for establishing a new connection
-	 * @param maximumConnections the maximum number of open connections per address
+	 * @param connections the limit of connections to the address
 	 * @param context what the connection is needed for
 	 * @return the options
 	 */
-	static CallOptions forRequest(boolean repeatable, Duration connectTimeout, int maximumConnections,
+	static CallOptions forRequest(boolean repeatable, Duration connectTimeout, ConnectionLimit connections,
 			ConnectContext context) {
 		return new CallOptions(connectTimeout, repeatable ? MAXIMUM_IDLE_TIME : MAXIMUM_IDLE_TIME_NON_REPEATABLE,
-				maximumConnections, context);
+				connections, context);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -49,6 +49,9 @@
 
 	private final Channel channel;
 
+	/** The limit under which the connection was established. */
+	private final ConnectionLimit limit;
+
 	private final long connectedAt;
 
 	private final long expiresAt;
@@ -69,11 +72,12 @@
 
 	private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
 
-	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, long connectedAt,
-			long expiresAt) {
+	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, ConnectionLimit limit,
+			long connectedAt, long expiresAt) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
+		this.limit = limit;
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
 	}
@@ -82,6 +86,10 @@
 		return this.address;
 	}
 
+	ConnectionLimit limit() {
+		return this.limit;
+	}
+
 	long connectedAt() {
 		return this.connectedAt;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -92,7 +92,7 @@
 		if (pooled != null) {
 			pooled.send(call);
 		}
-		else if (this.openConnections.getOrDefault(address, 0) >= options.maximumConnections()) {
+		else if (this.openConnections.getOrDefault(address, 0) >= options.connections().open()) {
 			this.eventLoop.execute(() -> call.failed(CallFailure.NO_FREE_CONNECTION));
 		}
 		else {
@@ -136,7 +136,7 @@
 						: CallFailure.CONNECT_REFUSED);
 				return;
 			}
-			use(newConnection(address, future.getNow()), call);
+			use(newConnection(address, future.getNow(), options), call);
 		});
 	}
 
@@ -146,12 +146,13 @@
 				: this.connector.connectDirectly(address, options.connectTimeout());
 	}
 
-	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected) {
+	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected, CallOptions options) {
 		Channel channel = connected.channel();
 		channel.closeFuture().addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
 		long connectedAt = this.clock.nanos();
 		long expiresAt = connected.tunnelled() ? connectedAt + TunnelServer.MAXIMUM_AGE.toNanos() : Long.MAX_VALUE;
-		ClientConnection connection = new ClientConnection(this, address, channel, connectedAt, expiresAt);
+		ClientConnection connection = new ClientConnection(this, address, channel, options.connections(), connectedAt,
+				expiresAt);
 		channel.pipeline()
 			.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
 			.addLast(connection);
@@ -171,7 +172,12 @@
 		}
 	}
 
+	// The other gateways may need connections that are beyond this gateway's part.
 	void release(ClientConnection connection) {
+		if (this.openConnections.getOrDefault(connection.address(), 0) > connection.limit().kept()) {
+			connection.close();
+			return;
+		}
 		connection.idleSince(this.clock.nanos());
 		this.idleConnections.computeIfAbsent(connection.address(), (key) -> new ArrayDeque<>()).push(connection);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -237,8 +237,8 @@
 		this.crashTracking.recordSent();
 		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
 		CallOptions options = CallOptions.forRequest(this.route.repeatable(),
-				this.dispatcher.admission().connectTimeout(this.route),
-				this.dispatcher.maximumConnections(this.service), connectContext());
+				this.dispatcher.admission().connectTimeout(this.route), this.dispatcher.connectionLimit(this.service),
+				connectContext());
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(),
 					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId()), options,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,8 @@
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.configuration.TokenQuota;
+import org.banyancove.gateway.duty.FleetView;
+import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -43,9 +46,6 @@
 	 */
 	private static final int MAXIMUM_DEFERRED_REQUESTS = 256;
 
-	/** The connections to an endpoint that a gateway needs to serve at all. */
-	private static final int MINIMUM_CONNECTIONS = 2;
-
 	private final EventLoop eventLoop;
 
 	private final MonotonicClock clock;
@@ -78,6 +78,8 @@
 
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
+	private final ConnectionAllowance connectionAllowance = new ConnectionAllowance();
+
 	private final AdmissionRule admission = new AdmissionRule();
 
 	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
@@ -88,8 +90,6 @@
 
 	private final Map<AccountName, Double> acceptedByRemovedLimiters = new HashMap<>();
 
-	private int gatewayCount;
-
 	private double reachableShare = 1;
 
 	private DrainPhase drainPhase = DrainPhase.ALL;
@@ -166,15 +166,16 @@
 	}
 
 	/**
-	 * Updates the size of the fleet.
-	 * @param newGatewayCount the number of gateways that may be running, including this
+	 * Updates the fleet.
+	 * @param listedGateways the number of gateways that may be running, including this
 	 * one, or 0 if it is unknown
-	 * @param newReachableShare the fraction of them that is reachable, from 0 to 1
+	 * @param fleet what this gateway hears of the others
+	 * @param allEndpoints the endpoints of all services
 	 */
-	public void updateFleet(int newGatewayCount, double newReachableShare) {
-		this.gatewayCount = newGatewayCount;
-		this.reachableShare = newReachableShare;
-		this.quotaLimiters.values().forEach((limiter) -> limiter.setReachableShare(newReachableShare));
+	public void updateFleet(int listedGateways, FleetView fleet, Collection<Endpoint> allEndpoints) {
+		this.connectionAllowance.update(listedGateways, fleet, allEndpoints, this.clock.nanos());
+		this.reachableShare = fleet.reachableShare();
+		this.quotaLimiters.values().forEach((limiter) -> limiter.setReachableShare(this.reachableShare));
 	}
 
 	/**
@@ -321,12 +322,8 @@
 		return this.retryBudgets;
 	}
 
-	// This gateway's share of the connections that an endpoint accepts from all gateways.
-	int maximumConnections(Service service) {
-		if (this.gatewayCount == 0) {
-			return MINIMUM_CONNECTIONS;
-		}
-		return Math.max(MINIMUM_CONNECTIONS, (int) (service.maxConnections() * 0.9 / this.gatewayCount));
+	ConnectionLimit connectionLimit(Service service) {
+		return this.connectionAllowance.limit(service);
 	}
 
 	long configurationVersion() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
@@ -9,12 +9,19 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Predicate;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Callers that send requests to every gateway of a fleet at a fixed rate and never retry.
+ * Most of them may come to one gateway for a while.
  */
 final class FleetCallers implements AutoCloseable {
 
@@ -28,6 +35,8 @@
 
 	private final AtomicLong ended = new AtomicLong();
 
+	private volatile @Nullable Crowd crowd;
+
 	private volatile boolean closed;
 
 	FleetCallers(GatewayFleet fleet, Duration interval) {
@@ -48,7 +57,8 @@
 		}
 	}
 
-	private FirstTry call(GatewayFleet.Node node) {
+	private FirstTry call(GatewayFleet.Node usual) {
+		GatewayFleet.Node node = destination(usual);
 		long number = this.identifiers.incrementAndGet();
 		String path = PATHS.get((int) (number % PATHS.size()));
 		String id = "r" + number;
@@ -73,6 +83,16 @@
 		return firstTry;
 	}
 
+	private GatewayFleet.Node destination(GatewayFleet.Node usual) {
+		Crowd current = this.crowd;
+		return (current != null && ThreadLocalRandom.current().nextDouble() < current.share()) ? current.node() : usual;
+	}
+
+	/** Lets a share of all requests come to one gateway. */
+	void crowd(GatewayFleet.Node node, double share) {
+		this.crowd = new Crowd(node, share);
+	}
+
 	private static String read(InputStream input) throws IOException {
 		return new String(input.readAllBytes(), StandardCharsets.US_ASCII);
 	}
@@ -92,10 +112,15 @@
 
 	/** Waits until every gateway serves requests. */
 	void awaitServed(GatewayFleet fleet) throws InterruptedException {
-		for (GatewayFleet.Node node : fleet.nodes()) {
-			for (int attempt = 0; attempt < 200 && !call(node).served(); attempt++) {
-				TimeUnit.MILLISECONDS.sleep(50);
-			}
+		try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+			executor
+				.invokeAll(fleet.nodes().stream().map((node) -> Executors.callable(() -> awaitServed(node))).toList());
+		}
+	}
+
+	private void awaitServed(GatewayFleet.Node node) {
+		for (int attempt = 0; attempt < 200 && !call(node).served(); attempt++) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
 		}
 	}
 
@@ -108,6 +133,15 @@
 		this.closed = true;
 	}
 
+	/**
+	 * A gateway to which most requests come.
+	 *
+	 * @param node the gateway
+	 * @param share the share of all requests, from 0 to 1
+	 */
+	private record Crowd(GatewayFleet.Node node, double share) {
+	}
+
 	/**
 	 * The first try of a request.
 	 *
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -63,6 +63,8 @@
 
 	static final Duration LATENCY_TARGET = Duration.ofMillis(300);
 
+	private static final int MAXIMUM_CONNECTIONS = 1000;
+
 	private static final Duration EVENT_INTERVAL = Duration.ofMillis(400);
 
 	private static final AtomicInteger FLEETS = new AtomicInteger();
@@ -79,7 +81,15 @@
 
 	private final List<Node> nodes = new ArrayList<>();
 
+	private final int maximumConnections;
+
 	GatewayFleet(int gateways, int endpoints, Duration responseTime) throws IOException, InterruptedException {
+		this(gateways, endpoints, responseTime, MAXIMUM_CONNECTIONS);
+	}
+
+	GatewayFleet(int gateways, int endpoints, Duration responseTime, int maximumConnections)
+			throws IOException, InterruptedException {
+		this.maximumConnections = maximumConnections;
 		this.store.append(Topic.CONFIGURATION, "configuration", new byte[0]);
 		for (int i = 0; i < endpoints; i++) {
 			StubEndpoint endpoint = new StubEndpoint(this.runs, responseTime);
@@ -115,6 +125,10 @@
 		return this.runs;
 	}
 
+	List<StubEndpoint> endpoints() {
+		return this.endpoints;
+	}
+
 	StubEndpoint endpoint(int number) {
 		return this.endpoints.get(number);
 	}
@@ -123,11 +137,11 @@
 		return new DataCenterName("dc-" + number % DATA_CENTERS);
 	}
 
-	private static Configuration configuration() {
+	private Configuration configuration() {
 		return new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
 				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
-				route("/resumed/", RouteKind.STREAMING, true, 2)), List.of(new Service(SERVICE, 1000, null, null)),
-				List.of(), CallerLimits.DEFAULT);
+				route("/resumed/", RouteKind.STREAMING, true, 2)),
+				List.of(new Service(SERVICE, this.maximumConnections, null, null)), List.of(), CallerLimits.DEFAULT);
 	}
 
 	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
@@ -280,7 +294,7 @@
 	 * Reads records that hold the port, data centre, version, start and state of an
 	 * endpoint.
 	 */
-	private static final class FleetRecordCodec implements RecordCodec {
+	private final class FleetRecordCodec implements RecordCodec {
 
 		@Override
 		public Configuration readConfiguration(byte[] value) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An endpoint that answers each request after a fixed time, counts how often it ran each,
@@ -29,6 +30,10 @@
 
 	private final Duration responseTime;
 
+	private final AtomicInteger openConnections = new AtomicInteger();
+
+	private final AtomicInteger mostOpenConnections = new AtomicInteger();
+
 	StubEndpoint(Map<String, Integer> runs, Duration responseTime) throws IOException {
 		this.runs = runs;
 		this.responseTime = responseTime;
@@ -44,6 +49,16 @@
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.server.getLocalPort());
 	}
 
+	/** Starts counting the most connections that are open at the same time. */
+	void countOpenConnections() {
+		this.mostOpenConnections.set(this.openConnections.get());
+	}
+
+	/** Returns the most connections that were open at the same time. */
+	int mostOpenConnections() {
+		return this.mostOpenConnections.get();
+	}
+
 	private void accept() {
 		try {
 			while (true) {
@@ -57,6 +72,7 @@
 	}
 
 	private void serve(Socket connection) {
+		this.mostOpenConnections.accumulateAndGet(this.openConnections.incrementAndGet(), Math::max);
 		try (connection) {
 			connection.setTcpNoDelay(true);
 			InputStream input = new BufferedInputStream(connection.getInputStream());
@@ -79,6 +95,9 @@
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+		finally {
+			this.openConnections.decrementAndGet();
+		}
 	}
 
 	private void respond(OutputStream output, String id, boolean streaming, boolean last)
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -38,6 +38,7 @@
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.configuration.WeightedService;
 import org.banyancove.gateway.duty.DemandEstimator;
+import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
@@ -120,7 +121,7 @@
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
 				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
 				new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
-		created.updateFleet(1, 1);
+		created.updateFleet(1, FleetView.ALONE, List.of());
 		return created;
 	}
 
@@ -221,10 +222,10 @@
 	@Test
 	void connectionsToAnEndpointAreSharedByTheListedGateways() {
 		Service service = new Service(SERVICE, 450, null, null);
-		this.dispatcher.updateFleet(0, 1);
-		assertThat(this.dispatcher.maximumConnections(service)).isEqualTo(2);
-		this.dispatcher.updateFleet(65, 0.1);
-		assertThat(this.dispatcher.maximumConnections(service)).isEqualTo(6);
+		this.dispatcher.updateFleet(0, FleetView.ALONE, List.of());
+		assertThat(this.dispatcher.connectionLimit(service).open()).isEqualTo(2);
+		this.dispatcher.updateFleet(65, FleetView.ALONE, List.of());
+		assertThat(this.dispatcher.connectionLimit(service).open()).isEqualTo(6);
 	}
 
 	// Guards against endpoints that are given more time than is left, since establishing
