Count a request without a free connection as no failure of the endpoint

What callers saw: when a gateway had all its connections to an endpoint in use, the next request marked the endpoint as unreachable; it got no requests of this gateway for 0.5 to 4 s, and the others got its load until they were avoided too.

Cause: every failure before a request is sent counted against the endpoint, also the lack of a free connection, which is this gateway's own limit.

Evidence: requestWithoutAFreeConnectionIsNoFailureOfTheEndpoint failed before (backed off).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallFailure.java
@@ -46,6 +46,14 @@
 		return this.mayHaveRun;
 	}
 
+	/**
+	 * Returns whether the endpoint could not be connected.
+	 * @return {@code false} if no connection was tried, or one was established
+	 */
+	public boolean endpointUnreachable() {
+		return this == CONNECT_REFUSED || this == CONNECT_TIMED_OUT;
+	}
+
 	/**
 	 * Returns whether the connection ended while the endpoint had the request.
 	 * @return {@code true} if the endpoint may have crashed
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -401,7 +401,7 @@
 					: attempt.describe(), failure.name());
 		if (!failure.mayHaveRun()) {
 			this.retries.attemptNotSent();
-			if (failure != CallFailure.WITHDRAWN) {
+			if (failure.endpointUnreachable()) {
 				attempt.endpoint().unreachable(attempt.sentAt(), now());
 			}
 			placeAfterFailedConnect();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -228,6 +228,26 @@
 		assertThat(this.dispatcher.connectionLimit(service).open()).isEqualTo(6);
 	}
 
+	// Guards against endpoints that get no requests, as if they were unreachable, since
+	// this gateway has no further connection to them.
+	@Test
+	void requestWithoutAFreeConnectionIsNoFailureOfTheEndpoint() throws Exception {
+		this.dispatcher.updateFleet(0, FleetView.ALONE, List.of());
+		ScriptedEndpoint endpoint = endpoint("a");
+		try (Caller first = new Caller(); Caller second = new Caller(); Caller third = new Caller()) {
+			for (Caller caller : List.of(first, second, third)) {
+				endpoint.thenRespondLate(Duration.ofMillis(500), COMPLETE);
+				caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: " + caller.hashCode(), "", ""));
+			}
+			TimeUnit.MILLISECONDS.sleep(250);
+			Endpoint known = Objects.requireNonNull(this.endpoints.get(new EndpointId("a")));
+			assertThat(this.eventLoop.submit(() -> known.backedOff(System.nanoTime())).get()).isFalse();
+			for (Caller caller : List.of(first, second, third)) {
+				assertThat(caller.read().status()).isEqualTo(200);
+			}
+		}
+	}
+
 	// Guards against endpoints that are given more time than is left, since establishing
 	// the connection took a part of it.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Locale;
 import java.util.Queue;
@@ -52,6 +53,14 @@
 		return then((connection, id) -> write(connection, response.replace("ID", id)));
 	}
 
+	/** Adds a response that comes after a time. */
+	ScriptedEndpoint thenRespondLate(Duration delay, String response) {
+		return then((connection, id) -> {
+			TimeUnit.NANOSECONDS.sleep(delay.toNanos());
+			write(connection, response.replace("ID", id));
+		});
+	}
+
 	/** Adds a partial response, after which the connection is reset. */
 	ScriptedEndpoint thenReset(String prefix) {
 		return then((connection, id) -> {
