Close connections unread that an overloaded gateway has no time for

What callers saw: a gateway that gets more new connections than its processor has time for reads all of them, and serves none within its deadline.

Cause: connections wait in the backlog and in the event loop, where nothing sees how long; every request is read whatever its chance.

Change: all connections are accepted, and read in their order, one in each turn of the loop.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -51,6 +51,8 @@
 
 	private final Counter requests;
 
+	private final Counter closedConnections;
+
 	private final Counter failedAttempts;
 
 	private final Counter lostAttempts;
@@ -89,6 +91,10 @@
 			.help("Requests by outcome")
 			.labelNames("outcome")
 			.register(registry);
+		this.closedConnections = Counter.builder()
+			.name("banyancove_connections_closed_unread_total")
+			.help("Connections of callers that were closed unread during overload")
+			.register(registry);
 		this.failedAttempts = Counter.builder()
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
@@ -306,6 +312,11 @@
 		}
 	}
 
+	@Override
+	public void connectionClosedUnread() {
+		this.closedConnections.inc();
+	}
+
 	@Override
 	public void shutdownAnnounced(EndpointId endpoint) {
 		log.atInfo().addKeyValue("endpoint", endpoint).log("endpoint announced shutdown");
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.banyancove.core.error.ErrorKind;
@@ -23,6 +24,9 @@
 
 /**
  * The HTTP server for callers.
+ * <p>
+ * A gateway without time for new connections closes them before a request is read.
+ * Requests that are read are served.
  */
 public final class CallerServer {
 
@@ -36,6 +40,8 @@
 
 	private final RequestDispatcher dispatcher;
 
+	private final ConnectionAdmission admission;
+
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	private boolean stopping;
@@ -53,6 +59,7 @@
 		this.clock = clock;
 		this.limits = limits;
 		this.dispatcher = dispatcher;
+		this.admission = new ConnectionAdmission(eventLoops.next(), clock, dispatcher::closedUnread);
 	}
 
 	/**
@@ -64,6 +71,10 @@
 	public Channel listen(ServerSocketChannel socket) throws InterruptedException {
 		return new ServerBootstrap().group(this.eventLoops)
 			.channelFactory(() -> new NioServerSocketChannel(socket))
+			// Connections that wait in the backlog would not be seen to wait.
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ListeningSocket.BACKLOG))
+			.childOption(ChannelOption.AUTO_READ, false)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<Channel>() {
@@ -73,6 +84,7 @@
 						.addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
 						.addLast(new HttpResponseEncoder())
 						.addLast(new CallerConnection(CallerServer.this));
+					CallerServer.this.admission.add(channel);
 				}
 			})
 			.register()
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ListeningSocket.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ListeningSocket.java
@@ -16,7 +16,7 @@
 public final class ListeningSocket {
 
 	/** If the backlog is full, callers lose seconds before they can connect. */
-	private static final int BACKLOG = 1024;
+	static final int BACKLOG = 1024;
 
 	private ListeningSocket() {
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -314,6 +314,10 @@
 		this.requestLog.rejected(new RequestLog.RejectedRequest(null, kind, null, null, null, configurationVersion()));
 	}
 
+	void closedUnread() {
+		this.requestLog.connectionClosedUnread();
+	}
+
 	void ended() {
 		this.inProgress--;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -23,6 +23,12 @@
 	 */
 	void rejected(RejectedRequest request);
 
+	/**
+	 * Called when a caller's connection was closed before a request was read, since the
+	 * gateway is overloaded.
+	 */
+	void connectionClosedUnread();
+
 	/**
 	 * Called when an attempt at an endpoint failed, or the endpoint rejected the request.
 	 * @param attempt the attempt
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetCallers.java
@@ -160,6 +160,11 @@
 			return this.response.startsWith("HTTP/1.1 200 ") && complete;
 		}
 
+		/** Returns whether the gateway closed the connection without a response. */
+		boolean closed() {
+			return this.response.isEmpty() && this.elapsed.toMillis() < DEADLINE_MILLIS;
+		}
+
 		boolean late() {
 			return this.elapsed.compareTo(GatewayFleet.LATENCY_TARGET) > 0;
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -83,13 +83,25 @@
 
 	private final int maximumConnections;
 
+	private final Duration requestCost;
+
 	GatewayFleet(int gateways, int endpoints, Duration responseTime) throws IOException, InterruptedException {
-		this(gateways, endpoints, responseTime, MAXIMUM_CONNECTIONS);
+		this(gateways, endpoints, responseTime, MAXIMUM_CONNECTIONS, Duration.ZERO);
 	}
 
-	GatewayFleet(int gateways, int endpoints, Duration responseTime, int maximumConnections)
+	/**
+	 * Starts a fleet.
+	 * @param gateways the number of gateways
+	 * @param endpoints the number of endpoints
+	 * @param responseTime the time that an endpoint takes for an answer or an event
+	 * @param maximumConnections the connections that an endpoint accepts
+	 * @param requestCost the time for which a request keeps the event loop of its gateway
+	 * busy
+	 */
+	GatewayFleet(int gateways, int endpoints, Duration responseTime, int maximumConnections, Duration requestCost)
 			throws IOException, InterruptedException {
 		this.maximumConnections = maximumConnections;
+		this.requestCost = requestCost;
 		this.store.append(Topic.CONFIGURATION, "configuration", new byte[0]);
 		for (int i = 0; i < endpoints; i++) {
 			StubEndpoint endpoint = new StubEndpoint(this.runs, responseTime);
@@ -247,8 +259,8 @@
 					this.partition::newChannel);
 			Gateway started = new Gateway(settings, this.eventLoops,
 					new Gateway.Clocks(System::nanoTime, InstantSource.system()),
-					new SplittableRandom(this.number + 1000L * this.starts), new TestHeaderCodec(),
-					new FleetRecordCodec(),
+					new SplittableRandom(this.number + 1000L * this.starts),
+					new TestHeaderCodec(GatewayFleet.this.requestCost), new FleetRecordCodec(),
 					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties()),
 					connections);
 			ServerSocketChannel socket = ListeningSocket.open(this.callers);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -1046,6 +1046,11 @@
 
 	private static final class NoOpRequestLog implements RequestLog {
 
+		@Override
+		public void connectionClosedUnread() {
+			// Not used.
+		}
+
 		@Override
 		public void rejected(RejectedRequest request) {
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.banyancove.gateway.endpoint.Prompt;
@@ -17,8 +18,23 @@
  */
 public final class TestHeaderCodec implements HeaderCodec {
 
+	private final Duration requestCost;
+
+	public TestHeaderCodec() {
+		this(Duration.ZERO);
+	}
+
+	/**
+	 * Creates the codec.
+	 * @param requestCost the time for which each request keeps its event loop busy
+	 */
+	public TestHeaderCodec(Duration requestCost) {
+		this.requestCost = requestCost;
+	}
+
 	@Override
 	public CallerHeaders readCaller(HttpHeaders headers) {
+		keepBusy();
 		String deadline = headers.get("deadline-ms");
 		return new CallerHeaders(headers.get("id"),
 				(deadline != null) ? Duration.ofMillis(Long.parseLong(deadline)) : null, headers.get("key"),
@@ -33,6 +49,15 @@
 				: Prompt.NONE;
 	}
 
+	private void keepBusy() {
+		try {
+			TimeUnit.NANOSECONDS.sleep(this.requestCost.toNanos());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Override
 	public boolean isForwarded(String name) {
 		return !name.equals("key");
