Reset a tunnel unless the endpoint has ended its connection

What callers could see: an answer with neither a length nor chunks, which ends with its connection, looked complete to the gateway at one end of a tunnel if the gateway in the middle was killed, shut down or closed the tunnel as idle.

Cause: any end of the tunnel's connection was an orderly one.

Change: the connection between the gateways has a linger time of zero, so that whatever closes it resets it, also the end of the process. Only the orderly end of the endpoint's connection is passed on as such, as an end of output.

Evidence: resetsATunnelThatItClosesItself and resetsItsTunnelsWhenItEnds failed before (an orderly end); copiesBytesInBothDirectionsAndPassesOnTheEnd still sees the orderly one.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
@@ -3,6 +3,10 @@
 import java.time.Duration;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.DuplexChannel;
 
 /**
  * An open tunnel of another gateway to an endpoint.
@@ -21,13 +25,29 @@
 		this.gatewaySide = gatewaySide;
 		this.connector = connector;
 		this.lastDataAt = connector.now();
-		gatewaySide.pipeline().addLast(new TunnelHandler(endpointSide, () -> recordData(true)));
-		endpointSide.pipeline().addLast(new TunnelHandler(gatewaySide, () -> recordData(false)));
+		// Any end but that of the endpoint's connection resets the tunnel, also that of
+		// the
+		// process: a response may be delimited by the end of its connection.
+		gatewaySide.config().setOption(ChannelOption.SO_LINGER, 0);
+		gatewaySide.pipeline()
+			.addLast(new TunnelHandler(endpointSide, () -> recordData(true), ChannelFutureListener.CLOSE));
+		endpointSide.pipeline().addLast(new TunnelHandler(gatewaySide, () -> recordData(false), Tunnel::endResponse));
 		if (!endpointSide.isActive()) {
 			gatewaySide.close();
 		}
 	}
 
+	// The gateway closes its side once it has read everything.
+	private static void endResponse(ChannelFuture written) {
+		if (written.isSuccess() && written.channel() instanceof DuplexChannel gatewaySide) {
+			gatewaySide.config().setAutoRead(true);
+			gatewaySide.shutdownOutput();
+		}
+		else {
+			written.channel().close();
+		}
+	}
+
 	private void recordData(boolean fromGateway) {
 		this.requestInProgress = fromGateway;
 		this.lastDataAt = this.connector.now();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
@@ -18,11 +18,14 @@
 
 	private final Runnable onData;
 
+	private final ChannelFutureListener onEnd;
+
 	private boolean reset;
 
-	TunnelHandler(Channel otherSide, Runnable onData) {
+	TunnelHandler(Channel otherSide, Runnable onData, ChannelFutureListener onEnd) {
 		this.otherSide = otherSide;
 		this.onData = onData;
+		this.onEnd = onEnd;
 	}
 
 	@Override
@@ -47,7 +50,7 @@
 			reset(this.otherSide);
 		}
 		else {
-			this.otherSide.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			this.otherSide.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this.onEnd);
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
@@ -98,6 +98,31 @@
 		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
 	}
 
+	// Guards against a truncated response that looks complete because the tunnel was
+	// closed for want of data.
+	@Test
+	void resetsATunnelThatItClosesItself() throws Exception {
+		Socket tunnel = open(target());
+		readHead(tunnel);
+		this.endpoint.accept().getOutputStream().write("resp".getBytes(StandardCharsets.US_ASCII));
+		assertThat(tunnel.getInputStream().readNBytes(4)).asString().isEqualTo("resp");
+		this.eventLoops.next().submit(this.server::stop).sync();
+		TimeUnit.NANOSECONDS.sleep(TunnelServer.MAXIMUM_AGE.plusMillis(600).toNanos());
+		this.eventLoops.next().submit(this.server::closeIdle).sync();
+		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
+	}
+
+	// Guards against the same because the gateway that the tunnel leads through ended.
+	@Test
+	void resetsItsTunnelsWhenItEnds() throws Exception {
+		Socket tunnel = open(target());
+		readHead(tunnel);
+		this.endpoint.accept().getOutputStream().write("resp".getBytes(StandardCharsets.US_ASCII));
+		assertThat(tunnel.getInputStream().readNBytes(4)).asString().isEqualTo("resp");
+		this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
+	}
+
 	// Guards against an endpoint that goes on working on a request after its caller left.
 	@Test
 	void passesOnAResetOfTheGateway() throws Exception {
