Choose no endpoint to which no connection is free

Cause: since the lack of a connection is no failure of the endpoint any more, a request that found none would try all the endpoints each 40 ms. Most requests of an overloaded gateway would do so.

Change: endpoints at which this gateway has as many requests in flight as connections are not chosen. A request waits for one of them, or is rejected once it has waited as long as for any endpoint.

Evidence: ExchangeTests, CrowdedGatewayTests and TunnelServerTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -177,7 +177,7 @@
 	}
 
 	private @Nullable Placement choosePlacement() {
-		List<Endpoint> eligible = eligible();
+		List<Endpoint> eligible = this.dispatcher.withFreeConnection(this.service, eligible());
 		Placement placement = this.dispatcher.placement().choose(eligible, prompt(), this.triedEndpoints, now());
 		if (placement == null && this.continuation.isBound()) {
 			// The endpoint that broke off may be the last one of its version.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -330,6 +330,11 @@
 		return this.connectionAllowance.limit(service);
 	}
 
+	List<Endpoint> withFreeConnection(Service service, List<Endpoint> candidates) {
+		int maximum = connectionLimit(service).open();
+		return candidates.stream().filter((endpoint) -> endpoint.inFlight() < maximum).toList();
+	}
+
 	long configurationVersion() {
 		return (this.configuration != null) ? this.configuration.version() : 0;
 	}
