--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
@@ -25,9 +25,8 @@
 		this.gatewaySide = gatewaySide;
 		this.connector = connector;
 		this.lastDataAt = connector.now();
-		// Any end but that of the endpoint's connection resets the tunnel, also that of
-		// the
-		// process: a response may be delimited by the end of its connection.
+		// A response may be delimited by the end of its connection: only the endpoint's
+		// end is passed on as one, any other, also of the process, resets the tunnel.
 		gatewaySide.config().setOption(ChannelOption.SO_LINGER, 0);
 		gatewaySide.pipeline()
 			.addLast(new TunnelHandler(endpointSide, () -> recordData(true), ChannelFutureListener.CLOSE));
