Keep an endpoint without a free connection as the source of prompts

What callers saw: while a gateway had no free connection to the endpoint that has the prompts of a session, their requests went to another endpoint, which prefilled the shared part again.

Cause: endpoints without a free connection were taken out of the list before an endpoint was chosen, so that the choice no longer knew the owner and took the next one in the ranking for it.

Change: they are excluded as endpoints that the request has been sent to, which keep their rank.

Evidence: promptIsCopiedFromAnEndpointWithoutAFreeConnection failed before (the prefix source was another endpoint). ExchangeTests and PlacementRuleTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -177,13 +177,11 @@
 	}
 
 	private @Nullable Placement choosePlacement() {
-		List<Endpoint> eligible = this.dispatcher.withFreeConnection(this.service, eligible());
-		Placement placement = this.dispatcher.placement().choose(eligible, prompt(), this.triedEndpoints, now());
-		if (placement == null && this.continuation.isBound()) {
-			// The endpoint that broke off may be the last one of its version.
-			return this.dispatcher.placement().choose(eligible, prompt(), Set.of(), now());
-		}
-		return placement;
+		List<Endpoint> eligible = eligible();
+		Placement placement = this.dispatcher.choosePlacement(this.service, eligible, prompt(), this.triedEndpoints);
+		// The endpoint that broke off may be the last one of its version.
+		return (placement == null && this.continuation.isBound())
+				? this.dispatcher.choosePlacement(this.service, eligible, prompt(), Set.of()) : placement;
 	}
 
 	private void placementFailed() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -14,6 +15,7 @@
 
 import io.netty.channel.EventLoop;
 import org.banyancove.core.AccountName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.admission.AdmissionRule;
@@ -24,7 +26,9 @@
 import org.banyancove.gateway.configuration.TokenQuota;
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.resumption.StreamOrigins;
@@ -330,9 +334,15 @@
 		return this.connectionAllowance.limit(service);
 	}
 
-	List<Endpoint> withFreeConnection(Service service, List<Endpoint> candidates) {
+	// An endpoint without a free connection remains the owner and the source of prompts.
+	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Set<EndpointId> tried) {
 		int maximum = connectionLimit(service).open();
-		return candidates.stream().filter((endpoint) -> endpoint.inFlight() < maximum).toList();
+		Set<EndpointId> excluded = new HashSet<>(tried);
+		candidates.stream()
+			.filter((endpoint) -> endpoint.inFlight() >= maximum)
+			.map(Endpoint::id)
+			.forEach(excluded::add);
+		return this.placement.choose(candidates, prompt, excluded, this.clock.nanos());
 	}
 
 	long configurationVersion() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -33,6 +34,7 @@
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.EngineMemory;
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.RouteKind;
 import org.banyancove.gateway.configuration.Service;
@@ -44,7 +46,10 @@
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
+import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.endpoint.PromptPart;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.retry.RetryBudgets;
@@ -248,6 +253,33 @@
 		}
 	}
 
+	// Guards against prompts that are prefilled again, since the endpoint that has them
+	// is
+	// forgotten while no connection to it is free.
+	@Test
+	void promptIsCopiedFromAnEndpointWithoutAFreeConnection() throws Exception {
+		Service service = new Service(SERVICE, 450, new EngineMemory(600_000, 0.0005), null);
+		this.configuration = new Configuration(2, List.of(), List.of(service), List.of(), CallerLimits.DEFAULT);
+		configure(this.dispatcher);
+		for (String name : List.of("a", "b", "c", "d")) {
+			endpoint(name);
+		}
+		Prompt prompt = new Prompt(List.of(new PromptPart(1, 5000), new PromptPart(2, 100)), 5100, 100);
+		this.eventLoop.submit(() -> {
+			this.dispatcher.updateFleet(0, FleetView.ALONE, List.of());
+			List<Endpoint> candidates = List.copyOf(this.endpoints.all());
+			Endpoint owner = Objects
+				.requireNonNull(this.dispatcher.choosePlacement(service, candidates, prompt, Set.of()))
+				.endpoint();
+			owner.requestSent(Prompt.NONE, 0, System.nanoTime());
+			owner.requestSent(Prompt.NONE, 0, System.nanoTime());
+			Placement next = Objects
+				.requireNonNull(this.dispatcher.choosePlacement(service, candidates, prompt, Set.of()));
+			assertThat(next.endpoint()).isNotEqualTo(owner);
+			assertThat(next.prefixSource()).isEqualTo(owner);
+		}).get();
+	}
+
 	// Guards against endpoints that are given more time than is left, since establishing
 	// the connection took a part of it.
 	@Test
