Test requests that find all connections being established

Cause: requestWithoutAFreeConnectionIsNoFailureOfTheEndpoint passes without the fix that it came with since endpoints without a free connection are not chosen: such a request no longer gets as far as a failed call.

Change: the case that still does is tested, connections that are being established for callers that have left.

Evidence: with the lack of a connection counted as a failure again, the new test fails (backed off) and the earlier one passes; with the code as it is, both pass.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -253,6 +253,28 @@
 		}
 	}
 
+	// Guards against the same while connections that nobody waits for any more are being
+	// established.
+	@Test
+	void requestBehindConnectionsThatAreBeingEstablishedIsNoFailureOfTheEndpoint() throws Exception {
+		this.dispatcher.updateFleet(0, FleetView.ALONE, List.of());
+		endpoint("a").thenRespond(COMPLETE);
+		this.connectMillis = 1000;
+		for (int i = 0; i < 2; i++) {
+			try (Caller leaving = new Caller()) {
+				leaving.send(lines("GET /again/x HTTP/1.1", "host: host", "id: leaving-" + i, "", ""));
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
+		}
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "", ""));
+			TimeUnit.MILLISECONDS.sleep(200);
+			Endpoint known = Objects.requireNonNull(this.endpoints.get(new EndpointId("a")));
+			assertThat(this.eventLoop.submit(() -> known.backedOff(System.nanoTime())).get()).isFalse();
+			assertThat(caller.read().status()).isEqualTo(200);
+		}
+	}
+
 	// Guards against prompts that are prefilled again, since the endpoint that has them
 	// is
 	// forgotten while no connection to it is free.
