Count the reachable gateways in one place, and say what a burst may lose

Change: wording, names and one call; no behaviour.

Evidence: CrowdedGatewayTests, ExchangeTests and ConnectionAdmissionTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -77,7 +77,7 @@
 	 * @return {@code true} if at least one is reachable
 	 */
 	public boolean reachesOthers() {
-		return this.reachableShare * (this.otherGateways + 1) > 1;
+		return reachableGateways() > 1;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionAdmission.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionAdmission.java
@@ -16,10 +16,10 @@
  * Admits the connections of callers in their order, one in each turn of the event loop,
  * and closes those that the gateway has no time for before a request is read.
  * <p>
- * A loop that is late once, after a pause of the VM or many connections at once, catches
- * up. If connections have waited too long all the time for a while, the gateway is
- * overloaded: from then on each that has waited too long is closed, so that its caller
- * can try another gateway at once. Confined to the event loop thread.
+ * After a pause of the VM or many connections at once, the loop usually catches up. If
+ * connections have waited too long all the time for a while, the gateway is overloaded:
+ * from then on each that has waited too long is closed, so that its caller can try
+ * another gateway at once. Confined to the event loop thread.
  */
 final class ConnectionAdmission {
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionAllowance.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionAllowance.java
@@ -77,7 +77,7 @@
 			return new ConnectionLimit(MINIMUM_CONNECTIONS, MINIMUM_CONNECTIONS);
 		}
 		double equalShare = 1.0 / this.listedGateways;
-		double demandShare = this.inFlight.getOrDefault(service.name(), InFlight.NONE).ownShare(equalShare);
+		double demandShare = this.inFlight.getOrDefault(service.name(), InFlight.NONE).ownShare(this.listedGateways);
 		double allocated = service.maxConnections() * ALLOCATED;
 		double kept = allocated * DIVIDED_EQUALLY * equalShare;
 		double byDemand = allocated * (1 - DIVIDED_EQUALLY)
@@ -105,9 +105,9 @@
 					this.others + weight * (latest.others - this.others));
 		}
 
-		// One request of each gateway counts in any case, for those without any.
-		double ownShare(double equalShare) {
-			return (this.own + 1) / (this.own + this.others + 1 / equalShare);
+		// Counts one request more for each gateway, so that an idle one has a share too.
+		double ownShare(int gateways) {
+			return (this.own + 1) / (this.own + this.others + gateways);
 		}
 
 	}
