Read load reports that have a fourth figure

A load report was read only if it had exactly three figures. Endpoints that share their machine add a fourth, how long work takes there at this moment, so the whole report was ignored without a trace. The known figures are read now, the fourth becomes the report's slowdown, and further ones are ignored. No other header is read by an exact count.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -269,7 +269,7 @@
 		}
 
 		LoadReport load() {
-			return new LoadReport(this.running.size(), this.waiting.size(), SLOTS);
+			return new LoadReport(this.running.size(), this.waiting.size(), SLOTS, null);
 		}
 
 	}
