Send the first order of a starting fleet when all endpoints are listed

Before the first request the listed endpoints are the only indication of the load. Endpoints write their entries over five seconds, and the first order was sent three seconds after the lease: 23 of 42 were listed, and only those were replaced, so that the fleet met its first request with half of its capacity. The first order of a fleet without demand now waits until the list has not grown for two seconds, six seconds at the most.

Test: theFirstOrderIsSentWhenAllEndpointsAreListed fails on the code before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -44,6 +44,15 @@
 	 */
 	private static final Duration FIRST_DECISION_DELAY = Duration.ofSeconds(3);
 
+	/**
+	 * Maximum delay of the first order of a fleet without requests, while its endpoints
+	 * are still being listed: they write their entries over five seconds after a start.
+	 */
+	private static final Duration MAXIMUM_LISTING_DELAY = Duration.ofSeconds(6);
+
+	/** Time without a new endpoint after which a starting fleet counts as listed. */
+	private static final Duration LISTING_SETTLED = Duration.ofSeconds(2);
+
 	/** Delay until an unfilled order is sent again. */
 	private static final Duration RETRY_INTERVAL = Duration.ofSeconds(4);
 
@@ -73,8 +82,14 @@
 
 	private long fence;
 
+	private long acquiredAt;
+
 	private long nextDecisionAt;
 
+	private int listedCount;
+
+	private long listGrewAt;
+
 	EndpointAutoscaler(Duties duties, Supplier<FleetView> fleetView, DemandEstimator demandEstimator,
 			ServingEndpoints endpoints) {
 		this.duties = duties;
@@ -91,10 +106,16 @@
 		if (newFence != this.fence) {
 			this.fence = newFence;
 			this.lastOrders.clear();
+			this.acquiredAt = now;
+			this.listedCount = 0;
 			this.nextDecisionAt = now + FIRST_DECISION_DELAY.toNanos();
 		}
 		Configuration current = this.configuration;
-		if (current == null || now < this.nextDecisionAt) {
+		if (current == null) {
+			return;
+		}
+		recordListed(current, now);
+		if (now < this.nextDecisionAt || isListing(now)) {
 			return;
 		}
 		this.nextDecisionAt = now + DECISION_INTERVAL.toNanos();
@@ -105,6 +126,29 @@
 		}
 	}
 
+	private void recordListed(Configuration current, long now) {
+		int count = current.services()
+			.stream()
+			.filter((service) -> service.scaling() != null)
+			.mapToInt((service) -> this.endpoints.count(service.name()))
+			.sum();
+		if (count > this.listedCount) {
+			this.listGrewAt = now;
+		}
+		this.listedCount = count;
+	}
+
+	// The first order replaces the endpoints of a fleet without requests by as many. If
+	// it
+	// is sent before all of them are listed, the fleet shrinks just before its first
+	// request.
+	private boolean isListing(long now) {
+		boolean demand = this.fleetView.get().demand().values().stream().anyMatch((millis) -> millis > 0)
+				|| this.demandEstimator.demandByService(now).values().stream().anyMatch((millis) -> millis > 0);
+		return !demand && this.lastOrders.isEmpty() && now - this.listGrewAt < LISTING_SETTLED.toNanos()
+				&& now - this.acquiredAt < MAXIMUM_LISTING_DELAY.toNanos();
+	}
+
 	private void scale(ServiceName service, ScalingLimits limits, long now) {
 		List<Endpoint> listed = this.endpoints.stableEndpoints(service, now);
 		FleetView view = this.fleetView.get();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
@@ -1,5 +1,7 @@
 package org.banyancove.gateway.daemon;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +10,7 @@
 
 import org.banyancove.core.AccountName;
 import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
@@ -16,6 +19,7 @@
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.duty.DemandEstimator;
 import org.banyancove.gateway.duty.FleetView;
+import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.rollout.RolloutTable;
@@ -35,9 +39,10 @@
 
 	private final ScriptedDuties duties = new ScriptedDuties();
 
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
+
 	private final EndpointAutoscaler autoscaler = new EndpointAutoscaler(this.duties, () -> FleetView.ALONE,
-			new DemandEstimator(), new ServingEndpoints(
-					new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway"))), new RolloutTable()));
+			new DemandEstimator(), new ServingEndpoints(this.endpoints, new RolloutTable()));
 
 	// Guards against on-demand endpoints, at several times the price, that run for
 	// seconds after reclaimable ones are available again.
@@ -54,21 +59,45 @@
 		assertThat(this.duties.reclaimableOrdersAt).hasSize(1);
 	}
 
+	// Guards against a fleet that shrinks before its first request: of 42 endpoints, 23
+	// were listed when the first order was sent, and only those were replaced.
+	@Test
+	void theFirstOrderIsSentWhenAllEndpointsAreListed() {
+		configure(60);
+		for (int i = 0; i < 42; i++) {
+			long listedAt = Duration.ofSeconds(5).toNanos() * i / 42;
+			this.autoscaler.tick(1, listedAt);
+			this.endpoints.put(new EndpointEntry(new EndpointId("endpoint-" + i), SERVICE, "v1",
+					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1));
+		}
+		assertThat(this.duties.reclaimableCounts).isEmpty();
+		for (long now = Duration.ofSeconds(5).toNanos(); now < Duration.ofSeconds(8).toNanos(); now += TICK) {
+			this.autoscaler.tick(1, now);
+		}
+		assertThat(this.duties.reclaimableCounts).first().isEqualTo(42);
+	}
+
 	private void runFor(int seconds) {
-		ScalingLimits limits = new ScalingLimits(1, 6, Duration.ofSeconds(4), 0.2, Map.of(ZONE, 1.0));
-		this.autoscaler.configure(new Configuration(1, List.of(),
-				List.of(new Service(SERVICE, 100, new EngineMemory(600_000, 0.001), limits)), List.of(),
-				CallerLimits.DEFAULT));
+		configure(6);
 		for (long now = 0; now < Duration.ofSeconds(seconds).toNanos(); now += TICK) {
 			this.duties.now = now;
 			this.autoscaler.tick(1, now);
 		}
 	}
 
+	private void configure(int maximumEndpoints) {
+		ScalingLimits limits = new ScalingLimits(1, maximumEndpoints, Duration.ofSeconds(4), 0.2, Map.of(ZONE, 1.0));
+		this.autoscaler.configure(new Configuration(1, List.of(),
+				List.of(new Service(SERVICE, 100, new EngineMemory(600_000, 0.001), limits)), List.of(),
+				CallerLimits.DEFAULT));
+	}
+
 	private static final class ScriptedDuties implements Duties {
 
 		private final List<Long> reclaimableOrdersAt = new ArrayList<>();
 
+		private final List<Integer> reclaimableCounts = new ArrayList<>();
+
 		private boolean available = true;
 
 		private long now;
@@ -83,6 +112,7 @@
 				boolean reclaimable, int count) {
 			if (reclaimable) {
 				this.reclaimableOrdersAt.add(this.now);
+				this.reclaimableCounts.add(count);
 			}
 			return CompletableFuture.completedFuture(!reclaimable || this.available);
 		}
