Place by two random candidates, and divide endpoints by latency target

Load: many gateways with reports of 0.25 to 0.5 s, older than a prefill takes. Each request went to the endpoint that looked least loaded by the same reports, so that all gateways chose the same one until the next report, and short prompts waited behind long ones while most endpoints were idle.

Where the endpoints of a service announce a slowdown, the owner of the prefix and two random endpoints are compared, and the endpoints are divided between the requests with the shortest latency target and the others. Other services are placed as before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -109,6 +109,8 @@
 
 	private final FleetAllocation allocation;
 
+	private final EndpointPartition partition;
+
 	private EndpointRateLimiter rateLimiter;
 
 	private ConcurrencyLimiter concurrencyLimiter;
@@ -122,8 +124,9 @@
 	private final ProcessLife processLife = new ProcessLife();
 
 	Endpoint(EndpointEntry entry, @Nullable EngineMemory memory, PrefillLatency prefillLatency,
-			RejectionTolerance rejectionTolerance, FleetAllocation allocation) {
+			RejectionTolerance rejectionTolerance, FleetAllocation allocation, EndpointPartition partition) {
 		this.entry = entry;
+		this.partition = partition;
 		this.allocation = allocation;
 		this.rateLimiter = new EndpointRateLimiter(entry.id(), allocation);
 		this.concurrencyLimiter = new ConcurrencyLimiter(entry.id(), allocation, rejectionTolerance);
@@ -384,6 +387,17 @@
 				report.running() + report.waiting() - this.inFlight - this.remoteInFlight);
 		this.queuedAtReport = report.waiting();
 		this.reportedAt = now;
+		if (report.slowdown() != null) {
+			this.partition.recordSlowdownAnnounced();
+		}
+	}
+
+	/**
+	 * Returns the division of the service's endpoints by latency target.
+	 * @return the division, shared by all endpoints of the service
+	 */
+	public EndpointPartition partition() {
+		return this.partition;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -8,11 +8,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.Service;
 import org.jspecify.annotations.Nullable;
 
@@ -51,6 +55,8 @@
 
 	private final Map<ServiceName, RejectionTolerance> rejectionTolerances = new HashMap<>();
 
+	private final Map<ServiceName, EndpointPartition> partitions = new HashMap<>();
+
 	private final FleetAllocation fleetAllocation;
 
 	private @Nullable Configuration configuration;
@@ -72,6 +78,26 @@
 		this.configuration = newConfiguration;
 		this.byService.clear();
 		this.endpoints.values().forEach(this::applyConfiguration);
+		newConfiguration.serviceNames().forEach((service) -> partition(service).configure(targets(service)));
+	}
+
+	private SortedSet<Duration> targets(ServiceName service) {
+		SortedSet<Duration> targets = new TreeSet<>();
+		for (Route route : Objects.requireNonNull(this.configuration).routes()) {
+			if (route.services().stream().anyMatch((weighted) -> weighted.service().equals(service))) {
+				targets.add(route.latencyTarget());
+			}
+		}
+		return targets;
+	}
+
+	/**
+	 * Returns the division of a service's endpoints by latency target.
+	 * @param service the service
+	 * @return the division
+	 */
+	EndpointPartition partition(ServiceName service) {
+		return this.partitions.computeIfAbsent(service, (name) -> new EndpointPartition());
 	}
 
 	private void applyConfiguration(Endpoint endpoint) {
@@ -97,7 +123,7 @@
 			Endpoint added = new Endpoint(entry, null,
 					this.prefillLatencies.computeIfAbsent(entry.service(), (service) -> new PrefillLatency()),
 					this.rejectionTolerances.computeIfAbsent(entry.service(), (service) -> new RejectionTolerance()),
-					this.fleetAllocation);
+					this.fleetAllocation, partition(entry.service()));
 			applyConfiguration(added);
 			this.endpoints.put(entry.id(), added);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -1,7 +1,9 @@
 package org.banyancove.gateway.endpoint;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
@@ -89,7 +91,7 @@
 	}
 
 	/**
-	 * Chooses an endpoint for a request.
+	 * Chooses an endpoint for a request regardless of its latency target.
 	 * @param endpoints the service's endpoints
 	 * @param prompt the request's prompt
 	 * @param tried the endpoints that the request has been sent to
@@ -97,26 +99,101 @@
 	 * @return the placement, or {@code null} if no endpoint is available
 	 */
 	public @Nullable Placement choose(Collection<Endpoint> endpoints, Prompt prompt, Set<EndpointId> tried, long now) {
-		Endpoint owner = highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
+		Placement placement = chooseBest(endpoints, prompt, null, tried, now);
+		endpoints.stream().findFirst().ifPresent((endpoint) -> endpoint.recordDemand(placement != null, now));
+		return placement;
+	}
+
+	/**
+	 * Chooses an endpoint for a request.
+	 * @param endpoints the service's endpoints
+	 * @param prompt the request's prompt
+	 * @param latencyTarget the latency target of its route
+	 * @param tried the endpoints that the request has been sent to
+	 * @param now the current time
+	 * @return the placement, or {@code null} if no endpoint is available
+	 */
+	public @Nullable Placement choose(Collection<Endpoint> endpoints, Prompt prompt, Duration latencyTarget,
+			Set<EndpointId> tried, long now) {
+		Endpoint any = endpoints.stream().findFirst().orElse(null);
+		if (any == null) {
+			return null;
+		}
+		EndpointPartition partition = any.partition();
+		LatencyClass latencyClass = partition.classOf(latencyTarget);
+		Placement divided = partition.applies(endpoints.size())
+				? chooseBest(endpoints, prompt, latencyClass, tried, now) : null;
+		// Endpoints beyond the spillover limit are used if no other is available.
+		Placement placement = (divided != null) ? divided : chooseBest(endpoints, prompt, null, tried, now);
+		any.recordDemand(placement != null, now);
+		if (placement != null) {
+			partition.record(latencyClass, placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now);
+		}
+		return placement;
+	}
+
+	private @Nullable Placement chooseBest(Collection<Endpoint> endpoints, Prompt prompt,
+			@Nullable LatencyClass latencyClass, Set<EndpointId> tried, long now) {
+		Endpoint owner = owner(endpoints, prompt, latencyClass);
 		Endpoint firstSource = highestRanked(endpoints, prompt, (endpoint) -> isEligibleSource(endpoint, now));
 		Endpoint secondSource = highestRanked(endpoints, prompt,
 				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
 		Candidate best = null;
-		for (Endpoint endpoint : endpoints) {
-			if (!available(endpoint, tried, now) || !endpoint.permitsRequest(now)) {
-				continue;
-			}
+		for (Endpoint endpoint : candidates(endpoints, owner, latencyClass, tried, now)) {
 			Endpoint source = (endpoint != firstSource) ? firstSource : secondSource;
 			Candidate evaluated = evaluate(endpoint, owner, source, prompt, now);
-			if (best == null || evaluated.cost() < best.cost()) {
+			if (latencyClass != null && isPreferredByOthers(endpoint, latencyClass)) {
+				evaluated = spillover(evaluated, latencyClass);
+			}
+			if (evaluated != null && (best == null || evaluated.cost() < best.cost())) {
 				best = evaluated;
 			}
 		}
-		boolean found = best != null;
-		endpoints.stream().findFirst().ifPresent((endpoint) -> endpoint.recordDemand(found, now));
 		return (best != null) ? best.placement() : null;
 	}
 
+	// The owner and, if the endpoints announce a slowdown, a few others of each class.
+	private List<Endpoint> candidates(Collection<Endpoint> endpoints, @Nullable Endpoint owner,
+			@Nullable LatencyClass latencyClass, Set<EndpointId> tried, long now) {
+		List<Endpoint> candidates = new ArrayList<>();
+		CandidateSample preferred = new CandidateSample(this.random);
+		CandidateSample others = new CandidateSample(this.random);
+		for (Endpoint endpoint : endpoints) {
+			if (!available(endpoint, tried, now) || !endpoint.permitsRequest(now)) {
+				continue;
+			}
+			if (endpoint == owner || !endpoint.partition().slowdownAnnounced()) {
+				candidates.add(endpoint);
+			}
+			else if (latencyClass == null || !isPreferredByOthers(endpoint, latencyClass)) {
+				preferred.offer(endpoint);
+			}
+			else {
+				others.offer(endpoint);
+			}
+		}
+		candidates.addAll(preferred.drawn());
+		candidates.addAll(others.drawn());
+		return candidates;
+	}
+
+	private static @Nullable Endpoint owner(Collection<Endpoint> endpoints, Prompt prompt,
+			@Nullable LatencyClass latencyClass) {
+		Endpoint preferred = (latencyClass != null) ? highestRanked(endpoints, prompt,
+				(endpoint) -> !endpoint.draining() && !isPreferredByOthers(endpoint, latencyClass)) : null;
+		return (preferred != null) ? preferred : highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
+	}
+
+	private static boolean isPreferredByOthers(Endpoint endpoint, LatencyClass latencyClass) {
+		return endpoint.partition().preferredBy(endpoint.id()) != latencyClass;
+	}
+
+	private static @Nullable Candidate spillover(Candidate candidate, LatencyClass latencyClass) {
+		EndpointPartition partition = candidate.placement().endpoint().partition();
+		return partition.permitsSpillover(latencyClass, candidate.placement().predictedMillis())
+				? new Candidate(candidate.placement(), candidate.cost() + partition.penaltyMillis(latencyClass)) : null;
+	}
+
 	private static boolean available(Endpoint candidate, Set<EndpointId> tried, long now) {
 		return !tried.contains(candidate.id()) && !candidate.draining() && !candidate.backedOff(now);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -178,10 +178,13 @@
 
 	private @Nullable Placement choosePlacement() {
 		List<Endpoint> eligible = eligible();
-		Placement placement = this.dispatcher.choosePlacement(this.service, eligible, prompt(), this.triedEndpoints);
+		Placement placement = choosePlacement(eligible, this.triedEndpoints);
 		// The endpoint that broke off may be the last one of its version.
-		return (placement == null && this.continuation.isBound())
-				? this.dispatcher.choosePlacement(this.service, eligible, prompt(), Set.of()) : placement;
+		return (placement == null && this.continuation.isBound()) ? choosePlacement(eligible, Set.of()) : placement;
+	}
+
+	private @Nullable Placement choosePlacement(List<Endpoint> eligible, Set<EndpointId> tried) {
+		return this.dispatcher.choosePlacement(this.service, eligible, prompt(), this.route.latencyTarget(), tried);
 	}
 
 	private void placementFailed() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -335,14 +335,15 @@
 	}
 
 	// An endpoint without a free connection remains the owner and the source of prompts.
-	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Set<EndpointId> tried) {
+	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Duration latencyTarget,
+			Set<EndpointId> tried) {
 		int maximum = connectionLimit(service).open();
 		Set<EndpointId> excluded = new HashSet<>(tried);
 		candidates.stream()
 			.filter((endpoint) -> endpoint.inFlight() >= maximum)
 			.map(Endpoint::id)
 			.forEach(excluded::add);
-		return this.placement.choose(candidates, prompt, excluded, this.clock.nanos());
+		return this.placement.choose(candidates, prompt, latencyTarget, excluded, this.clock.nanos());
 	}
 
 	long configurationVersion() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -154,7 +154,7 @@
 				new EndpointEntry(new EndpointId("far"), SERVICE, "v1", near.address(), new DataCenterName("far"), 64,
 						false, false, 1),
 				new EngineMemory(600_000, 0.0005), new PrefillLatency(), new RejectionTolerance(),
-				new FleetAllocation("gateway", () -> List.of("gateway"))));
+				new FleetAllocation("gateway", () -> List.of("gateway")), new EndpointPartition()));
 		endpoints.getFirst().updateRemoteLoad(5, 40_000);
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 		this.rule.setUnreachableDataCenters(Set.of(new DataCenterName("far")));
@@ -221,7 +221,8 @@
 			EndpointEntry entry = new EndpointEntry(new EndpointId("e" + i), SERVICE, "v1",
 					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1);
 			endpoints.add(new Endpoint(entry, new EngineMemory(600_000, 0.0005), new PrefillLatency(),
-					new RejectionTolerance(), new FleetAllocation("gateway", () -> List.of("gateway"))));
+					new RejectionTolerance(), new FleetAllocation("gateway", () -> List.of("gateway")),
+					new EndpointPartition()));
 		}
 		return endpoints;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -291,12 +291,13 @@
 			this.dispatcher.updateFleet(0, FleetView.ALONE, List.of());
 			List<Endpoint> candidates = List.copyOf(this.endpoints.all());
 			Endpoint owner = Objects
-				.requireNonNull(this.dispatcher.choosePlacement(service, candidates, prompt, Set.of()))
+				.requireNonNull(
+						this.dispatcher.choosePlacement(service, candidates, prompt, Duration.ofMillis(500), Set.of()))
 				.endpoint();
 			owner.requestSent(Prompt.NONE, 0, System.nanoTime());
 			owner.requestSent(Prompt.NONE, 0, System.nanoTime());
-			Placement next = Objects
-				.requireNonNull(this.dispatcher.choosePlacement(service, candidates, prompt, Set.of()));
+			Placement next = Objects.requireNonNull(
+					this.dispatcher.choosePlacement(service, candidates, prompt, Duration.ofMillis(500), Set.of()));
 			assertThat(next.endpoint()).isNotEqualTo(owner);
 			assertThat(next.prefixSource()).isEqualTo(owner);
 		}).get();
