Keep replacements of reclaimed endpoints while they start

An accepted order of reclaimable endpoints counted as a sign that more are available, also one that asked for no more than were running. After two data centres had lost theirs, such an order for the third one lowered the on-demand orders each second second: 22 endpoints were ordered at 14.2 s, cancelled at 16.2 s, ordered again at 17.2 s and served from 24 s on. Only an accepted order for additional endpoints counts now.

Test: replacementsOfReclaimedEndpointsAreNotCancelledWhileTheyStart fails on the code before.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -184,7 +184,7 @@
 					this.lastOrders.replace(key, new SentOrder(count, now, REJECTED_RETRY_INTERVAL));
 				}
 				if (key.reclaimable()) {
-					recordAvailability(key.service(), Boolean.TRUE.equals(accepted));
+					recordAvailability(key.service(), Boolean.TRUE.equals(accepted), count > running);
 				}
 				log.atInfo()
 					.addKeyValue("service", key.service().value())
@@ -199,13 +199,17 @@
 			});
 	}
 
-	private void recordAvailability(ServiceName service, boolean accepted) {
-		if (accepted) {
-			this.reclaimableAvailable.add(service);
-		}
-		else {
+	// An accepted order for no more endpoints than are running shows nothing. If it
+	// counted,
+	// the on-demand endpoints that replace reclaimed ones would be cancelled while they
+	// start.
+	private void recordAvailability(ServiceName service, boolean accepted, boolean additional) {
+		if (!accepted) {
 			this.reclaimableAvailable.remove(service);
 		}
+		else if (additional) {
+			this.reclaimableAvailable.add(service);
+		}
 	}
 
 	private record SentOrder(int count, long at, Duration interval) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointAutoscalerTests.java
@@ -25,6 +25,7 @@
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
 import org.banyancove.gateway.shared.Duties;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -41,8 +42,10 @@
 
 	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
 
+	private final DemandEstimator demand = new DemandEstimator();
+
 	private final EndpointAutoscaler autoscaler = new EndpointAutoscaler(this.duties, () -> FleetView.ALONE,
-			new DemandEstimator(), new ServingEndpoints(this.endpoints, new RolloutTable()));
+			this.demand, new ServingEndpoints(this.endpoints, new RolloutTable()));
 
 	// Guards against on-demand endpoints, at several times the price, that run for
 	// seconds after reclaimable ones are available again.
@@ -67,8 +70,7 @@
 		for (int i = 0; i < 42; i++) {
 			long listedAt = Duration.ofSeconds(5).toNanos() * i / 42;
 			this.autoscaler.tick(1, listedAt);
-			this.endpoints.put(new EndpointEntry(new EndpointId("endpoint-" + i), SERVICE, "v1",
-					new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, false, 1));
+			list("endpoint-" + i, false);
 		}
 		assertThat(this.duties.reclaimableCounts).isEmpty();
 		for (long now = Duration.ofSeconds(5).toNanos(); now < Duration.ofSeconds(8).toNanos(); now += TICK) {
@@ -77,6 +79,31 @@
 		assertThat(this.duties.reclaimableCounts).first().isEqualTo(42);
 	}
 
+	// Guards against on-demand endpoints that are ordered and cancelled by turns while
+	// they start. The reclaimable endpoints of one data centre were reclaimed, none are
+	// to
+	// be had there, and orders for those that run elsewhere are accepted.
+	@Test
+	void replacementsOfReclaimedEndpointsAreNotCancelledWhileTheyStart() {
+		DataCenterName reclaimed = new DataCenterName("b");
+		configure(6, Map.of(ZONE, 1.0, reclaimed, 0.9));
+		for (int i = 0; i < 8; i++) {
+			list("endpoint-" + i, true);
+		}
+		this.duties.reclaimedDataCenter = reclaimed;
+		for (long now = 0; now < Duration.ofSeconds(12).toNanos(); now += TICK) {
+			this.duties.now = now;
+			this.demand.add(SERVICE, 360, now);
+			this.autoscaler.tick(1, now);
+		}
+		assertThat(this.duties.onDemandCounts).isNotEmpty().isSorted();
+	}
+
+	private void list(String id, boolean reclaimable) {
+		this.endpoints.put(new EndpointEntry(new EndpointId(id), SERVICE, "v1",
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), ZONE, 64, false, reclaimable, 1));
+	}
+
 	private void runFor(int seconds) {
 		configure(6);
 		for (long now = 0; now < Duration.ofSeconds(seconds).toNanos(); now += TICK) {
@@ -86,7 +113,11 @@
 	}
 
 	private void configure(int maximumEndpoints) {
-		ScalingLimits limits = new ScalingLimits(1, maximumEndpoints, Duration.ofSeconds(4), 0.2, Map.of(ZONE, 1.0));
+		configure(maximumEndpoints, Map.of(ZONE, 1.0));
+	}
+
+	private void configure(int maximumEndpoints, Map<DataCenterName, Double> prices) {
+		ScalingLimits limits = new ScalingLimits(1, maximumEndpoints, Duration.ofSeconds(4), 0.2, prices);
 		this.autoscaler.configure(new Configuration(1, List.of(),
 				List.of(new Service(SERVICE, 100, new EngineMemory(600_000, 0.001), limits)), List.of(),
 				CallerLimits.DEFAULT));
@@ -98,8 +129,12 @@
 
 		private final List<Integer> reclaimableCounts = new ArrayList<>();
 
+		private final List<Integer> onDemandCounts = new ArrayList<>();
+
 		private boolean available = true;
 
+		private @Nullable DataCenterName reclaimedDataCenter;
+
 		private long now;
 
 		@Override
@@ -114,7 +149,11 @@
 				this.reclaimableOrdersAt.add(this.now);
 				this.reclaimableCounts.add(count);
 			}
-			return CompletableFuture.completedFuture(!reclaimable || this.available);
+			if (!reclaimable && zone.equals(this.reclaimedDataCenter)) {
+				this.onDemandCounts.add(count);
+			}
+			return CompletableFuture
+				.completedFuture(!reclaimable || (this.available && !zone.equals(this.reclaimedDataCenter)));
 		}
 
 	}
