Order endpoints on shared machines for the time that work takes there

The demand is estimated by the lower quartile of the first tokens on idle engines. Where the endpoints announce a slowdown, work takes longer on average, and the estimate was half of the tokens that were read. The demand is multiplied by 1.6 for such services.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -62,6 +62,13 @@
 	 */
 	private static final Duration REJECTED_RETRY_INTERVAL = Duration.ofSeconds(1);
 
+	/**
+	 * Engine time that a request takes on shared machines relative to the estimate. The
+	 * estimate is the lower quartile of the first tokens on idle engines; other work on
+	 * the machine makes the mean longer.
+	 */
+	private static final double SHARED_MACHINE_FACTOR = 1.6;
+
 	private final Duties duties;
 
 	private final Supplier<FleetView> fleetView;
@@ -156,8 +163,9 @@
 			.mapToInt((endpoint) -> endpoint.inFlight()
 					+ view.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE).inFlight())
 			.sum();
-		double requiredMillisPerSecond = this.demandEstimator.demandByService(now).getOrDefault(service, 0.0)
-				+ view.demand().getOrDefault(service, 0.0);
+		boolean sharedMachines = listed.stream().anyMatch((endpoint) -> endpoint.partition().slowdownAnnounced());
+		double requiredMillisPerSecond = (this.demandEstimator.demandByService(now).getOrDefault(service, 0.0)
+				+ view.demand().getOrDefault(service, 0.0)) * (sharedMachines ? SHARED_MACHINE_FACTOR : 1);
 		List<EndpointEntry> entries = listed.stream().map(Endpoint::entry).toList();
 		this.policies.computeIfAbsent(service, (name) -> new ScalingPolicy())
 			.decide(limits, entries, requiredMillisPerSecond, inFlight, this.reclaimableAvailable.contains(service),
