Give large prompts endpoints of their own

Prompts of more than 2.5 times the mean of their class prefer a third set of endpoints. The sets follow the engine time that each class needs.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -7,8 +7,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Divides the endpoints of a service between the requests with the shortest latency
- * target and the others, as in size-interval task assignment.
+ * Divides the endpoints of a service between classes of requests, as in size-interval
+ * task assignment.
  * <p>
  * A prefill of a long prompt takes less time than a load report needs to reach the other
  * gateways. Placement by load alone therefore sends short prompts behind long ones while
@@ -28,31 +28,35 @@
 	/** Endpoints below which a set would be too small to balance load in it. */
 	private static final int MINIMUM_ENDPOINTS = 6;
 
-	/** Share of the endpoints for the shortest target while no averages are known. */
-	private static final double INITIAL_SHARE = 0.5;
+	/** Length of a large prompt relative to the mean of the longer targets. */
+	private static final double LARGE_PROMPT_FACTOR = 2.5;
 
-	private static final double MINIMUM_SHARE = 0.2;
+	/** Share of the endpoints for the shortest target while no averages are known. */
+	private static final double INITIAL_SHORTEST_SHARE = 0.4;
 
-	private static final double MAXIMUM_SHARE = 0.8;
+	/** Share of the endpoints for large prompts while no averages are known. */
+	private static final double INITIAL_LARGE_SHARE = 0.2;
 
-	/** The share is a multiple of this. */
+	/** Bounds of the shares are multiples of this. */
 	private static final double SHARE_STEP = 0.1;
 
 	/**
-	 * Distance from the present share at which it changes. Each change moves the owners
-	 * of cached prefixes, so that a share between two steps must not alternate.
+	 * Distance from the present bound at which it changes. Each change moves the owners
+	 * of cached prefixes, so that a bound between two steps must not alternate.
 	 */
 	private static final double SHARE_HYSTERESIS = 0.75 * SHARE_STEP;
 
 	/** Maximum mean prefill of the shortest target relative to that of the others. */
 	private static final double MAXIMUM_PREFILL_RATIO = 0.5;
 
-	/** Part of the shortest target that work of the other class may take. */
+	/** Part of the shortest target that work of another class may take. */
 	private static final double SHARED_TARGET_RATIO = 0.5;
 
-	private final Average shortest = new Average();
+	private final ClassDemand shortestDemand = new ClassDemand();
+
+	private final ClassDemand longerDemand = new ClassDemand();
 
-	private final Average longer = new Average();
+	private final ClassDemand largeDemand = new ClassDemand();
 
 	private @Nullable Duration shortestTarget;
 
@@ -60,7 +64,11 @@
 
 	private boolean slowdownAnnounced;
 
-	private double share = INITIAL_SHARE;
+	private double shortestTargetBound = INITIAL_SHORTEST_SHARE;
+
+	private double largePromptBound = 1 - INITIAL_LARGE_SHARE;
+
+	private double largePromptTokens = Double.POSITIVE_INFINITY;
 
 	private long samples;
 
@@ -82,30 +90,45 @@
 	 * Returns whether an endpoint of the service announced a slowdown.
 	 * @return whether the endpoints share their machines
 	 */
-	boolean slowdownAnnounced() {
+	public boolean slowdownAnnounced() {
 		return this.slowdownAnnounced;
 	}
 
-	/**
-	 * Returns the class of a request.
-	 * @param latencyTarget the latency target of its route
-	 * @return the class
-	 */
-	public LatencyClass classOf(Duration latencyTarget) {
-		return (this.shortestTarget == null || latencyTarget.compareTo(this.shortestTarget) <= 0)
-				? LatencyClass.SHORTEST_TARGET : LatencyClass.LONGER_TARGET;
-	}
-
 	/**
 	 * Returns whether the endpoints are divided.
 	 * @param endpoints the number of endpoints of the service
 	 * @return whether a request should prefer the endpoints of its class
 	 */
 	boolean applies(int endpoints) {
-		if (!this.slowdownAnnounced || !this.severalTargets || endpoints < MINIMUM_ENDPOINTS) {
-			return false;
+		return this.slowdownAnnounced && endpoints >= MINIMUM_ENDPOINTS;
+	}
+
+	/**
+	 * Returns the class of a request.
+	 * @param latencyTarget the latency target of its route
+	 * @param prompt its prompt
+	 * @return the class
+	 */
+	RequestClass classOf(Duration latencyTarget, Prompt prompt) {
+		if (dividesByTarget() && hasShortestTarget(latencyTarget)) {
+			return RequestClass.SHORTEST_TARGET;
 		}
-		return this.samples < MINIMUM_SAMPLES || this.shortest.mean() <= MAXIMUM_PREFILL_RATIO * this.longer.mean();
+		return (unsharedTokens(prompt) > this.largePromptTokens) ? RequestClass.LARGE_PROMPT
+				: RequestClass.LONGER_TARGET;
+	}
+
+	private boolean hasShortestTarget(Duration latencyTarget) {
+		return this.shortestTarget != null && latencyTarget.compareTo(this.shortestTarget) <= 0;
+	}
+
+	private boolean dividesByTarget() {
+		return this.severalTargets && (this.samples < MINIMUM_SAMPLES
+				|| this.shortestDemand.meanMillis() <= MAXIMUM_PREFILL_RATIO * this.longerDemand.meanMillis());
+	}
+
+	// The shared parts are cached at their owner.
+	private static int unsharedTokens(Prompt prompt) {
+		return Math.max(0, prompt.inputTokens() - prompt.sharedTokens());
 	}
 
 	/**
@@ -113,32 +136,34 @@
 	 * @param endpoint the endpoint's identifier
 	 * @return the class
 	 */
-	LatencyClass preferredBy(EndpointId endpoint) {
+	RequestClass preferredBy(EndpointId endpoint) {
 		double position = (RendezvousHash.weight(0, endpoint.value()) >>> 1) / (double) Long.MAX_VALUE;
-		return (position < this.share) ? LatencyClass.SHORTEST_TARGET : LatencyClass.LONGER_TARGET;
+		if (dividesByTarget() && position < this.shortestTargetBound) {
+			return RequestClass.SHORTEST_TARGET;
+		}
+		return (position < this.largePromptBound) ? RequestClass.LONGER_TARGET : RequestClass.LARGE_PROMPT;
 	}
 
 	/**
-	 * Returns the cost of an endpoint that the other class prefers. Work then spills over
+	 * Returns the cost of an endpoint that another class prefers. Work then spills over
 	 * only while the endpoints of its own class are busy for longer.
-	 * @param latencyClass the request's class
+	 * @param requestClass the request's class
+	 * @param preferredBy the class that prefers the endpoint
 	 * @return the cost in ms
 	 */
-	double penaltyMillis(LatencyClass latencyClass) {
-		return switch (latencyClass) {
-			case SHORTEST_TARGET -> this.longer.mean();
-			case LONGER_TARGET -> sharedMillis();
-		};
+	double penaltyMillis(RequestClass requestClass, RequestClass preferredBy) {
+		return (requestClass.compareTo(preferredBy) > 0) ? sharedMillis() : demand(preferredBy).meanMillis();
 	}
 
 	/**
-	 * Returns whether a request may be sent to an endpoint that the other class prefers.
-	 * @param latencyClass the request's class
+	 * Returns whether a request may be sent to an endpoint that another class prefers.
+	 * @param requestClass the request's class
+	 * @param preferredBy the class that prefers the endpoint
 	 * @param predictedMillis the predicted latency there, in ms
 	 * @return {@code false} if the requests that prefer it would miss their target
 	 */
-	boolean permitsSpillover(LatencyClass latencyClass, double predictedMillis) {
-		return latencyClass == LatencyClass.SHORTEST_TARGET || predictedMillis <= sharedMillis();
+	boolean permitsSpillover(RequestClass requestClass, RequestClass preferredBy, double predictedMillis) {
+		return requestClass.compareTo(preferredBy) < 0 || predictedMillis <= sharedMillis();
 	}
 
 	private double sharedMillis() {
@@ -148,32 +173,70 @@
 
 	/**
 	 * Records a request that was placed.
-	 * @param latencyClass its class
+	 * @param latencyTarget the latency target of its route
+	 * @param prompt its prompt
 	 * @param prefillMillis the time of its prefill, in ms
 	 * @param now the current time
 	 */
-	void record(LatencyClass latencyClass, double prefillMillis, long now) {
+	void record(Duration latencyTarget, Prompt prompt, double prefillMillis, long now) {
+		RequestClass requestClass = (this.severalTargets && hasShortestTarget(latencyTarget))
+				? RequestClass.SHORTEST_TARGET : classOf(latencyTarget, prompt);
 		this.samples++;
-		this.shortest.decay(now);
-		this.longer.decay(now);
-		((latencyClass == LatencyClass.SHORTEST_TARGET) ? this.shortest : this.longer).add(prefillMillis);
-		double needed = this.shortest.sum / (this.shortest.sum + this.longer.sum);
-		if (this.samples >= MINIMUM_SAMPLES && Math.abs(needed - this.share) > SHARE_HYSTERESIS) {
-			this.share = Math.clamp(Math.round(needed / SHARE_STEP) * SHARE_STEP, MINIMUM_SHARE, MAXIMUM_SHARE);
+		this.shortestDemand.decay(now);
+		this.longerDemand.decay(now);
+		this.largeDemand.decay(now);
+		demand(requestClass).add(prefillMillis, unsharedTokens(prompt));
+		if (this.samples >= MINIMUM_SAMPLES) {
+			updateBounds();
 		}
 	}
 
+	private ClassDemand demand(RequestClass requestClass) {
+		return switch (requestClass) {
+			case SHORTEST_TARGET -> this.shortestDemand;
+			case LONGER_TARGET -> this.longerDemand;
+			case LARGE_PROMPT -> this.largeDemand;
+		};
+	}
+
+	private void updateBounds() {
+		ClassDemand longer = this.longerDemand;
+		ClassDemand large = this.largeDemand;
+		double shortest = this.shortestDemand.millis;
+		double total = shortest + longer.millis + large.millis;
+		if (total <= 0) {
+			return;
+		}
+		this.largePromptTokens = LARGE_PROMPT_FACTOR * (longer.tokens + large.tokens)
+				/ Math.max(1, longer.weight + large.weight);
+		this.shortestTargetBound = adjusted(this.shortestTargetBound, shortest / total);
+		this.largePromptBound = adjusted(this.largePromptBound, 1 - large.millis / total);
+	}
+
+	private static double adjusted(double bound, double needed) {
+		return (Math.abs(needed - bound) > SHARE_HYSTERESIS)
+				? Math.clamp(Math.round(needed / SHARE_STEP) * SHARE_STEP, SHARE_STEP, 1 - SHARE_STEP) : bound;
+	}
+
 	/**
-	 * Returns the share of the endpoints that requests with the shortest target prefer.
+	 * Returns the share of the endpoints that a class prefers.
+	 * @param requestClass the class
 	 * @return the share, from 0 to 1
 	 */
-	public double share() {
-		return this.share;
+	double share(RequestClass requestClass) {
+		double shortest = dividesByTarget() ? this.shortestTargetBound : 0;
+		return switch (requestClass) {
+			case SHORTEST_TARGET -> shortest;
+			case LONGER_TARGET -> Math.max(0, this.largePromptBound - shortest);
+			case LARGE_PROMPT -> 1 - Math.max(this.largePromptBound, shortest);
+		};
 	}
 
-	private static final class Average {
+	private static final class ClassDemand {
+
+		private double millis;
 
-		private double sum;
+		private double tokens;
 
 		private double weight;
 
@@ -181,18 +244,20 @@
 
 		void decay(long now) {
 			double factor = Math.exp((this.decayedAt - now) / DECAY_NANOS);
-			this.sum *= factor;
+			this.millis *= factor;
+			this.tokens *= factor;
 			this.weight *= factor;
 			this.decayedAt = now;
 		}
 
-		void add(double value) {
-			this.sum += value;
+		void add(double prefillMillis, int promptTokens) {
+			this.millis += prefillMillis;
+			this.tokens += promptTokens;
 			this.weight++;
 		}
 
-		double mean() {
-			return (this.weight > 0) ? this.sum / this.weight : 0;
+		double meanMillis() {
+			return (this.weight > 0) ? this.millis / this.weight : 0;
 		}
 
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -120,30 +120,31 @@
 			return null;
 		}
 		EndpointPartition partition = any.partition();
-		LatencyClass latencyClass = partition.classOf(latencyTarget);
+		RequestClass requestClass = partition.classOf(latencyTarget, prompt);
 		Placement divided = partition.applies(endpoints.size())
-				? chooseBest(endpoints, prompt, latencyClass, tried, now) : null;
+				? chooseBest(endpoints, prompt, requestClass, tried, now) : null;
 		// Endpoints beyond the spillover limit are used if no other is available.
 		Placement placement = (divided != null) ? divided : chooseBest(endpoints, prompt, null, tried, now);
 		any.recordDemand(placement != null, now);
 		if (placement != null) {
-			partition.record(latencyClass, placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now);
+			partition.record(latencyTarget, prompt, placement.endpoint().serviceTimeMillis(placement.prefillTokens()),
+					now);
 		}
 		return placement;
 	}
 
 	private @Nullable Placement chooseBest(Collection<Endpoint> endpoints, Prompt prompt,
-			@Nullable LatencyClass latencyClass, Set<EndpointId> tried, long now) {
-		Endpoint owner = owner(endpoints, prompt, latencyClass);
+			@Nullable RequestClass requestClass, Set<EndpointId> tried, long now) {
+		Endpoint owner = owner(endpoints, prompt, requestClass);
 		Endpoint firstSource = highestRanked(endpoints, prompt, (endpoint) -> isEligibleSource(endpoint, now));
 		Endpoint secondSource = highestRanked(endpoints, prompt,
 				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
 		Candidate best = null;
-		for (Endpoint endpoint : candidates(endpoints, owner, latencyClass, tried, now)) {
+		for (Endpoint endpoint : candidates(endpoints, owner, requestClass, tried, now)) {
 			Endpoint source = (endpoint != firstSource) ? firstSource : secondSource;
 			Candidate evaluated = evaluate(endpoint, owner, source, prompt, now);
-			if (latencyClass != null && isPreferredByOthers(endpoint, latencyClass)) {
-				evaluated = spillover(evaluated, latencyClass);
+			if (requestClass != null && isPreferredByOthers(endpoint, requestClass)) {
+				evaluated = spillover(evaluated, requestClass);
 			}
 			if (evaluated != null && (best == null || evaluated.cost() < best.cost())) {
 				best = evaluated;
@@ -154,7 +155,7 @@
 
 	// The owner and, if the endpoints announce a slowdown, a few others of each class.
 	private List<Endpoint> candidates(Collection<Endpoint> endpoints, @Nullable Endpoint owner,
-			@Nullable LatencyClass latencyClass, Set<EndpointId> tried, long now) {
+			@Nullable RequestClass requestClass, Set<EndpointId> tried, long now) {
 		List<Endpoint> candidates = new ArrayList<>();
 		CandidateSample preferred = new CandidateSample(this.random);
 		CandidateSample others = new CandidateSample(this.random);
@@ -165,7 +166,7 @@
 			if (endpoint == owner || !endpoint.partition().slowdownAnnounced()) {
 				candidates.add(endpoint);
 			}
-			else if (latencyClass == null || !isPreferredByOthers(endpoint, latencyClass)) {
+			else if (requestClass == null || !isPreferredByOthers(endpoint, requestClass)) {
 				preferred.offer(endpoint);
 			}
 			else {
@@ -178,20 +179,23 @@
 	}
 
 	private static @Nullable Endpoint owner(Collection<Endpoint> endpoints, Prompt prompt,
-			@Nullable LatencyClass latencyClass) {
-		Endpoint preferred = (latencyClass != null) ? highestRanked(endpoints, prompt,
-				(endpoint) -> !endpoint.draining() && !isPreferredByOthers(endpoint, latencyClass)) : null;
+			@Nullable RequestClass requestClass) {
+		Endpoint preferred = (requestClass != null) ? highestRanked(endpoints, prompt,
+				(endpoint) -> !endpoint.draining() && !isPreferredByOthers(endpoint, requestClass)) : null;
 		return (preferred != null) ? preferred : highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
 	}
 
-	private static boolean isPreferredByOthers(Endpoint endpoint, LatencyClass latencyClass) {
-		return endpoint.partition().preferredBy(endpoint.id()) != latencyClass;
+	private static boolean isPreferredByOthers(Endpoint endpoint, RequestClass requestClass) {
+		return endpoint.partition().preferredBy(endpoint.id()) != requestClass;
 	}
 
-	private static @Nullable Candidate spillover(Candidate candidate, LatencyClass latencyClass) {
-		EndpointPartition partition = candidate.placement().endpoint().partition();
-		return partition.permitsSpillover(latencyClass, candidate.placement().predictedMillis())
-				? new Candidate(candidate.placement(), candidate.cost() + partition.penaltyMillis(latencyClass)) : null;
+	private static @Nullable Candidate spillover(Candidate candidate, RequestClass requestClass) {
+		Placement placement = candidate.placement();
+		EndpointPartition partition = placement.endpoint().partition();
+		RequestClass preferredBy = partition.preferredBy(placement.endpoint().id());
+		return partition.permitsSpillover(requestClass, preferredBy, placement.predictedMillis())
+				? new Candidate(placement, candidate.cost() + partition.penaltyMillis(requestClass, preferredBy))
+				: null;
 	}
 
 	private static boolean available(Endpoint candidate, Set<EndpointId> tried, long now) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RequestClass.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RequestClass.java
@@ -1,14 +1,17 @@
 package org.banyancove.gateway.endpoint;
 
 /**
- * The latency target of a request in comparison with the other routes of its service.
+ * The classes of requests between which the endpoints of a service are divided.
  */
-public enum LatencyClass {
+enum RequestClass {
 
-	/** No route of the service has a shorter target. */
+	/** No route of the service has a shorter latency target. */
 	SHORTEST_TARGET,
 
-	/** Another route of the service has a shorter target. */
-	LONGER_TARGET
+	/** A route of the service has a shorter target, or all have the same. */
+	LONGER_TARGET,
+
+	/** The prompt is several times as long as usual, whatever its route. */
+	LARGE_PROMPT
 
 }
