--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -133,6 +133,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final PartitionMetrics partitionMetrics;
+
 	private final PlacementRule placementRule;
 
 	private final RequestQuarantine quarantine;
@@ -193,6 +195,7 @@
 		this.incarnation = random.nextLong() >>> 1;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		this.metrics = new GatewayMetrics(registry);
+		this.partitionMetrics = new PartitionMetrics(registry);
 		this.eventLoopLag = new EventLoopLagMonitor(TICK_INTERVAL, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways, this::gatewaysListed));
@@ -417,6 +420,7 @@
 				this.leaseHolderDuties.tick();
 			}
 			this.metrics.availableRetries(this.retryBudgets.available(now));
+			this.partitionMetrics.report(this.endpoints.partitions());
 			this.metrics.replenishLogLines();
 			if (ready() != this.wasReady) {
 				this.wasReady = ready();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -1,6 +1,8 @@
 package org.banyancove.gateway.endpoint;
 
 import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.SortedSet;
 
 import org.banyancove.core.EndpointId;
@@ -232,6 +234,18 @@
 		};
 	}
 
+	/**
+	 * Returns the share of the endpoints that each class prefers.
+	 * @return the shares, from 0 to 1, by class
+	 */
+	public Map<RequestClass, Double> shares() {
+		Map<RequestClass, Double> shares = new EnumMap<>(RequestClass.class);
+		for (RequestClass requestClass : RequestClass.values()) {
+			shares.put(requestClass, share(requestClass));
+		}
+		return shares;
+	}
+
 	private static final class ClassDemand {
 
 		private double millis;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -235,6 +235,14 @@
 		return (endpoint != null) ? endpoint.entry().dataCenter() : null;
 	}
 
+	/**
+	 * Returns the division of the endpoints of each service that was configured.
+	 * @return the divisions by service
+	 */
+	public Map<ServiceName, EndpointPartition> partitions() {
+		return Map.copyOf(this.partitions);
+	}
+
 	private @Nullable Endpoint listedOrRemoved(EndpointId id) {
 		RemovedEndpoint earlier = this.removed.get(id);
 		return (earlier != null) ? earlier.endpoint() : this.endpoints.get(id);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RequestClass.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/RequestClass.java
@@ -3,7 +3,7 @@
 /**
  * The classes of requests between which the endpoints of a service are divided.
  */
-enum RequestClass {
+public enum RequestClass {
 
 	/** No route of the service has a shorter latency target. */
 	SHORTEST_TARGET,
