Record metrics without exemplars

The Prometheus client samples exemplars by default. Without a tracer it has none to show, but each gauge that a tick sets schedules a task of the client's own thread, which wakes up 21 times a second in an idle gateway.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EventLoopLagMonitor.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EventLoopLagMonitor.java
@@ -32,6 +32,7 @@
 	EventLoopLagMonitor(Duration interval, PrometheusRegistry registry) {
 		this.interval = interval;
 		this.gauge = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_event_loop_lag_seconds")
 			.help("How late the event loop ran its last timer")
 			.register(registry);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -87,67 +87,81 @@
 
 	GatewayMetrics(PrometheusRegistry registry) {
 		this.requests = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_requests_total")
 			.help("Requests by outcome")
 			.labelNames("outcome")
 			.register(registry);
 		this.closedConnections = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_connections_closed_unread_total")
 			.help("Connections of callers that were closed unread during overload")
 			.register(registry);
 		this.failedAttempts = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
 			.register(registry);
 		this.lostAttempts = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_lost_attempts_total")
 			.help("Attempts whose connection the endpoint ended, by whether an event of the response had been received")
 			.labelNames("response")
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
 			.register(registry);
 		this.tunnels = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_tunnels_total")
 			.help("Tunnels to endpoints through other gateways, by what became of them")
 			.labelNames("outcome")
 			.register(registry);
 		this.streamOriginSearches = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_stream_origin_searches_total")
 			.help("Streams that callers resumed, by where their version was known from")
 			.labelNames("source")
 			.register(registry);
 		this.rememberedStreamOrigins = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_remembered_stream_origins")
 			.help("Streams whose version this gateway remembers")
 			.register(registry);
 		this.droppedLines = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_dropped_log_lines_total")
 			.help("Log lines left out to bound their volume")
 			.register(registry);
 		this.firstByteLatency = Histogram.builder()
+			.withoutExemplars()
 			.name("banyancove_first_byte_seconds")
 			.help("From a request's arrival to the first byte of its answer")
 			.classicOnly()
 			.classicUpperBounds(BUCKET_BOUNDS)
 			.register(registry);
 		this.requestDuration = Histogram.builder()
+			.withoutExemplars()
 			.name("banyancove_request_seconds")
 			.help("From a request's arrival to its end")
 			.classicOnly()
 			.classicUpperBounds(BUCKET_BOUNDS)
 			.register(registry);
 		this.endpointsAge = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_endpoints_age_seconds")
 			.help("Since the store was last asked for what is known of endpoints")
 			.register(registry);
 		this.backedOffEndpoints = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_backed_off_endpoints")
 			.help("Endpoints that get no requests because attempts at them failed")
 			.register(registry);
 		this.quarantinedRequests = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_quarantined_requests")
 			.help("Requests, and parts of prompts, that are rejected because they crashed several endpoints")
 			.register(registry);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RetryMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/RetryMetrics.java
@@ -25,16 +25,19 @@
 	RetryMetrics(PrometheusRegistry registry, Logger log) {
 		this.log = log;
 		this.retries = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_retries_total")
 			.help("Retries that the retry budget granted, by service")
 			.labelNames("service")
 			.register(registry);
 		this.refusedRetries = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_refused_retries_total")
 			.help("Retries that the retry budget refused, by service")
 			.labelNames("service")
 			.register(registry);
 		this.availableRetries = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_available_retries")
 			.help("Retries that the retry budget would grant now, by service")
 			.labelNames("service")
