Rank the endpoints for a prefix in one pass

Placement computed the rendezvous weight of each endpoint three to four times for each request: for the owner in the request's class, for the owner among all, and for two sources of copies. PrefixRanking computes it once and keeps the same order, also of equal weights.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
@@ -134,15 +133,13 @@
 
 	private @Nullable Placement chooseBest(Collection<Endpoint> endpoints, Prompt prompt,
 			@Nullable LatencyClass latencyClass, Set<EndpointId> tried, long now) {
-		Endpoint owner = owner(endpoints, prompt, latencyClass);
-		Endpoint firstSource = highestRanked(endpoints, prompt, (endpoint) -> isEligibleSource(endpoint, now));
-		Endpoint secondSource = highestRanked(endpoints, prompt,
-				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
+		PrefixRanking ranking = PrefixRanking.of(endpoints, prompt, latencyClass,
+				(endpoint) -> isEligibleSource(endpoint, now));
+		Endpoint owner = ranking.owner();
 		Candidate best = null;
 		for (Endpoint endpoint : candidates(endpoints, owner, latencyClass, tried, now)) {
-			Endpoint source = (endpoint != firstSource) ? firstSource : secondSource;
-			Candidate evaluated = evaluate(endpoint, owner, source, prompt, now);
-			if (latencyClass != null && isPreferredByOthers(endpoint, latencyClass)) {
+			Candidate evaluated = evaluate(endpoint, owner, ranking.sourceFor(endpoint), prompt, now);
+			if (latencyClass != null && PrefixRanking.isPreferredByOthers(endpoint, latencyClass)) {
 				evaluated = spillover(evaluated, latencyClass);
 			}
 			if (evaluated != null && (best == null || evaluated.cost() < best.cost())) {
@@ -165,7 +162,7 @@
 			if (endpoint == owner || !endpoint.partition().slowdownAnnounced()) {
 				candidates.add(endpoint);
 			}
-			else if (latencyClass == null || !isPreferredByOthers(endpoint, latencyClass)) {
+			else if (latencyClass == null || !PrefixRanking.isPreferredByOthers(endpoint, latencyClass)) {
 				preferred.offer(endpoint);
 			}
 			else {
@@ -177,17 +174,6 @@
 		return candidates;
 	}
 
-	private static @Nullable Endpoint owner(Collection<Endpoint> endpoints, Prompt prompt,
-			@Nullable LatencyClass latencyClass) {
-		Endpoint preferred = (latencyClass != null) ? highestRanked(endpoints, prompt,
-				(endpoint) -> !endpoint.draining() && !isPreferredByOthers(endpoint, latencyClass)) : null;
-		return (preferred != null) ? preferred : highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
-	}
-
-	private static boolean isPreferredByOthers(Endpoint endpoint, LatencyClass latencyClass) {
-		return endpoint.partition().preferredBy(endpoint.id()) != latencyClass;
-	}
-
 	private static @Nullable Candidate spillover(Candidate candidate, LatencyClass latencyClass) {
 		EndpointPartition partition = candidate.placement().endpoint().partition();
 		return partition.permitsSpillover(latencyClass, candidate.placement().predictedMillis())
@@ -280,25 +266,6 @@
 				&& !this.unreachableDataCenters.contains(endpoint.entry().dataCenter());
 	}
 
-	// All gateways compute the same weights and therefore the same ranking.
-	private static @Nullable Endpoint highestRanked(Collection<Endpoint> endpoints, Prompt prompt,
-			Predicate<Endpoint> eligible) {
-		long key = prompt.lastSharedPartId();
-		if (key == 0) {
-			return null;
-		}
-		Endpoint highest = null;
-		long highestWeight = Long.MIN_VALUE;
-		for (Endpoint endpoint : endpoints) {
-			long weight = RendezvousHash.weight(key, endpoint.id().value());
-			if ((highest == null || weight > highestWeight) && eligible.test(endpoint)) {
-				highest = endpoint;
-				highestWeight = weight;
-			}
-		}
-		return highest;
-	}
-
 	private record Candidate(Placement placement, double cost) {
 	}
 
