Skip computations that cannot change a placement

For each endpoint and request, placement estimated the running requests (an exponential) although no endpoint announces a limit of rejections, decayed a failure rate of zero, and summed the shared tokens by a stream; the dispatcher copied the set of tried endpoints and ran a stream to exclude endpoints without a free connection.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -357,7 +357,8 @@
 	}
 
 	private boolean hasPlace(long now) {
-		return this.concurrencyLimiter.permits(this.inFlight, running(now), this.entry.slots(), now);
+		return !limitsRejections(now)
+				|| this.concurrencyLimiter.permits(this.inFlight, running(now), this.entry.slots(), now);
 	}
 
 	/**
@@ -508,7 +509,7 @@
 	}
 
 	double failureRate(long now) {
-		return this.failureRate * Math.exp((this.outcomeAt - now) / OUTCOME_DECAY_NANOS);
+		return (this.failureRate > 0) ? this.failureRate * Math.exp((this.outcomeAt - now) / OUTCOME_DECAY_NANOS) : 0;
 	}
 
 	int uncachedTokens(Prompt prompt) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Prompt.java
@@ -59,7 +59,11 @@
 	 * @return the number of tokens
 	 */
 	int sharedTokens() {
-		return this.parts.stream().limit(Math.max(0, this.parts.size() - 1)).mapToInt(PromptPart::tokens).sum();
+		int tokens = 0;
+		for (int i = 0; i < this.parts.size() - 1; i++) {
+			tokens += this.parts.get(i).tokens();
+		}
+		return tokens;
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -338,11 +338,17 @@
 	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Duration latencyTarget,
 			Set<EndpointId> tried) {
 		int maximum = connectionLimit(service).open();
-		Set<EndpointId> excluded = new HashSet<>(tried);
-		candidates.stream()
-			.filter((endpoint) -> endpoint.inFlight() >= maximum)
-			.map(Endpoint::id)
-			.forEach(excluded::add);
+		Set<EndpointId> full = new HashSet<>();
+		for (Endpoint candidate : candidates) {
+			if (candidate.inFlight() >= maximum) {
+				full.add(candidate.id());
+			}
+		}
+		Set<EndpointId> excluded = tried;
+		if (!full.isEmpty()) {
+			full.addAll(tried);
+			excluded = full;
+		}
 		return this.placement.choose(candidates, prompt, latencyTarget, excluded, this.clock.nanos());
 	}
 
