Copy the list of all endpoints once for each change

Each tick and each report of a gateway copied the list of all endpoints several times, although it changes a few times a minute.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -51,6 +51,9 @@
 
 	private final Map<ServiceName, List<Endpoint>> byService = new HashMap<>();
 
+	/** All endpoints, or {@code null} after a change. */
+	private @Nullable List<Endpoint> all;
+
 	private final Map<ServiceName, PrefillLatency> prefillLatencies = new HashMap<>();
 
 	private final Map<ServiceName, RejectionTolerance> rejectionTolerances = new HashMap<>();
@@ -76,7 +79,7 @@
 	 */
 	public void configure(Configuration newConfiguration) {
 		this.configuration = newConfiguration;
-		this.byService.clear();
+		clearLists();
 		this.endpoints.values().forEach(this::applyConfiguration);
 		newConfiguration.serviceNames().forEach((service) -> partition(service).configure(targets(service)));
 	}
@@ -128,7 +131,7 @@
 			this.endpoints.put(entry.id(), added);
 		}
 		if (changed) {
-			this.byService.clear();
+			clearLists();
 		}
 	}
 
@@ -137,7 +140,7 @@
 		if (earlier != null && earlier.endpoint().entry().service().equals(entry.service())) {
 			applyConfiguration(earlier.endpoint());
 			this.endpoints.put(entry.id(), earlier.endpoint());
-			this.byService.clear();
+			clearLists();
 		}
 	}
 
@@ -151,7 +154,7 @@
 		if (endpoint == null) {
 			return;
 		}
-		this.byService.clear();
+		clearLists();
 		this.removed.put(id, new RemovedEndpoint(endpoint, now));
 		if (this.removed.size() > MAXIMUM_REMOVED) {
 			this.removed.remove(this.removed.keySet().iterator().next());
@@ -245,7 +248,17 @@
 	 * @return the endpoints
 	 */
 	public Collection<Endpoint> all() {
-		return List.copyOf(this.endpoints.values());
+		List<Endpoint> current = this.all;
+		if (current == null) {
+			current = List.copyOf(this.endpoints.values());
+			this.all = current;
+		}
+		return current;
+	}
+
+	private void clearLists() {
+		this.byService.clear();
+		this.all = null;
 	}
 
 	/**
