--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PartitionMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/PartitionMetrics.java
@@ -25,6 +25,7 @@
 
 	PartitionMetrics(PrometheusRegistry registry) {
 		this.shares = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_endpoint_share")
 			.help("Share of a service's endpoints that a class of requests prefers")
 			.labelNames("service", "class")
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
@@ -135,15 +134,13 @@
 
 	private @Nullable Placement chooseBest(Collection<Endpoint> endpoints, Prompt prompt,
 			@Nullable RequestClass requestClass, Set<EndpointId> tried, long now) {
-		Endpoint owner = owner(endpoints, prompt, requestClass);
-		Endpoint firstSource = highestRanked(endpoints, prompt, (endpoint) -> isEligibleSource(endpoint, now));
-		Endpoint secondSource = highestRanked(endpoints, prompt,
-				(endpoint) -> endpoint != firstSource && isEligibleSource(endpoint, now));
+		PrefixRanking ranking = PrefixRanking.of(endpoints, prompt, requestClass,
+				(endpoint) -> isEligibleSource(endpoint, now));
+		Endpoint owner = ranking.owner();
 		Candidate best = null;
 		for (Endpoint endpoint : candidates(endpoints, owner, requestClass, tried, now)) {
-			Endpoint source = (endpoint != firstSource) ? firstSource : secondSource;
-			Candidate evaluated = evaluate(endpoint, owner, source, prompt, now);
-			if (requestClass != null && isPreferredByOthers(endpoint, requestClass)) {
+			Candidate evaluated = evaluate(endpoint, owner, ranking.sourceFor(endpoint), prompt, now);
+			if (requestClass != null && PrefixRanking.isPreferredByOthers(endpoint, requestClass)) {
 				evaluated = spillover(evaluated, requestClass);
 			}
 			if (evaluated != null && (best == null || evaluated.cost() < best.cost())) {
@@ -166,7 +163,7 @@
 			if (endpoint == owner || !endpoint.partition().slowdownAnnounced()) {
 				candidates.add(endpoint);
 			}
-			else if (requestClass == null || !isPreferredByOthers(endpoint, requestClass)) {
+			else if (requestClass == null || !PrefixRanking.isPreferredByOthers(endpoint, requestClass)) {
 				preferred.offer(endpoint);
 			}
 			else {
@@ -178,17 +175,6 @@
 		return candidates;
 	}
 
-	private static @Nullable Endpoint owner(Collection<Endpoint> endpoints, Prompt prompt,
-			@Nullable RequestClass requestClass) {
-		Endpoint preferred = (requestClass != null) ? highestRanked(endpoints, prompt,
-				(endpoint) -> !endpoint.draining() && !isPreferredByOthers(endpoint, requestClass)) : null;
-		return (preferred != null) ? preferred : highestRanked(endpoints, prompt, (endpoint) -> !endpoint.draining());
-	}
-
-	private static boolean isPreferredByOthers(Endpoint endpoint, RequestClass requestClass) {
-		return endpoint.partition().preferredBy(endpoint.id()) != requestClass;
-	}
-
 	private static @Nullable Candidate spillover(Candidate candidate, RequestClass requestClass) {
 		Placement placement = candidate.placement();
 		EndpointPartition partition = placement.endpoint().partition();
@@ -284,25 +270,6 @@
 				&& !this.unreachableDataCenters.contains(endpoint.entry().dataCenter());
 	}
 
-	// All gateways compute the same weights and therefore the same ranking.
-	private static @Nullable Endpoint highestRanked(Collection<Endpoint> endpoints, Prompt prompt,
-			Predicate<Endpoint> eligible) {
-		long key = prompt.lastSharedPartId();
-		if (key == 0) {
-			return null;
-		}
-		Endpoint highest = null;
-		long highestWeight = Long.MIN_VALUE;
-		for (Endpoint endpoint : endpoints) {
-			long weight = RendezvousHash.weight(key, endpoint.id().value());
-			if ((highest == null || weight > highestWeight) && eligible.test(endpoint)) {
-				highest = endpoint;
-				highestWeight = weight;
-			}
-		}
-		return highest;
-	}
-
 	private record Candidate(Placement placement, double cost) {
 	}
 
