Leave long prompts more idle endpoints than their part of the engine time

Divided by engine time alone, short prompts were far within their target (90th percentile 324 to 450 ms of 504) and long ones late (1.5 to 2.2 s of 1,008 ms): a prompt that waits for a long one waits longer. Half of the endpoints are divided by the square root of the engine time weighed with the mean prefill.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -202,17 +202,22 @@
 	}
 
 	private void updateBounds() {
-		ClassDemand longer = this.longerDemand;
-		ClassDemand large = this.largeDemand;
-		double shortest = this.shortestDemand.millis;
-		double total = shortest + longer.millis + large.millis;
+		double total = this.shortestDemand.millis + this.longerDemand.millis + this.largeDemand.millis;
 		if (total <= 0) {
 			return;
 		}
-		this.largePromptTokens = LARGE_PROMPT_FACTOR * (longer.tokens + large.tokens)
-				/ Math.max(1, longer.weight + large.weight);
-		this.shortestTargetBound = adjusted(this.shortestTargetBound, shortest / total);
-		this.largePromptBound = adjusted(this.largePromptBound, 1 - large.millis / total);
+		this.largePromptTokens = LARGE_PROMPT_FACTOR * (this.longerDemand.tokens + this.largeDemand.tokens)
+				/ Math.max(1, this.longerDemand.weight + this.largeDemand.weight);
+		double roots = this.shortestDemand.root() + this.longerDemand.root() + this.largeDemand.root();
+		this.shortestTargetBound = adjusted(this.shortestTargetBound, needed(this.shortestDemand, total, roots));
+		this.largePromptBound = adjusted(this.largePromptBound, 1 - needed(this.largeDemand, total, roots));
+	}
+
+	// Long prompts need more idle endpoints than their part of the engine time, since a
+	// prompt that waits for one of them waits longer: half of the endpoints are divided by
+	// engine time, half by its square root weighed with the mean prefill.
+	private static double needed(ClassDemand demand, double total, double roots) {
+		return (demand.millis / total + demand.root() / roots) / 2;
 	}
 
 	private static double adjusted(double bound, double needed) {
@@ -270,6 +275,10 @@
 			this.weight++;
 		}
 
+		double root() {
+			return Math.sqrt(this.millis * meanMillis());
+		}
+
 		double meanMillis() {
 			return (this.weight > 0) ? this.millis / this.weight : 0;
 		}
