--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -338,17 +338,12 @@
 	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Duration latencyTarget,
 			Set<EndpointId> tried) {
 		int maximum = connectionLimit(service).open();
-		Set<EndpointId> full = new HashSet<>();
+		Set<EndpointId> excluded = new HashSet<>(tried);
 		for (Endpoint candidate : candidates) {
 			if (candidate.inFlight() >= maximum) {
-				full.add(candidate.id());
+				excluded.add(candidate.id());
 			}
 		}
-		Set<EndpointId> excluded = tried;
-		if (!full.isEmpty()) {
-			full.addAll(tried);
-			excluded = full;
-		}
 		return this.placement.choose(candidates, prompt, latencyTarget, excluded, this.clock.nanos());
 	}
 
