Count and log load headers that cannot be read

Change: such headers are counted (banyancove_unreadable_load_headers_total) and logged once for an endpoint ("endpoint load unreadable").

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -59,6 +59,8 @@
 
 	private final RetryMetrics retries;
 
+	private final EndpointMetrics endpoints;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -105,6 +107,7 @@
 			.labelNames("response")
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
+		this.endpoints = new EndpointMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
@@ -349,6 +352,11 @@
 			.log("endpoint announced rejection limit");
 	}
 
+	@Override
+	public void loadUnreadable(EndpointId endpoint, String header) {
+		this.endpoints.loadUnreadable(endpoint, header);
+	}
+
 	@Override
 	public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
 		logTunnel("opened", requestId, endpoint, peer, null);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointAnnouncements.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointAnnouncements.java
@@ -42,6 +42,9 @@
 		if (headers.load() != null) {
 			endpoint.updateLoad(headers.load(), now);
 		}
+		if (headers.unreadableLoad() != null) {
+			this.requestLog.loadUnreadable(endpoint.id(), headers.unreadableLoad());
+		}
 		// A response that the endpoint did not produce itself is no evidence that a limit
 		// has been lifted.
 		if (!headers.sealed() && !headers.notRun()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -86,6 +86,13 @@
 	 */
 	void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond);
 
+	/**
+	 * Called when the header in which an endpoint states its load cannot be read.
+	 * @param endpoint the endpoint
+	 * @param header the header's value
+	 */
+	void loadUnreadable(EndpointId endpoint, String header);
+
 	/**
 	 * A rejected request.
 	 *
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -12,7 +12,9 @@
  * @param sealed whether the response has the seal that shows that the endpoint itself
  * produced it
  * @param notRun whether the endpoint states that the request was not run
- * @param load the load of the endpoint, or {@code null} if it is not stated
+ * @param load the load of the endpoint, or {@code null} if it is not stated or unreadable
+ * @param unreadableLoad the header that states the load, or {@code null} unless it cannot
+ * be read
  * @param rateLimit the requests per second that the endpoint accepts from all gateways
  * together, or {@code null} if there is no limit
  * @param retryAfter the time for which the endpoint asks this gateway for no further
@@ -22,6 +24,6 @@
  * the endpoint may fail, or {@code null} if it is not stated
  */
 public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load,
-		@Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving,
+		@Nullable String unreadableLoad, @Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving,
 		@Nullable Double toleratedRejections) {
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -18,6 +18,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -108,6 +109,8 @@
 
 	private volatile BooleanSupplier endpointsCurrent = () -> true;
 
+	private final NoOpRequestLog requestLog = new NoOpRequestLog();
+
 	private final RequestDispatcher dispatcher = newDispatcher();
 
 	private final CallerServer server = newServer(this.dispatcher);
@@ -123,7 +126,7 @@
 				new SplittableRandom(1), new TestHeaderCodec(), this.connections,
 				new ServingEndpoints(this.endpoints, this.rollouts), new SuppliedFreshness(),
 				new PlacementRule(DATA_CENTER, () -> 0),
-				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
+				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), this.requestLog,
 				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
 				new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
 		created.updateFleet(1, FleetView.ALONE, List.of());
@@ -372,6 +375,15 @@
 		}
 	}
 
+	@Test
+	void anUnreadableLoadHeaderIsReportedAndTheAnswerIsPassedOn() throws Exception {
+		endpoint("a").thenRespond(COMPLETE.replace("seal: s", "seal: s\r\nload: 1,0"));
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/x HTTP/1.1", "1").status()).isEqualTo(200);
+		}
+		assertThat(this.requestLog.unreadableLoads).containsExactly("1,0");
+	}
+
 	// Guards against callers that return too early because the last endpoint that was not
 	// paused turned their request away.
 	@Test
@@ -1101,6 +1113,8 @@
 
 	private static final class NoOpRequestLog implements RequestLog {
 
+		private final List<String> unreadableLoads = new CopyOnWriteArrayList<>();
+
 		@Override
 		public void connectionClosedUnread() {
 			// Not used.
@@ -1143,6 +1157,11 @@
 		public void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond) {
 		}
 
+		@Override
+		public void loadUnreadable(EndpointId endpoint, String header) {
+			this.unreadableLoads.add(header);
+		}
+
 		@Override
 		public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.banyancove.gateway.endpoint.LoadReport;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.endpoint.PromptPart;
 import org.banyancove.gateway.shared.CallerHeaders;
@@ -49,6 +50,12 @@
 				: Prompt.NONE;
 	}
 
+	private static @Nullable LoadReport load(@Nullable String figures) {
+		String[] figure = (figures != null) ? figures.split(",") : new String[0];
+		return (figure.length == 4) ? new LoadReport(Integer.parseInt(figure[0]), Integer.parseInt(figure[1]),
+				Integer.parseInt(figure[2]), Double.parseDouble(figure[3]) / 100) : null;
+	}
+
 	private void keepBusy() {
 		try {
 			TimeUnit.NANOSECONDS.sleep(this.requestCost.toNanos());
@@ -81,7 +88,8 @@
 
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
-		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
+		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"),
+				load(headers.get("load")), (load(headers.get("load")) != null) ? null : headers.get("load"),
 				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
 				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after"))) : null,
 				headers.contains("leaving"),
