Predict latency with the slowdown that endpoints announce

Cause: an endpoint that shares its machine becomes several times slower for some hundred milliseconds. The speed learned from first tokens has a time constant of 5 s and needs several requests, so that it follows too late and then lasts too long.

Change: EndpointSlowdown holds the newest announced value, which decays with a time constant of 600 ms and ends with the process. Samples are divided by it before the lasting speed is learned, and predictions are multiplied by both. Without announcements, predictions are bit for bit the same.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -14,12 +14,6 @@
  */
 public final class Endpoint {
 
-	/**
-	 * Weight of a new sample in an exponential moving average, which covers about the
-	 * last ten samples.
-	 */
-	private static final double SAMPLE_WEIGHT = 0.1;
-
 	/**
 	 * Weight of a new outcome: three consecutive failures raise the failure rate above
 	 * one half.
@@ -33,32 +27,6 @@
 	 */
 	private static final double OUTCOME_DECAY_NANOS = 3e9;
 
-	/** Bounds of a single slowdown sample. */
-	private static final double MINIMUM_SLOWDOWN = 0.2;
-
-	private static final double MAXIMUM_SLOWDOWN = 20;
-
-	/**
-	 * Time constant of the slowdown's decay, in ns. An engine that is avoided, or whose
-	 * requests are all rejected, receives no request that shows its recovery.
-	 */
-	private static final double SLOWDOWN_DECAY_NANOS = 5e9;
-
-	/** Initial estimate of a plain service's response time, in ms. */
-	private static final double INITIAL_RESPONSE_MILLIS = 30;
-
-	/**
-	 * Delay of a first token for each running request, in ms: a step of a full batch
-	 * takes about 10 ms longer than a step of an empty one, and a prompt's prefill spans
-	 * a few steps.
-	 */
-	private static final double MILLIS_PER_RUNNING_REQUEST = 0.4;
-
-	/**
-	 * Time constant of a load report's decay, in ns: about the duration of a request.
-	 */
-	private static final double REPORT_DECAY_NANOS = 2e9;
-
 	/**
 	 * Backoff after the second consecutive failure without an answer. Each further one
 	 * doubles it, so that a dead endpoint costs few requests.
@@ -81,19 +49,9 @@
 
 	private long remotePendingPrefillTokens;
 
-	private double unattributedAtReport;
-
-	private double queuedAtReport;
-
-	private long reportedAt = Long.MIN_VALUE;
-
-	private final PrefillLatency prefillLatency;
-
-	private double slowdown = 1;
+	private final ReportedLoad reportedLoad = new ReportedLoad();
 
-	private long slowdownAt;
-
-	private double responseMillis = INITIAL_RESPONSE_MILLIS;
+	private final EndpointLatency latency;
 
 	private double failureRate;
 
@@ -130,7 +88,7 @@
 		this.allocation = allocation;
 		this.rateLimiter = new EndpointRateLimiter(entry.id(), allocation);
 		this.concurrencyLimiter = new ConcurrencyLimiter(entry.id(), allocation, rejectionTolerance);
-		this.prefillLatency = prefillLatency;
+		this.latency = new EndpointLatency(prefillLatency);
 		this.rejectionTolerance = rejectionTolerance;
 		this.memory = memory;
 		this.cache = emptyCache();
@@ -179,6 +137,7 @@
 	void update(EndpointEntry newer) {
 		if (!newer.sameIncarnation(this.entry)) {
 			this.cache = emptyCache();
+			this.latency.processReplaced();
 			this.consecutiveFailures = 0;
 			this.failureRate = 0;
 			this.backoffUntil = Long.MIN_VALUE;
@@ -383,65 +342,58 @@
 	 * @param now the current time
 	 */
 	public void updateLoad(LoadReport report, long now) {
-		this.unattributedAtReport = Math.max(0,
-				report.running() + report.waiting() - this.inFlight - this.remoteInFlight);
-		this.queuedAtReport = report.waiting();
-		this.reportedAt = now;
-		if (report.slowdown() != null) {
+		this.reportedLoad.update(report, this.inFlight + this.remoteInFlight, now);
+		Double slowdown = report.slowdown();
+		if (slowdown != null) {
+			this.latency.slowdown().announce(slowdown, now);
 			this.partition.recordSlowdownAnnounced();
 		}
 	}
 
 	/**
-	 * Returns the division of the service's endpoints by latency target.
-	 * @return the division, shared by all endpoints of the service
+	 * Records a slowdown that the endpoint announced to another gateway. It is ignored if
+	 * another process announced it.
+	 * @param observed the slowdown
+	 * @param now the current time
 	 */
-	public EndpointPartition partition() {
-		return this.partition;
+	public void observeSlowdown(ObservedSlowdown observed, long now) {
+		if (observed.startedAt() == this.entry.startedAt()) {
+			this.latency.slowdown().observe(observed.value(), observed.age(), now);
+			this.partition.recordSlowdownAnnounced();
+		}
 	}
 
 	/**
-	 * Returns the limiter that enforces the rate limit declared by the endpoint.
-	 * @return the limiter
+	 * Returns the slowdown to report to the other gateways.
+	 * @param now the current time
+	 * @return the slowdown, or {@code null} if this gateway heard of none recently
 	 */
-	public EndpointRateLimiter rateLimiter() {
-		return this.rateLimiter;
+	public @Nullable ObservedSlowdown observedSlowdown(long now) {
+		return this.latency.slowdown().observed(this.entry.startedAt(), now);
 	}
 
 	/**
-	 * Updates the latency estimates with a measured time to first token.
-	 * @param elapsed the time from sending the request to its first token
-	 * @param tokens the tokens to prefill before the first token, queued ones included
-	 * @param now the current time
+	 * Returns the latency of the endpoint.
+	 * @return the estimates of its latency
 	 */
-	public void recordTimeToFirstToken(Duration elapsed, long tokens, long now) {
-		double sample = Math.clamp(millis(elapsed) / this.prefillLatency.millis(tokens), MINIMUM_SLOWDOWN,
-				MAXIMUM_SLOWDOWN);
-		double previous = slowdown(now);
-		this.slowdown = previous + SAMPLE_WEIGHT * (sample - previous);
-		this.slowdownAt = now;
-		this.prefillLatency.addSample(millis(elapsed), tokens);
+	public EndpointLatency latency() {
+		return this.latency;
 	}
 
 	/**
-	 * Returns the estimated time to first token on an idle engine of this service.
-	 * @param tokens the tokens to prefill before the first token
-	 * @return the time in ms
+	 * Returns the division of the service's endpoints by latency target.
+	 * @return the division, shared by all endpoints of the service
 	 */
-	public double idleFirstTokenMillis(long tokens) {
-		return this.prefillLatency.millis(tokens);
-	}
-
-	private double slowdown(long now) {
-		return 1 + (this.slowdown - 1) * Math.exp((double) (this.slowdownAt - now) / SLOWDOWN_DECAY_NANOS);
+	public EndpointPartition partition() {
+		return this.partition;
 	}
 
 	/**
-	 * Updates the response time estimate with an answer of a plain service.
-	 * @param elapsed the time from sending the request to its answer
+	 * Returns the limiter that enforces the rate limit declared by the endpoint.
+	 * @return the limiter
 	 */
-	public void recordResponseTime(Duration elapsed) {
-		this.responseMillis += SAMPLE_WEIGHT * (millis(elapsed) - this.responseMillis);
+	public EndpointRateLimiter rateLimiter() {
+		return this.rateLimiter;
 	}
 
 	/**
@@ -476,7 +428,7 @@
 	 * @return the time in ms
 	 */
 	public double serviceTimeMillis(int prefillTokens) {
-		return (this.memory != null) ? prefillMillis(prefillTokens) : this.responseMillis;
+		return (this.memory != null) ? this.latency.prefillMillis(prefillTokens) : this.latency.responseMillis();
 	}
 
 	/**
@@ -524,10 +476,6 @@
 		return Math.max(0, prompt.sharedTokens() - this.cache.cachedTokens(prompt));
 	}
 
-	double prefillMillis(int tokens) {
-		return this.prefillLatency.millisPerToken() * tokens;
-	}
-
 	double transferMillis(int tokens) {
 		return (this.memory != null) ? this.memory.transferMillisPerToken() * tokens : Double.POSITIVE_INFINITY;
 	}
@@ -540,26 +488,20 @@
 	 * @return the time in ms
 	 */
 	double predictedMillis(Prompt prompt, int prefillTokens, long now) {
-		double reportWeight = reportWeight(now);
 		double running = running(now);
 		if (this.memory == null) {
-			double occupancy = Math.max(1, (running + 1) / this.entry.slots());
-			return this.responseMillis * occupancy;
+			return this.latency.predictedResponseMillis(running, this.entry.slots(), now);
 		}
-		double reportedTokens = this.queuedAtReport * reportWeight * meanPromptTokens(prompt);
+		double reportedTokens = this.reportedLoad.queued(now) * meanPromptTokens(prompt);
 		double queuedAhead = Math.max((double) totalPendingPrefillTokens(), reportedTokens);
 		double waitingForSlot = Math.max(0, running + 1 - this.entry.slots()) * meanPromptTokens(prompt);
 		long tokens = Math.round(queuedAhead + waitingForSlot) + prefillTokens;
-		return slowdown(now) * this.prefillLatency.millis(tokens) + MILLIS_PER_RUNNING_REQUEST * running;
-	}
-
-	private double reportWeight(long now) {
-		return (this.reportedAt == Long.MIN_VALUE) ? 0 : Math.exp((this.reportedAt - now) / REPORT_DECAY_NANOS);
+		return this.latency.predictedFirstTokenMillis(tokens, running, now);
 	}
 
 	// Requests of all callers at the endpoint, running or queued there.
 	private double running(long now) {
-		return this.inFlight + this.remoteInFlight + this.unattributedAtReport * reportWeight(now);
+		return this.inFlight + this.remoteInFlight + this.reportedLoad.unattributed(now);
 	}
 
 	// The lengths of queued prompts are unknown; they are assumed to equal this one's.
@@ -567,8 +509,4 @@
 		return prompt.inputTokens();
 	}
 
-	private static double millis(Duration duration) {
-		return duration.toNanos() / 1e6;
-	}
-
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/LoadReport.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/LoadReport.java
@@ -28,4 +28,12 @@
 		}
 	}
 
+	/**
+	 * Returns this report without the slowdown.
+	 * @return the running requests, queued requests and slots alone
+	 */
+	public LoadReport withoutSlowdown() {
+		return new LoadReport(this.running, this.waiting, this.slots, null);
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -271,7 +271,7 @@
 	}
 
 	private static boolean isCopyFaster(Endpoint candidate, int tokens) {
-		return candidate.transferMillis(tokens) + COPY_SETUP_MILLIS < candidate.prefillMillis(tokens);
+		return candidate.transferMillis(tokens) + COPY_SETUP_MILLIS < candidate.latency().prefillMillis(tokens);
 	}
 
 	private boolean isEligibleSource(Endpoint endpoint, long now) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -163,8 +163,9 @@
 		if (!this.prefillCompleted) {
 			completePrefill();
 			this.timeToFirstEvent = elapsed();
-			this.endpoint.recordTimeToFirstToken(this.timeToFirstEvent, this.tokensAhead + this.prefillTokens,
-					this.exchange.now());
+			this.endpoint.latency()
+				.recordTimeToFirstToken(this.timeToFirstEvent, this.tokensAhead + this.prefillTokens,
+						this.exchange.now());
 		}
 	}
 
@@ -173,7 +174,7 @@
 		if (first == null) {
 			return new AnswerTimes(millis(elapsed()), 0);
 		}
-		double expected = this.endpoint.idleFirstTokenMillis(this.tokensAhead + this.prefillTokens);
+		double expected = this.endpoint.latency().idleFirstTokenMillis(this.tokensAhead + this.prefillTokens);
 		double streaming = millis(elapsed().minus(first));
 		return new AnswerTimes(millis(first) / expected, streaming / Math.max(1, this.eventCount - 1));
 	}
@@ -222,7 +223,7 @@
 			this.exchange.announcements()
 				.applyProcessState(this.endpoint, response.status(), headers, this.exchange.now());
 		}
-		this.exchange.announcements().applyLimits(this.endpoint, headers, this.exchange.now());
+		this.exchange.announcements().applyLimits(this.endpoint, headers, currentProcess, this.exchange.now());
 		return true;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointAnnouncements.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointAnnouncements.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.banyancove.gateway.endpoint.Endpoint;
+import org.banyancove.gateway.endpoint.LoadReport;
 import org.banyancove.gateway.shared.EndpointHeaders;
 
 /**
@@ -36,11 +37,14 @@
 	 * Applies the load and the limits that an answer states.
 	 * @param endpoint the endpoint
 	 * @param headers the metadata of the answer
+	 * @param currentProcess whether the endpoint's current process answered; the slowdown
+	 * of a process that has ended is ignored
 	 * @param now the current time
 	 */
-	void applyLimits(Endpoint endpoint, EndpointHeaders headers, long now) {
-		if (headers.load() != null) {
-			endpoint.updateLoad(headers.load(), now);
+	void applyLimits(Endpoint endpoint, EndpointHeaders headers, boolean currentProcess, long now) {
+		LoadReport load = headers.load();
+		if (load != null) {
+			endpoint.updateLoad(currentProcess ? load : load.withoutSlowdown(), now);
 		}
 		if (headers.unreadableLoad() != null) {
 			this.requestLog.loadUnreadable(endpoint.id(), headers.unreadableLoad());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -332,7 +332,7 @@
 		boolean valid = success ? attempt.responseHeaders().sealed() : status.code() < 500;
 		attempt.endpoint().requestAnswered(valid, now());
 		if (valid && success) {
-			attempt.endpoint().recordResponseTime(attempt.elapsed());
+			attempt.endpoint().latency().recordResponseTime(attempt.elapsed(), now());
 			this.crashTracking.recordSuccess(attempt);
 		}
 		if (valid) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -347,7 +347,9 @@
 			request.endpoint().requestCompleted();
 			request.endpoint().requestAnswered(true, RejectionLimitFleetTests.this.now);
 			request.endpoint()
-				.recordResponseTime(Duration.ofNanos(RejectionLimitFleetTests.this.now - request.sentAt()));
+				.latency()
+				.recordResponseTime(Duration.ofNanos(RejectionLimitFleetTests.this.now - request.sentAt()),
+						RejectionLimitFleetTests.this.now);
 			readState(request, backend);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/PlacementRuleTests.java
@@ -182,8 +182,8 @@
 	void aSlowEndpointIsAvoided() {
 		List<Endpoint> endpoints = endpoints(2);
 		for (int i = 0; i < 20; i++) {
-			endpoints.getFirst().recordTimeToFirstToken(Duration.ofMillis(600), 10_000, 0);
-			endpoints.getLast().recordTimeToFirstToken(Duration.ofMillis(200), 10_000, 0);
+			endpoints.getFirst().latency().recordTimeToFirstToken(Duration.ofMillis(600), 10_000, 0);
+			endpoints.getLast().latency().recordTimeToFirstToken(Duration.ofMillis(200), 10_000, 0);
 		}
 		assertThat(choose(endpoints, prompt(0, 0))).isEqualTo(endpoints.getLast());
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -45,6 +45,7 @@
 import org.banyancove.gateway.duty.UsageCounter;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointSlowdown;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.endpoint.Placement;
@@ -375,6 +376,32 @@
 		}
 	}
 
+	// Guards against an endpoint that is avoided because of a late answer in which its
+	// former process announced a slowdown.
+	@Test
+	void theSlowdownOfAFormerProcessDoesNotConcernTheCurrentOne() throws Exception {
+		ScriptedEndpoint endpoint = endpoint("a")
+			.thenRespond(COMPLETE.replace("seal: s", "seal: s\r\nload: 1,0,10,180"));
+		EndpointEntry restarted = new EndpointEntry(new EndpointId("a"), SERVICE, "v1", endpoint.address(), DATA_CENTER,
+				10, false, false, 2);
+		endpoint.then((connection, id) -> {
+			this.eventLoop.submit(() -> this.endpoints.put(restarted)).sync();
+			ScriptedEndpoint.write(connection,
+					COMPLETE.replace("ID", id).replace("seal: s", "seal: s\r\nload: 1,0,10,250"));
+		});
+		EndpointSlowdown former = slowdown("a");
+		try (Caller caller = new Caller()) {
+			caller.call("POST /once/x HTTP/1.1", "1");
+			assertThat(former.announced()).isTrue();
+			caller.call("POST /once/x HTTP/1.1", "2");
+			assertThat(slowdown("a").announced()).isFalse();
+		}
+	}
+
+	private EndpointSlowdown slowdown(String name) {
+		return Objects.requireNonNull(this.endpoints.get(new EndpointId(name))).latency().slowdown();
+	}
+
 	@Test
 	void anUnreadableLoadHeaderIsReportedAndTheAnswerIsPassedOn() throws Exception {
 		endpoint("a").thenRespond(COMPLETE.replace("seal: s", "seal: s\r\nload: 1,0"));
