Report the slowdown of endpoints between gateways

Cause: each gateway knew only the slowdowns that it heard itself, while an endpoint is slower for some hundred milliseconds.

Change: traffic totals carry the slowdowns that a gateway heard in the last second, with their age and the start time of the endpoint's process; the merge keeps the newest. What others reported is not repeated, and ages are rounded up, so that no value seems newer than it is. Without slowdowns the datagrams are the same bytes as before, and former versions ignore the added part. The gauge banyancove_slowed_endpoints counts endpoints above 1.5.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointMetrics.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.core.EndpointId;
 import org.slf4j.Logger;
@@ -22,6 +23,8 @@
 
 	private final Counter unreadableLoadHeaders;
 
+	private final Gauge slowedEndpoints;
+
 	private final Set<EndpointId> logged = new LinkedHashSet<>();
 
 	EndpointMetrics(PrometheusRegistry registry, Logger log) {
@@ -30,6 +33,10 @@
 			.name("banyancove_unreadable_load_headers_total")
 			.help("Answers of endpoints whose load header could not be read")
 			.register(registry);
+		this.slowedEndpoints = Gauge.builder()
+			.name("banyancove_slowed_endpoints")
+			.help("Endpoints whose announced slowdown is above 1.5")
+			.register(registry);
 	}
 
 	void loadUnreadable(EndpointId endpoint, String header) {
@@ -46,4 +53,8 @@
 			.log("endpoint load unreadable");
 	}
 
+	void slowedEndpoints(int count) {
+		this.slowedEndpoints.set(count);
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -15,22 +14,18 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.banyancove.core.AccountName;
-import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.duty.DemandEstimator;
-import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.duty.GatewayReport;
 import org.banyancove.gateway.duty.LeaseElector;
 import org.banyancove.gateway.duty.PeerTable;
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.duty.UsageCounter;
-import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
-import org.banyancove.gateway.endpoint.ObservedRateLimit;
 import org.banyancove.gateway.endpoint.PlacementRule;
 import org.banyancove.gateway.exchange.CallerServer;
 import org.banyancove.gateway.exchange.ConnectionPool;
@@ -133,6 +128,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final EndpointReports endpointReports;
+
 	private final PlacementRule placementRule;
 
 	private final RequestQuarantine quarantine;
@@ -196,6 +193,7 @@
 		this.eventLoopLag = new EventLoopLagMonitor(TICK_INTERVAL, registry);
 		this.usage = new UsageCounter(settings.usageWindow());
 		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways, this::gatewaysListed));
+		this.endpointReports = new EndpointReports(this.endpoints, this.metrics);
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
 		this.placementRule = new PlacementRule(settings.dataCenter(), random::nextDouble);
 		this.quarantine = new RequestQuarantine(this.endpoints);
@@ -327,51 +325,20 @@
 	}
 
 	private GatewayReport report() {
+		long now = this.clock.nanos();
 		TrafficTotals traffic = new TrafficTotals(this.usage.counts(), this.requestDispatcher.quotaUsage(),
-				this.demandEstimator.demandByService(this.clock.nanos()), endpointLoads(), this.rollouts.report(),
-				rateLimits(this.clock.nanos()));
+				this.demandEstimator.demandByService(now), this.endpointReports.loads(), this.rollouts.report(),
+				this.endpointReports.rateLimits(now), this.endpointReports.slowdowns(now));
 		return new GatewayReport(this.incarnation, this.settings.dataCenter(), traffic,
 				this.leaseHolderDuties.holdsLease(), this.sharedState.sharedStateVersion());
 	}
 
-	private Map<EndpointId, EndpointLoad> endpointLoads() {
-		Map<EndpointId, EndpointLoad> loads = new HashMap<>();
-		for (Endpoint endpoint : this.endpoints.all()) {
-			if (endpoint.inFlight() > 0) {
-				loads.put(endpoint.id(), new EndpointLoad(endpoint.inFlight(), endpoint.pendingPrefillTokens()));
-			}
-		}
-		return loads;
-	}
-
-	private Map<EndpointId, ObservedRateLimit> rateLimits(long now) {
-		Map<EndpointId, ObservedRateLimit> limits = new HashMap<>();
-		for (Endpoint endpoint : this.endpoints.all()) {
-			ObservedRateLimit observed = endpoint.rateLimiter().observed(now);
-			if (observed != null) {
-				limits.put(endpoint.id(), observed);
-			}
-		}
-		return limits;
-	}
-
-	private void applyRateLimits(long now) {
-		this.fleetView.rateLimits().forEach((id, limit) -> {
-			Endpoint endpoint = this.endpoints.get(id);
-			Double requestsPerSecond = limit.requestsPerSecond();
-			if (endpoint != null
-					&& endpoint.rateLimiter().observe(requestsPerSecond, now - limit.age().toNanos(), now)) {
-				this.metrics.rateLimitChanged(id, requestsPerSecond);
-			}
-		});
-	}
-
 	private void applyFleetView(long now) {
 		this.fleetView = this.peerTable.view(now);
 		this.readDelegation.update(this.fleetView);
 		this.requestDispatcher.updateFleet(this.fleetExchange.listedGateways(), this.fleetView, this.endpoints.all());
 		this.placementRule.setUnreachableDataCenters(this.fleetView.unreachableDataCenters());
-		applyRateLimits(now);
+		this.endpointReports.apply(this.fleetView, now);
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.servingEndpoints.recordVersions(this.configuration.serviceNames(), now);
@@ -379,10 +346,6 @@
 				this.onlyVersions.recordVersions(service, this.servingEndpoints.versions(service), now);
 			}
 		}
-		for (Endpoint endpoint : this.endpoints.all()) {
-			EndpointLoad load = this.fleetView.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE);
-			endpoint.updateRemoteLoad(load.inFlight(), load.pendingPrefillTokens());
-		}
 	}
 
 	private void updateTunnels() {
@@ -411,6 +374,7 @@
 			this.metrics.quarantined(this.quarantine.quarantined(now));
 			this.metrics.backedOffEndpoints(
 					this.endpoints.all().stream().mapToInt((endpoint) -> endpoint.backedOff(now) ? 1 : 0).sum());
+			this.metrics.slowedEndpoints(this.endpointReports.slowedEndpoints(now));
 			this.sharedState.reconcile(this.fleetView.sharedState(), now);
 			this.metrics.endpointsAge(this.sharedState.endpointsAge(now));
 			if (this.settings.reportsUsage() || this.settings.ordersEndpoints()) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -183,6 +183,10 @@
 		this.retries.available(byService);
 	}
 
+	void slowedEndpoints(int count) {
+		this.endpoints.slowedEndpoints(count);
+	}
+
 	void endpointsAge(Duration age) {
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TrafficTotalsCodec.java
@@ -15,13 +15,21 @@
 import org.banyancove.gateway.duty.EndpointLoad;
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 
 /**
  * Writes and reads traffic totals in binary form. The names of client accounts are
  * written once, and the values of each window follow in the same order.
+ * <p>
+ * Totals are the last part of a message. The slowdowns at their end are left out if there
+ * are none, and former versions of the program ignore what follows the rate limits, so
+ * that both versions read each other's messages.
  */
 final class TrafficTotalsCodec {
 
+	/** Steps of a slowdown of 1: endpoints announce it in per cent. */
+	private static final double SLOWDOWN_STEPS = 100;
+
 	private TrafficTotalsCodec() {
 	}
 
@@ -45,6 +53,20 @@
 		writeLoads(out, traffic.loads());
 		RolloutReportCodec.write(out, traffic.rollouts());
 		writeRateLimits(out, traffic.rateLimits());
+		if (!traffic.slowdowns().isEmpty()) {
+			writeSlowdowns(out, traffic.slowdowns());
+		}
+	}
+
+	// Ages are rounded up, so that a value does not seem newer with each transfer.
+	private static void writeSlowdowns(ByteBuf out, Map<EndpointId, ObservedSlowdown> slowdowns) {
+		BinaryFields.writeVarint(out, slowdowns.size());
+		slowdowns.forEach((endpoint, slowdown) -> {
+			BinaryFields.writeText(out, endpoint.value());
+			BinaryFields.writeVarint(out, Math.max(1, Math.round(slowdown.value() * SLOWDOWN_STEPS)));
+			BinaryFields.writeVarint(out, slowdown.age().plusNanos(999_999).toMillis());
+			BinaryFields.writeVarint(out, slowdown.startedAt());
+		});
 	}
 
 	private static void writeRateLimits(ByteBuf out, Map<EndpointId, ObservedRateLimit> limits) {
@@ -90,7 +112,18 @@
 			demand.put(new ServiceName(BinaryFields.readText(in)), (double) BinaryFields.readVarint(in));
 		}
 		return new TrafficTotals(usageCounts, quotaUsed, demand, readLoads(in), RolloutReportCodec.read(in),
-				readRateLimits(in));
+				readRateLimits(in), in.isReadable() ? readSlowdowns(in) : Map.of());
+	}
+
+	private static Map<EndpointId, ObservedSlowdown> readSlowdowns(ByteBuf in) {
+		Map<EndpointId, ObservedSlowdown> slowdowns = new HashMap<>();
+		for (int remaining = BinaryFields.readCount(in); remaining > 0; remaining--) {
+			EndpointId endpoint = new EndpointId(BinaryFields.readText(in));
+			double value = BinaryFields.readVarint(in) / SLOWDOWN_STEPS;
+			Duration age = Duration.ofMillis(BinaryFields.readVarint(in));
+			slowdowns.put(endpoint, new ObservedSlowdown(value, age, BinaryFields.readVarint(in)));
+		}
+		return slowdowns;
 	}
 
 	private static Map<EndpointId, ObservedRateLimit> readRateLimits(ByteBuf in) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetAggregation.java
@@ -11,6 +11,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,8 @@
 
 	private final Map<EndpointId, ObservedRateLimit> rateLimits = new HashMap<>();
 
+	private final Map<EndpointId, ObservedSlowdown> slowdowns = new HashMap<>();
+
 	private final TreeSet<Long> readers = new TreeSet<>();
 
 	private RolloutReport rollouts = RolloutReport.NONE;
@@ -107,6 +110,9 @@
 		traffic.rateLimits()
 			.forEach((endpoint, limit) -> this.rateLimits.merge(endpoint, limit.after(elapsed),
 					ObservedRateLimit::newerOf));
+		traffic.slowdowns()
+			.forEach((endpoint, slowdown) -> this.slowdowns.merge(endpoint, slowdown.after(elapsed),
+					ObservedSlowdown::newerOf));
 	}
 
 	private void updateSharedState(SharedStateVersion candidate) {
@@ -126,8 +132,9 @@
 	FleetSummary summary(long incarnation, @Nullable String group, Map<Long, Map<AccountName, Long>> counts,
 			Map<AccountName, Double> used) {
 		List<Long> lowestReaders = this.readers.stream().limit(MAXIMUM_READERS).toList();
-		return new FleetSummary(incarnation, group, List.copyOf(this.presence.values()),
-				new TrafficTotals(counts, used, this.demand, this.loads, this.rollouts, this.rateLimits),
+		return new FleetSummary(
+				incarnation, group, List.copyOf(this.presence.values()), new TrafficTotals(counts, used, this.demand,
+						this.loads, this.rollouts, this.rateLimits, this.slowdowns),
 				this.leaseHolder, this.sharedState, lowestReaders);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/FleetView.java
@@ -9,6 +9,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 import org.banyancove.gateway.rollout.RolloutReport;
 
 /**
@@ -23,6 +24,7 @@
  * second, by service
  * @param rollouts the rollout samples of the other gateways
  * @param rateLimits the newest rate limits that endpoints reported to any gateway
+ * @param slowdowns the newest slowdowns that endpoints announced to any gateway
  * @param leaseHeldElsewhere whether another gateway holds the lease of the fleet-wide
  * duties
  * @param sharedState the most recent shared state of any gateway that reads the store
@@ -31,12 +33,12 @@
  */
 public record FleetView(int otherGateways, double reachableShare, Set<DataCenterName> unreachableDataCenters,
 		Map<EndpointId, EndpointLoad> loads, Map<ServiceName, Double> demand, RolloutReport rollouts,
-		Map<EndpointId, ObservedRateLimit> rateLimits, boolean leaseHeldElsewhere, SharedStateVersion sharedState,
-		List<Long> readers, boolean aggregator) {
+		Map<EndpointId, ObservedRateLimit> rateLimits, Map<EndpointId, ObservedSlowdown> slowdowns,
+		boolean leaseHeldElsewhere, SharedStateVersion sharedState, List<Long> readers, boolean aggregator) {
 
 	/** The view of a gateway without known peers. */
 	public static final FleetView ALONE = new FleetView(0, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE,
-			Map.of(), false, SharedStateVersion.NONE, List.of(), true);
+			Map.of(), Map.of(), false, SharedStateVersion.NONE, List.of(), true);
 
 	/**
 	 * Gateways that read the store on behalf of the fleet: with three, changes still
@@ -60,8 +62,8 @@
 		}
 		return new FleetView(others.gateways(), (others.reachable() + 1.0) / (others.gateways() + 1), unreachable,
 				others.traffic().loads(), others.traffic().demand(), others.traffic().rollouts(),
-				others.traffic().rateLimits(), others.leaseHolder() != 0, others.sharedState(), others.readers(),
-				aggregator);
+				others.traffic().rateLimits(), others.traffic().slowdowns(), others.leaseHolder() != 0,
+				others.sharedState(), others.readers(), aggregator);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/TrafficTotals.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/duty/TrafficTotals.java
@@ -6,6 +6,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 import org.banyancove.gateway.rollout.RolloutReport;
 
 /**
@@ -18,14 +19,15 @@
  * @param loads the load at each endpoint
  * @param rollouts the samples of the rollouts
  * @param rateLimits the newest rate limits that endpoints reported
+ * @param slowdowns the newest slowdowns that endpoints announced
  */
 public record TrafficTotals(Map<Long, Map<AccountName, Long>> usageCounts, Map<AccountName, Double> quotaUsed,
 		Map<ServiceName, Double> demand, Map<EndpointId, EndpointLoad> loads, RolloutReport rollouts,
-		Map<EndpointId, ObservedRateLimit> rateLimits) {
+		Map<EndpointId, ObservedRateLimit> rateLimits, Map<EndpointId, ObservedSlowdown> slowdowns) {
 
 	/** No traffic. */
 	public static final TrafficTotals NONE = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(),
-			RolloutReport.NONE, Map.of());
+			RolloutReport.NONE, Map.of(), Map.of());
 
 	/**
 	 * Creates totals.
@@ -36,6 +38,7 @@
 		demand = Map.copyOf(demand);
 		loads = Map.copyOf(loads);
 		rateLimits = Map.copyOf(rateLimits);
+		slowdowns = Map.copyOf(slowdowns);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
@@ -559,7 +559,7 @@
 
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
-					Map.of());
+					Map.of(), Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, SharedStateVersion.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -421,7 +421,7 @@
 
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
-					Map.of());
+					Map.of(), Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, SharedStateVersion.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointMetricsTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointMetricsTests.java
@@ -30,10 +30,12 @@
 	}
 
 	@Test
-	void unreadableLoadHeadersAreCounted() {
+	void unreadableLoadHeadersAndSlowedEndpointsAreCounted() {
 		this.metrics.loadUnreadable(new EndpointId("a"), "x".repeat(1000));
 		this.metrics.loadUnreadable(new EndpointId("a"), "");
-		assertThat(new MetricsText(this.registry).text()).contains("banyancove_unreadable_load_headers_total 2.0");
+		this.metrics.slowedEndpoints(3);
+		assertThat(new MetricsText(this.registry).text()).contains("banyancove_unreadable_load_headers_total 2.0",
+				"banyancove_slowed_endpoints 3.0");
 	}
 
 	// Guards against a log that is filled by an endpoint whose header is never readable,
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -265,7 +265,7 @@
 		private GatewayReport report() {
 			ObservedRateLimit observed = endpoint(LIMITED).rateLimiter().observed(EndpointRateLimitTests.this.now);
 			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE,
-					(observed != null) ? Map.of(LIMITED, observed) : Map.of());
+					(observed != null) ? Map.of(LIMITED, observed) : Map.of(), Map.of());
 			return new GatewayReport(this.incarnation, this.address.dataCenter(), traffic, false,
 					SharedStateVersion.NONE);
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -326,7 +326,7 @@
 		private GatewayReport report() {
 			TrafficTotals traffic = new TrafficTotals(Map.of(WINDOW, Map.of(ACCOUNT, this.counted)),
 					Map.of(ACCOUNT, this.used), Map.of(), Map.of(ENDPOINT, new EndpointLoad(1, 1)), RolloutReport.NONE,
-					Map.of());
+					Map.of(), Map.of());
 			return new GatewayReport(this.incarnation, this.dataCenter, traffic, false, SharedStateVersion.NONE);
 		}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/PeerMessageCodecTests.java
@@ -25,6 +25,7 @@
 import org.banyancove.gateway.duty.TrafficTotals;
 import org.banyancove.gateway.duty.UsageReport;
 import org.banyancove.gateway.endpoint.ObservedRateLimit;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 import org.banyancove.gateway.quarantine.CrashObservation;
 import org.banyancove.gateway.quarantine.SuspectReport;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -51,7 +52,8 @@
 			Map.of(ACCOUNT, 5.0), Map.of(new ServiceName("service"), 7.0),
 			Map.of(new EndpointId("e"), new EndpointLoad(2, 900)), RolloutReport.NONE,
 			Map.of(new EndpointId("e"), new ObservedRateLimit(1.4, Duration.ofMillis(250)), new EndpointId("f"),
-					new ObservedRateLimit(null, Duration.ZERO)));
+					new ObservedRateLimit(null, Duration.ZERO)),
+			Map.of());
 
 	private static final SharedStateVersion SHARED_STATE = new SharedStateVersion(true, 5, -9, Duration.ofMillis(350),
 			2);
@@ -93,7 +95,7 @@
 		Rollout rollout = new Rollout(order, "v1", Instant.ofEpochMilli(99), -3, new RolloutStage.InProgress(0.04, 1));
 		RolloutReport report = new RolloutReport(List.of(rollout),
 				Map.of(new SampleKey(7, "chat", true), new VersionSamples(300, 200, 1)));
-		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of());
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), report, Map.of(), Map.of());
 		GatewayReport sent = new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE);
 		assertThat(this.codec.read(this.codec.write(new PeerMessage.Report(sent))))
 			.isEqualTo(new PeerMessage.Report(sent));
@@ -129,7 +131,7 @@
 	@Test
 	void trafficReportsAreThoseOfTheFormerVersion() {
 		TrafficTotals traffic = new TrafficTotals(TRAFFIC.usageCounts(), TRAFFIC.quotaUsed(), TRAFFIC.demand(),
-				TRAFFIC.loads(), RolloutReport.NONE, Map.of());
+				TRAFFIC.loads(), RolloutReport.NONE, Map.of(), Map.of());
 		assertBytes(new PeerMessage.Report(new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE)),
 				"010000000000000007016101010000000000000005fffffffffffffff7de020000000000000002"
 						+ "01076163636f756e740501090301077365727669636507010165028407000000");
@@ -138,6 +140,32 @@
 						+ "010000000000000001" + "0001076163636f756e740501090301077365727669636507010165028407000000");
 	}
 
+	// Guards against slowdowns that are lost or seem newer than they are, and a truncated
+	// message that is read.
+	@Test
+	void readsTheSlowdownsThatItWroteWithAgesRoundedUp() {
+		Map<EndpointId, ObservedSlowdown> slowdowns = Map.of(new EndpointId("e"),
+				new ObservedSlowdown(2.8, Duration.ofNanos(1), 1_780_390_210_000L), new EndpointId("f"),
+				new ObservedSlowdown(0.2, Duration.ofMillis(350), 0));
+		byte[] written = this.codec.write(report(slowdowns));
+		assertThat(this.codec.read(written)).isEqualTo(
+				report(Map.of(new EndpointId("e"), new ObservedSlowdown(2.8, Duration.ofMillis(1), 1_780_390_210_000L),
+						new EndpointId("f"), new ObservedSlowdown(0.2, Duration.ofMillis(350), 0))));
+		int former = this.codec.write(report(Map.of())).length;
+		for (int length = former + 1; length < written.length; length++) {
+			byte[] truncated = Arrays.copyOf(written, length);
+			assertThatExceptionOfType(BanyancoveException.class).isThrownBy(() -> this.codec.read(truncated));
+		}
+		assertThat(this.codec.read(Arrays.copyOf(written, former))).as("message of the former version")
+			.isEqualTo(report(Map.of()));
+	}
+
+	private static PeerMessage report(Map<EndpointId, ObservedSlowdown> slowdowns) {
+		TrafficTotals traffic = new TrafficTotals(TRAFFIC.usageCounts(), TRAFFIC.quotaUsed(), TRAFFIC.demand(),
+				TRAFFIC.loads(), TRAFFIC.rollouts(), TRAFFIC.rateLimits(), slowdowns);
+		return new PeerMessage.Report(new GatewayReport(7, new DataCenterName("a"), traffic, true, SHARED_STATE));
+	}
+
 	private void assertBytes(PeerMessage message, String hex) {
 		assertThat(HexFormat.of().formatHex(this.codec.write(message))).isEqualTo(hex);
 		assertThat(this.codec.read(HexFormat.of().parseHex(hex))).isEqualTo(message);
@@ -190,7 +218,7 @@
 			loads.put(new EndpointId("i-7f3a91c2" + i), new EndpointLoad(2, 9000));
 		}
 		return new TrafficTotals(Map.of(1L, counts, 2L, counts, 3L, counts, 4L, counts), used,
-				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of());
+				Map.of(new ServiceName("service"), 7.0), loads, RolloutReport.NONE, Map.of(), Map.of());
 	}
 
 	// Guards against relayed records that saturate the link of a small VM for seconds
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReadDelegationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/ReadDelegationTests.java
@@ -75,8 +75,8 @@
 	}
 
 	private static FleetView fleet(List<Long> readers, boolean leaseHeldElsewhere, boolean aggregator) {
-		return new FleetView(5, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE, Map.of(), leaseHeldElsewhere,
-				SharedStateVersion.NONE, readers, aggregator);
+		return new FleetView(5, 1, Set.of(), Map.of(), Map.of(), RolloutReport.NONE, Map.of(), Map.of(),
+				leaseHeldElsewhere, SharedStateVersion.NONE, readers, aggregator);
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -394,7 +394,7 @@
 					loads.put(endpoint.id(), new EndpointLoad(endpoint.inFlight(), 0));
 				}
 			}
-			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), loads, RolloutReport.NONE,
+			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), loads, RolloutReport.NONE, Map.of(),
 					Map.of());
 			return new GatewayReport(this.incarnation, this.address.dataCenter(), traffic, false,
 					SharedStateVersion.NONE);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/PeerTableTests.java
@@ -9,6 +9,7 @@
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.endpoint.ObservedSlowdown;
 import org.banyancove.gateway.rollout.RolloutReport;
 import org.junit.jupiter.api.Test;
 
@@ -120,6 +121,24 @@
 		assertThat(view.demand()).containsEntry(SERVICE, 100.0);
 	}
 
+	// Guards against a slowdown that is replaced by an older one of another gateway, or
+	// loses its age on the way over an aggregator.
+	@Test
+	void theNewestSlowdownOfAnEndpointIsPassedOnWithItsAge() {
+		this.peerTable.receive(slowed(1, 2.5, 400), 0);
+		this.peerTable.receive(slowed(2, 1.1, 250), SECOND / 10);
+		ObservedSlowdown expected = new ObservedSlowdown(1.1, Duration.ofMillis(350), 7);
+		assertThat(this.peerTable.view(SECOND / 5).slowdowns()).containsEntry(ENDPOINT, expected);
+		assertThat(this.peerTable.groupSummary("near", SECOND / 5).traffic().slowdowns()).containsEntry(ENDPOINT,
+				expected);
+	}
+
+	private static GatewayReport slowed(long incarnation, double slowdown, long ageMillis) {
+		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), Map.of(), RolloutReport.NONE, Map.of(),
+				Map.of(ENDPOINT, new ObservedSlowdown(slowdown, Duration.ofMillis(ageMillis), 7)));
+		return new GatewayReport(incarnation, NEAR, traffic, false, SharedStateVersion.NONE);
+	}
+
 	// Guards against a lease holder that mistakes itself for another gateway and polls
 	// the leases topic too rarely to renew the lease.
 	@Test
@@ -173,7 +192,7 @@
 
 	private static GatewayReport report(double used) {
 		TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(ACCOUNT, used), Map.of(), Map.of(),
-				RolloutReport.NONE, Map.of());
+				RolloutReport.NONE, Map.of(), Map.of());
 		return new GatewayReport(7, new DataCenterName("zone"), traffic, false, SharedStateVersion.NONE);
 	}
 
@@ -194,7 +213,7 @@
 
 	private static TrafficTotals loads(int requests) {
 		return new TrafficTotals(Map.of(), Map.of(), Map.of(SERVICE, 10.0 * requests),
-				Map.of(ENDPOINT, new EndpointLoad(requests, 100L * requests)), RolloutReport.NONE, Map.of());
+				Map.of(ENDPOINT, new EndpointLoad(requests, 100L * requests)), RolloutReport.NONE, Map.of(), Map.of());
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsageReportPlannerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/duty/UsageReportPlannerTests.java
@@ -69,12 +69,12 @@
 
 	private static GatewayReport counted(long incarnation, long count) {
 		return report(incarnation, new TrafficTotals(Map.of(200L, Map.of(ACCOUNT, count)), Map.of(), Map.of(), Map.of(),
-				RolloutReport.NONE, Map.of()));
+				RolloutReport.NONE, Map.of(), Map.of()));
 	}
 
 	private static GatewayReport used(double amount) {
-		return report(1,
-				new TrafficTotals(Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), RolloutReport.NONE, Map.of()));
+		return report(1, new TrafficTotals(Map.of(), Map.of(ACCOUNT, amount), Map.of(), Map.of(), RolloutReport.NONE,
+				Map.of(), Map.of()));
 	}
 
 	private static GatewayReport report(long incarnation, TrafficTotals traffic) {
