--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -59,6 +59,8 @@
 
 	private final RetryMetrics retries;
 
+	private final EndpointMetrics endpoints;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -109,6 +111,7 @@
 			.labelNames("response")
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
+		this.endpoints = new EndpointMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.withoutExemplars()
 			.name("banyancove_requested_pauses_total")
@@ -194,6 +197,10 @@
 		this.retries.available(byService);
 	}
 
+	void slowedEndpoints(int count) {
+		this.endpoints.slowedEndpoints(count);
+	}
+
 	void endpointsAge(Duration age) {
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
@@ -363,6 +370,11 @@
 			.log("endpoint announced rejection limit");
 	}
 
+	@Override
+	public void loadUnreadable(EndpointId endpoint, String header) {
+		this.endpoints.loadUnreadable(endpoint, header);
+	}
+
 	@Override
 	public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
 		logTunnel("opened", requestId, endpoint, peer, null);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -214,7 +214,8 @@
 	}
 
 	// Long prompts need more idle endpoints than their part of the engine time, since a
-	// prompt that waits for one of them waits longer: half of the endpoints are divided by
+	// prompt that waits for one of them waits longer: half of the endpoints are divided
+	// by
 	// engine time, half by its square root weighed with the mean prefill.
 	private static double needed(ClassDemand demand, double total, double roots) {
 		return (demand.millis / total + demand.root() / roots) / 2;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -347,7 +347,9 @@
 			request.endpoint().requestCompleted();
 			request.endpoint().requestAnswered(true, RejectionLimitFleetTests.this.now);
 			request.endpoint()
-				.recordResponseTime(Duration.ofNanos(RejectionLimitFleetTests.this.now - request.sentAt()));
+				.latency()
+				.recordResponseTime(Duration.ofNanos(RejectionLimitFleetTests.this.now - request.sentAt()),
+						RejectionLimitFleetTests.this.now);
 			readState(request, backend);
 		}
 
@@ -392,7 +394,7 @@
 					loads.put(endpoint.id(), new EndpointLoad(endpoint.inFlight(), 0));
 				}
 			}
-			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), loads, RolloutReport.NONE,
+			TrafficTotals traffic = new TrafficTotals(Map.of(), Map.of(), Map.of(), loads, RolloutReport.NONE, Map.of(),
 					Map.of());
 			return new GatewayReport(this.incarnation, this.address.dataCenter(), traffic, false,
 					SharedStateVersion.NONE);
