--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointTable.java
@@ -110,11 +110,12 @@
 	/**
 	 * Adds or updates an endpoint. One that was removed lately, such as during an outage
 	 * of the store, keeps the pause that it asked for.
-	 * @param entry the endpoint's entry
+	 * @param read the endpoint's entry
 	 */
-	public void put(EndpointEntry entry) {
-		restore(entry);
-		Endpoint existing = this.endpoints.get(entry.id());
+	public void put(EndpointEntry read) {
+		restore(read);
+		Endpoint existing = this.endpoints.get(read.id());
+		EndpointEntry entry = (existing != null) ? read.keepingLeaveTime(existing.entry()) : read;
 		boolean changed = existing == null || !existing.entry().equals(entry);
 		if (existing != null && existing.entry().service().equals(entry.service())) {
 			existing.update(entry);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/endpoint/EndpointTableTests.java
@@ -108,6 +108,21 @@
 		assertThat(placement.choose(this.table.endpointsOf(SERVICE), Prompt.NONE, Set.of(), 0)).isNull();
 	}
 
+	// Guards against a time of leaving that moves with each repetition of the entry, and
+	// against lists that are computed anew for it.
+	@Test
+	void theTimeOfLeavingIsThatOfTheFirstDrainingEntry() {
+		this.table.put(leaving(2_000));
+		List<Endpoint> listed = this.table.endpointsOf(SERVICE);
+		this.table.put(leaving(2_003));
+		assertThat(endpoint().entry().leavesAt()).isEqualTo(2_000);
+		assertThat(this.table.endpointsOf(SERVICE)).isSameAs(listed);
+		this.table.put(entry(true));
+		assertThat(endpoint().entry().leavesAt()).isEqualTo(2_000);
+		this.table.put(entry(false));
+		assertThat(endpoint().entry().leavesAt()).isNull();
+	}
+
 	// Guards against an endpoint that stays unused because a process that was replaced
 	// asked for a pause or announced its shutdown.
 	@Test
@@ -151,6 +166,12 @@
 		return Objects.requireNonNull(this.table.get(ID));
 	}
 
+	private static EndpointEntry leaving(long leavesAt) {
+		EndpointEntry draining = entry(true);
+		return new EndpointEntry(ID, SERVICE, "v1", draining.address(), draining.dataCenter(), 10, true, false, 1,
+				leavesAt);
+	}
+
 	private static EndpointEntry entry(boolean draining) {
 		return new EndpointEntry(ID, SERVICE, "v1", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
 				new DataCenterName("a"), 10, draining, false, 1);
