--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -1,15 +1,12 @@
 package org.banyancove.gateway.exchange;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.SocketException;
 import java.nio.channels.ServerSocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -51,12 +48,10 @@
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.endpoint.PromptPart;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
-import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.retry.RetryBudgets;
 import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
-import org.banyancove.gateway.tunnel.TunnelRefusal;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -173,7 +168,7 @@
 		try (Caller caller = new Caller()) {
 			caller.send(lines("POST /once/x?y=%20z HTTP/1.1", "host: host", "id: 1", "other: o", "key: secret",
 					"transfer-encoding: chunked", "", "4", "body", "0", "", ""));
-			Response response = caller.read();
+			TestCaller.Response response = caller.read();
 			assertThat(response.status()).isEqualTo(200);
 			assertThat(response.body()).isEqualTo("hello");
 			assertThat(response.head()).contains("seal: s");
@@ -216,7 +211,7 @@
 			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 1", "", ""));
 			assertThat(caller.read().status()).isEqualTo(200);
 			caller.send(lines("GET /again/x HTTP/1.1", "host: host", "id: 2", "", ""));
-			Response response = caller.read();
+			TestCaller.Response response = caller.read();
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: (1|2)");
 		}
@@ -328,7 +323,7 @@
 			for (int i = 0; i < 4; i++) {
 				caller.call("GET /again/crash HTTP/1.1", "crash-" + i);
 			}
-			Response response = caller.call("GET /again/crash HTTP/1.1", "crash");
+			TestCaller.Response response = caller.call("GET /again/crash HTTP/1.1", "crash");
 			assertThat(this.scriptedEndpoints.stream().mapToInt(ScriptedEndpoint::unreadRequests).sum()).isEqualTo(3);
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [1-9]");
@@ -348,7 +343,7 @@
 				caller.call("GET /again/" + i + " HTTP/1.1\r\nparts: " + i + ",77," + (100 + i), "crash-" + i);
 			}
 			int arrived = this.scriptedEndpoints.stream().mapToInt(ScriptedEndpoint::unreadRequests).sum();
-			Response response = caller.call("GET /again/x HTTP/1.1\r\nparts: 77,9,200", "crash");
+			TestCaller.Response response = caller.call("GET /again/x HTTP/1.1\r\nparts: 77,9,200", "crash");
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [1-9]");
 			assertThat(arrived).isLessThanOrEqualTo(5);
@@ -381,7 +376,7 @@
 		Endpoint pausedEndpoint = Objects.requireNonNull(this.endpoints.get(new EndpointId("b")));
 		this.eventLoop.submit(() -> pausedEndpoint.pause().request(Duration.ofSeconds(2), System.nanoTime())).sync();
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("GET /again/x HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("GET /again/x HTTP/1.1", "1");
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: (1.9|2)");
 		}
@@ -441,7 +436,7 @@
 		try (Caller caller = new Caller()) {
 			assertThat(caller.call("GET /again/x HTTP/1.1", "1").status()).isEqualTo(503);
 			long start = System.nanoTime();
-			Response response = caller.call("GET /again/x HTTP/1.1", "2");
+			TestCaller.Response response = caller.call("GET /again/x HTTP/1.1", "2");
 			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(1));
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head().toLowerCase(Locale.ROOT)).containsPattern("retry-after: [2-4]");
@@ -505,7 +500,7 @@
 	void endpointErrorResponseIsForwardedUnchanged() throws Exception {
 		endpoint("a").thenRespond(FAILED);
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("POST /once/ HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("POST /once/ HTTP/1.1", "1");
 			assertThat(response.status()).isEqualTo(500);
 			assertThat(response.body()).isEqualTo("oops");
 			assertThat(response.head()).contains("seal: s");
@@ -516,7 +511,7 @@
 	void requestThatTheEndpointRejectedWithoutRunningGetsRetryAfter() throws Exception {
 		endpoint("a").thenRespond(NOT_RUN);
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("POST /once/ HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("POST /once/ HTTP/1.1", "1");
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head()).contains("retry-after: 0.");
 		}
@@ -670,7 +665,7 @@
 			});
 		}
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("POST /resumed/ HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("POST /resumed/ HTTP/1.1", "1");
 			assertThat(response.body()).isEqualTo("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 		}
 		List<String> requests = new ArrayList<>();
@@ -685,7 +680,7 @@
 	void streamThatCannotBeResumedIsNotTerminatedAsComplete() throws Exception {
 		endpoint("a").thenReset(STREAM_HEAD + chunk("id: 1\ndata: a\n\n"));
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("POST /stream/ HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("POST /stream/ HTTP/1.1", "1");
 			assertThat(response.body()).isEqualTo("id: 1\ndata: a\n\n");
 			assertThat(response.complete()).isFalse();
 		}
@@ -803,7 +798,7 @@
 		this.serverChannel = newServer(newDispatcher())
 			.listen(ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
 		try (Caller caller = new Caller()) {
-			Response response = caller.call("POST /once/ HTTP/1.1", "1");
+			TestCaller.Response response = caller.call("POST /once/ HTTP/1.1", "1");
 			assertThat(response.status()).isEqualTo(503);
 			assertThat(response.head()).contains("retry-after: 0.");
 		}
@@ -928,7 +923,7 @@
 		}
 	}
 
-	private static void assertRejected(Response response, String error) {
+	private static void assertRejected(TestCaller.Response response, String error) {
 		assertThat(response.status()).isEqualTo(503);
 		assertThat(response.body()).contains(error);
 		assertThat(response.head().toLowerCase(Locale.ROOT)).contains("retry-after: 0.");
@@ -986,78 +981,17 @@
 		this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
 	}
 
-	private record Response(int status, String head, String body, boolean complete) {
-	}
-
 	/**
-	 * A caller with a single connection.
+	 * A caller with a single connection, by default to the server.
 	 */
-	private final class Caller implements AutoCloseable {
-
-		private final Socket connection;
+	private final class Caller extends TestCaller {
 
 		private Caller() throws IOException {
 			this(Objects.requireNonNull(ExchangeTests.this.serverChannel).localAddress());
 		}
 
 		private Caller(SocketAddress address) throws IOException {
-			this.connection = new Socket();
-			this.connection.connect(address);
-			this.connection.setSoTimeout(30_000);
-		}
-
-		private void send(String text) throws IOException {
-			this.connection.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-		}
-
-		private Response call(String firstLine, String id) throws IOException {
-			send(firstLine + "\r\nhost: host\r\nid: " + id + "\r\ncontent-length: 0\r\n\r\n");
-			return read();
-		}
-
-		private Response read() throws IOException {
-			InputStream input = this.connection.getInputStream();
-			String head = readUntil(input, "\r\n\r\n");
-			int status = Integer.parseInt(head.split(" ")[1]);
-			String length = ScriptedEndpoint.header(head, "content-length");
-			if (!length.isEmpty()) {
-				byte[] body = input.readNBytes(Integer.parseInt(length));
-				return new Response(status, head, new String(body, StandardCharsets.US_ASCII), true);
-			}
-			StringBuilder body = new StringBuilder();
-			while (true) {
-				String size = readUntil(input, "\r\n").trim();
-				if (size.isEmpty()) {
-					return new Response(status, head, body.toString(), false);
-				}
-				String chunk = new String(input.readNBytes(Integer.parseInt(size, 16)), StandardCharsets.US_ASCII);
-				readUntil(input, "\r\n");
-				if (chunk.isEmpty()) {
-					return new Response(status, head, body.toString(), true);
-				}
-				body.append(chunk);
-			}
-		}
-
-		private String readToEnd() throws IOException {
-			return new String(this.connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
-		}
-
-		private static String readUntil(InputStream input, String end) throws IOException {
-			StringBuilder text = new StringBuilder();
-			while (!text.toString().endsWith(end)) {
-				int read = input.read();
-				if (read < 0) {
-					return text.toString();
-				}
-				text.append((char) read);
-			}
-			return text.toString();
-		}
-
-		@Override
-		public void close() throws IOException {
-			this.connection.close();
+			super(address);
 		}
 
 	}
@@ -1099,66 +1033,4 @@
 
 	}
 
-	private static final class NoOpRequestLog implements RequestLog {
-
-		@Override
-		public void connectionClosedUnread() {
-			// Not used.
-		}
-
-		@Override
-		public void rejected(RejectedRequest request) {
-		}
-
-		@Override
-		public void attemptFailed(FailedAttempt attempt, String reason) {
-		}
-
-		@Override
-		public void retryDecided(RetryDecision retry) {
-		}
-
-		@Override
-		public void ended(EndedRequest request) {
-		}
-
-		@Override
-		public void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
-				@Nullable KnownOrigin origin, Duration elapsed) {
-		}
-
-		@Override
-		public void shutdownAnnounced(EndpointId endpoint) {
-		}
-
-		@Override
-		public void pauseRequested(EndpointId endpoint, Duration duration) {
-		}
-
-		@Override
-		public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
-		}
-
-		@Override
-		public void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond) {
-		}
-
-		@Override
-		public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
-		}
-
-		@Override
-		public void tunnelFailed(String requestId, InetSocketAddress endpoint, String peer, String reason) {
-		}
-
-		@Override
-		public void tunnelAccepted(String requestId, InetSocketAddress endpoint, InetSocketAddress from) {
-		}
-
-		@Override
-		public void tunnelRefused(String requestId, String target, InetSocketAddress from, TunnelRefusal reason) {
-		}
-
-	}
-
 }
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -0,0 +1,74 @@
+package org.banyancove.gateway.exchange;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+import org.banyancove.core.EndpointId;
+import org.banyancove.gateway.resumption.KnownOrigin;
+import org.banyancove.gateway.tunnel.TunnelRefusal;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A log that ignores everything.
+ */
+class NoOpRequestLog implements RequestLog {
+
+	@Override
+	public void connectionClosedUnread() {
+		// Not used.
+	}
+
+	@Override
+	public void rejected(RejectedRequest request) {
+	}
+
+	@Override
+	public void attemptFailed(FailedAttempt attempt, String reason) {
+	}
+
+	@Override
+	public void retryDecided(RetryDecision retry) {
+	}
+
+	@Override
+	public void ended(EndedRequest request) {
+	}
+
+	@Override
+	public void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
+			@Nullable KnownOrigin origin, Duration elapsed) {
+	}
+
+	@Override
+	public void shutdownAnnounced(EndpointId endpoint) {
+	}
+
+	@Override
+	public void pauseRequested(EndpointId endpoint, Duration duration) {
+	}
+
+	@Override
+	public void rateLimitChanged(EndpointId endpoint, @Nullable Double requestsPerSecond) {
+	}
+
+	@Override
+	public void rejectionLimitAnnounced(EndpointId endpoint, double rejectionsPerSecond) {
+	}
+
+	@Override
+	public void tunnelOpened(String requestId, InetSocketAddress endpoint, String peer) {
+	}
+
+	@Override
+	public void tunnelFailed(String requestId, InetSocketAddress endpoint, String peer, String reason) {
+	}
+
+	@Override
+	public void tunnelAccepted(String requestId, InetSocketAddress endpoint, InetSocketAddress from) {
+	}
+
+	@Override
+	public void tunnelRefused(String requestId, String target, InetSocketAddress from, TunnelRefusal reason) {
+	}
+
+}
