Move streams off endpoints that are reclaimed

A stream that still runs shortly before its endpoint leaves now continues at another endpoint of its version, within the same answer, if its service can move runs and announces a slowdown.

StreamMigration holds the life of a move. The source is asked to stop the run; meanwhile, the end of the stream's connection is no failure. The request is sent on with the handle that the source answered and the last whole event. It is no further attempt for usage, quota, retry budget, maxAttempts and rollouts.

Exchange gives its accounting to RequestAccounting and the connection options to EndpointRequestFactory, RequestDispatcher the quota of an account to Configuration, so that neither class grows.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Configuration.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Configuration.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.banyancove.core.AccountName;
 import org.banyancove.core.ServiceName;
 import org.jspecify.annotations.Nullable;
 
@@ -131,6 +132,20 @@
 		return this.accounts;
 	}
 
+	/**
+	 * Returns the quota of a client account.
+	 * @param name the account's name
+	 * @return the quota, or {@code null} if the account is unknown or has none
+	 */
+	public @Nullable TokenQuota quota(AccountName name) {
+		for (ClientAccount account : this.accounts) {
+			if (account.name().equals(name)) {
+				return account.quota();
+			}
+		}
+		return null;
+	}
+
 	/**
 	 * Returns the client account that a key belongs to.
 	 * @param key the key
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -47,6 +47,7 @@
 import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.MonotonicClock;
 import org.banyancove.gateway.shared.RecordCodec;
+import org.banyancove.gateway.shared.StreamMoveCodec;
 import org.banyancove.gateway.shared.Topic;
 import org.banyancove.gateway.shared.TopicStore;
 import org.banyancove.gateway.tunnel.TunnelPeer;
@@ -209,7 +210,7 @@
 		this.requestDispatcher = new RequestDispatcher(this.eventLoop, this.clock, clocks.wall(), random, headerCodec,
 				connections, this.servingEndpoints, new Freshness(), this.placementRule,
 				new Meters(this.usage, this.demandEstimator), this.metrics, this.retryBudgets, this.quarantine,
-				this.fleetExchange.streamOrigins());
+				this.fleetExchange.streamOrigins(), ports.moves());
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.eventLoops = eventLoops;
 		this.tunnelPeers = connections.connector().peers();
@@ -473,8 +474,9 @@
 	 *
 	 * @param topics the store
 	 * @param duties the calls that one gateway makes for the whole fleet
+	 * @param moves the codec of the calls that move streams
 	 */
-	public record Ports(TopicStore topics, Duties duties) {
+	public record Ports(TopicStore topics, Duties duties, StreamMoveCodec moves) {
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -59,6 +59,8 @@
 
 	private final RetryMetrics retries;
 
+	private final MigrationMetrics migrations;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -105,6 +107,7 @@
 			.labelNames("response")
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
+		this.migrations = new MigrationMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
@@ -263,6 +266,14 @@
 		}
 	}
 
+	@Override
+	public void streamMoveEnded(EndedMove move) {
+		this.migrations.count(move);
+		if (tryAcquireLine()) {
+			this.migrations.log(move);
+		}
+	}
+
 	@Override
 	public void ended(EndedRequest request) {
 		this.requests.labelValues(request.outcome()).inc();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -82,7 +82,7 @@
 	 * Returns whether an endpoint of the service announced a slowdown.
 	 * @return whether the endpoints share their machines
 	 */
-	boolean slowdownAnnounced() {
+	public boolean slowdownAnnounced() {
 		return this.slowdownAnnounced;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.Placement;
@@ -47,6 +48,8 @@
 
 	private final long tokensAhead;
 
+	private final boolean continuesRun;
+
 	private boolean prefillCompleted;
 
 	private int eventCount;
@@ -65,7 +68,8 @@
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-	Attempt(Exchange exchange, Placement placement, int number, long sentAt, ResponseBuffers buffers) {
+	Attempt(Exchange exchange, Placement placement, int number, long sentAt, ResponseBuffers buffers,
+			boolean continuesRun) {
 		this.exchange = exchange;
 		this.buffers = buffers;
 		this.endpoint = placement.endpoint();
@@ -73,6 +77,7 @@
 		this.predictedMillis = placement.predictedMillis();
 		this.number = number;
 		this.sentAt = sentAt;
+		this.continuesRun = continuesRun;
 		this.tokensAhead = this.endpoint.totalPendingPrefillTokens();
 		this.prefillTokens = placement.prefillTokens();
 		this.endpoint.requestSent(exchange.prompt(), this.prefillTokens, sentAt);
@@ -115,6 +120,20 @@
 		return this.eventCount > 0;
 	}
 
+	/**
+	 * Returns whether the stream may be moved to another endpoint. The end of a stream
+	 * without chunks and length could not be told from the stop of its run.
+	 * @return whether the endpoint's process is writing the stream and marks its end
+	 */
+	boolean isMovable() {
+		return !this.finished && this.head != null && isCurrentProcess()
+				&& (HttpUtil.isTransferEncodingChunked(this.head) || HttpUtil.isContentLengthSet(this.head));
+	}
+
+	boolean isCurrentProcess() {
+		return this.endpoint.entry().sameIncarnation(this.entryWhenSent);
+	}
+
 	/**
 	 * Returns when the endpoint began the response, at the earliest.
 	 * @return the time of the first event, or when the request was sent
@@ -163,8 +182,11 @@
 		if (!this.prefillCompleted) {
 			completePrefill();
 			this.timeToFirstEvent = elapsed();
-			this.endpoint.recordTimeToFirstToken(this.timeToFirstEvent, this.tokensAhead + this.prefillTokens,
-					this.exchange.now());
+			// A run that is continued has no prefill to measure.
+			if (!this.continuesRun) {
+				this.endpoint.recordTimeToFirstToken(this.timeToFirstEvent, this.tokensAhead + this.prefillTokens,
+						this.exchange.now());
+			}
 		}
 	}
 
@@ -175,7 +197,8 @@
 		}
 		double expected = this.endpoint.idleFirstTokenMillis(this.tokensAhead + this.prefillTokens);
 		double streaming = millis(elapsed().minus(first));
-		return new AnswerTimes(millis(first) / expected, streaming / Math.max(1, this.eventCount - 1));
+		return new AnswerTimes(this.continuesRun ? 1 : millis(first) / expected,
+				streaming / Math.max(1, this.eventCount - 1));
 	}
 
 	private static double millis(Duration duration) {
@@ -204,7 +227,7 @@
 		// Establishing the connection took a part of the time.
 		this.exchange.headerCodec().writeRemaining(requestHeaders, this.exchange.remaining());
 		// Another process of the endpoint may be another version.
-		return this.exchange.maySend(this.endpoint) && this.endpoint.entry().sameIncarnation(this.entryWhenSent);
+		return this.exchange.maySend(this) && isCurrentProcess();
 	}
 
 	@Override
@@ -215,9 +238,7 @@
 		}
 		this.head = response;
 		this.responseHeaders = headers;
-		boolean currentProcess = !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
-				&& this.endpoint.entry().sameIncarnation(this.entryWhenSent);
-		if (currentProcess) {
+		if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST) && isCurrentProcess()) {
 			this.endpoint.processLife().answered(connectedAt(), this.sentAt);
 			this.exchange.announcements()
 				.applyProcessState(this.endpoint, response.status(), headers, this.exchange.now());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -11,23 +11,29 @@
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.shared.EndpointCall;
-import org.banyancove.gateway.shared.HeaderCodec;
+import org.banyancove.gateway.shared.StoppedRun;
+import org.banyancove.gateway.tunnel.ConnectContext;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Creates the requests to endpoints for one request of a caller.
+ * Creates the requests to endpoints for one request of a caller, and the options of their
+ * connections.
  */
 final class EndpointRequestFactory {
 
-	private final HeaderCodec headerCodec;
+	private final RequestDispatcher dispatcher;
 
 	private final CallerRequest request;
 
+	private final String requestId;
+
 	private final RoutingDecision.Accepted accepted;
 
-	EndpointRequestFactory(HeaderCodec headerCodec, CallerRequest request, RoutingDecision.Accepted accepted) {
-		this.headerCodec = headerCodec;
+	EndpointRequestFactory(RequestDispatcher dispatcher, CallerRequest request, String requestId,
+			RoutingDecision.Accepted accepted) {
+		this.dispatcher = dispatcher;
 		this.request = request;
+		this.requestId = requestId;
 		this.accepted = accepted;
 	}
 
@@ -37,9 +43,12 @@
 	 * @param remaining the time until the caller's deadline
 	 * @param lastEventId the id of the event after which to resume the stream, or
 	 * {@code null}
+	 * @param continued the run that the endpoint continues, or {@code null} if it begins
+	 * one
 	 * @return the request, which shares the body of the caller's request
 	 */
-	FullHttpRequest create(Placement placement, Duration remaining, @Nullable String lastEventId) {
+	FullHttpRequest create(Placement placement, Duration remaining, @Nullable String lastEventId,
+			@Nullable StoppedRun continued) {
 		ByteBuf body = this.request.body().retainedDuplicate();
 		FullHttpRequest copy = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, this.request.head().method(),
 				this.request.head().uri(), body);
@@ -47,17 +56,17 @@
 		EndToEndHeaders.copy(this.request.head().headers(), headers);
 		headers.names()
 			.stream()
-			.filter((name) -> !this.headerCodec.isForwarded(name))
+			.filter((name) -> !this.dispatcher.headerCodec().isForwarded(name))
 			.toList()
 			.forEach(headers::remove);
 		if (body.isReadable() || this.request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		}
 		ClientAccount account = this.accepted.account();
-		this.headerCodec.writeCall(headers,
-				new EndpointCall(placement.endpoint().id(), remaining, (account != null) ? account.name() : null,
-						priority(account), lastEventId,
-						(placement.prefixSource() != null) ? placement.prefixSource().entry().address() : null));
+		this.dispatcher.headerCodec()
+			.writeCall(headers, new EndpointCall(placement.endpoint().id(), remaining,
+					(account != null) ? account.name() : null, priority(account), lastEventId,
+					(placement.prefixSource() != null) ? placement.prefixSource().entry().address() : null, continued));
 		return copy;
 	}
 
@@ -69,4 +78,28 @@
 		return Math.clamp((accountPriority != null) ? accountPriority : this.accepted.route().priority(), 0, 9);
 	}
 
+	CallOptions options() {
+		return CallOptions.forRequest(this.accepted.route().repeatable(),
+				this.dispatcher.admission().connectTimeout(this.accepted.route()),
+				this.dispatcher.connectionLimit(this.accepted.service()), connectContext());
+	}
+
+	/**
+	 * Returns the options of a call about a stream in progress. Each stream at an
+	 * endpoint that leaves needs a second connection, and new requests need none there.
+	 * @return the options
+	 */
+	CallOptions moveOptions() {
+		CallOptions options = options();
+		ConnectionLimit limit = options.connections();
+		return new CallOptions(options.connectTimeout(), options.maximumIdleTime(),
+				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context());
+	}
+
+	ConnectContext connectContext() {
+		return new ConnectContext(this.accepted.service().name(),
+				this.dispatcher.endpoints().count(this.accepted.service().name()), this.requestId,
+				this.dispatcher.requestLog());
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -16,18 +16,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
-import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Route;
 import org.banyancove.gateway.configuration.RouteKind;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
 import org.banyancove.gateway.endpoint.Prompt;
+import org.banyancove.gateway.migration.MigrationRule;
 import org.banyancove.gateway.resumption.KnownOrigin;
-import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
-import org.banyancove.gateway.tunnel.ConnectContext;
+import org.banyancove.gateway.shared.StoppedRun;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -65,12 +64,8 @@
 
 	private final Service service;
 
-	private final @Nullable ClientAccount account;
-
 	private final String requestId;
 
-	private final long configurationVersion;
-
 	private final long deadlineAt;
 
 	private final Set<EndpointId> triedEndpoints = new HashSet<>();
@@ -85,18 +80,18 @@
 
 	private final RequestRetries retries;
 
+	private final RequestAccounting accounting;
+
+	private final StreamMigration migration;
+
 	private final double versionDraw;
 
 	private boolean mayHaveRun;
 
-	private boolean usageRecorded;
-
 	private boolean ended;
 
 	private @Nullable Attempt currentAttempt;
 
-	private @Nullable Long firstByteAt;
-
 	private @Nullable ScheduledFuture<?> deadlineTimer;
 
 	private @Nullable ScheduledFuture<?> responseTimer;
@@ -111,19 +106,20 @@
 		this.requestHeaders = requestHeaders;
 		this.route = accepted.route();
 		this.service = accepted.service();
-		this.account = accepted.account();
 		this.requestId = String.valueOf(requestHeaders.requestId());
-		this.configurationVersion = dispatcher.configurationVersion();
 		Duration timeout = this.route.timeout();
 		if (requestHeaders.deadline() != null && requestHeaders.deadline().compareTo(timeout) < 0) {
 			timeout = requestHeaders.deadline();
 		}
 		this.deadlineAt = request.arrivedAt() + timeout.toNanos();
-		this.endpointRequests = new EndpointRequestFactory(dispatcher.headerCodec(), request, accepted);
+		this.endpointRequests = new EndpointRequestFactory(dispatcher, request, this.requestId, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
-		this.crashTracking = new CrashTracking(dispatcher, request, requestHeaders.prompt(), this.account);
+		this.crashTracking = new CrashTracking(dispatcher, request, requestHeaders.prompt(), accepted.account());
 		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
 		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name(), this.route);
+		this.accounting = new RequestAccounting(dispatcher, request, requestHeaders, accepted);
+		this.migration = new StreamMigration(this, dispatcher, accepted, this.endpointRequests, this.continuation,
+				this.crashTracking, this.eventSplitter);
 		this.versionDraw = dispatcher.nextRandom();
 	}
 
@@ -147,7 +143,7 @@
 			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
 			return;
 		}
-		if (!this.dispatcher.endpointsCurrent() || !this.continuation.isReady()) {
+		if (!this.dispatcher.freshness().current() || !this.continuation.isReady()) {
 			this.placementTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
 			return;
 		}
@@ -230,31 +226,46 @@
 
 	private void send(Placement placement) {
 		this.retries.attemptStarted();
+		this.crashTracking.recordSent();
+		Attempt newAttempt = send(placement, null);
+		this.accounting.recordSent(newAttempt);
+		this.migration.watch(newAttempt);
+	}
+
+	/**
+	 * Sends the request on to the endpoint that continues its run, which is no further
+	 * attempt.
+	 * @param placement the endpoint
+	 * @param run the run, which has stopped
+	 * @return the call to the endpoint
+	 */
+	Attempt sendOn(Placement placement, StoppedRun run) {
+		this.mayHaveRun = true;
+		this.eventSplitter.discardPartialEvent();
+		return send(placement, run);
+	}
+
+	private Attempt send(Placement placement, @Nullable StoppedRun run) {
 		this.triedEndpoints.add(placement.endpoint().id());
 		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now(),
-				this.dispatcher.responseBuffers());
+				this.dispatcher.responseBuffers(), run != null);
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
-		this.crashTracking.recordSent();
-		rollouts().recordSent(this.service.name(), this.route.name(), newAttempt.version());
-		CallOptions options = CallOptions.forRequest(this.route.repeatable(),
-				this.dispatcher.admission().connectTimeout(this.route), this.dispatcher.connectionLimit(this.service),
-				connectContext());
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(),
-					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId()), options,
-					newAttempt));
+					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
+					this.endpointRequests.options(), newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
-	}
-
-	private ConnectContext connectContext() {
-		return new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
-				this.requestId, this.dispatcher.requestLog());
+		return newAttempt;
 	}
 
 	// Establishing a connection may take as long as the rest of an endpoint's drain time.
-	boolean maySend(Endpoint endpoint) {
-		return remaining().isPositive() && this.dispatcher.endpointsCurrent()
+	boolean maySend(Attempt attempt) {
+		if (this.migration.isContinuation(attempt)) {
+			return this.migration.mayContinue();
+		}
+		Endpoint endpoint = attempt.endpoint();
+		return remaining().isPositive() && this.dispatcher.freshness().current()
 				&& this.dispatcher.endpoints().accepts(endpoint) && endpoint.pause().remaining(now()).isZero();
 	}
 
@@ -281,8 +292,9 @@
 			return;
 		}
 		attempt.eventReceived();
+		this.migration.recordAnswer(attempt);
 		this.crashTracking.recordEvent(attempt);
-		recordUsage();
+		this.accounting.recordUsage();
 		this.continuation.begin(attempt);
 		startStream(attempt);
 		this.caller.writeContent(completeEvents);
@@ -293,7 +305,7 @@
 		if (this.caller.streaming()) {
 			return;
 		}
-		this.firstByteAt = now();
+		this.accounting.recordFirstByte();
 		HttpResponse start = new DefaultHttpResponse(HttpVersion.HTTP_1_1, attempt.responseHead().status());
 		EndToEndHeaders.copy(attempt.responseHead().headers(), start.headers());
 		this.caller.beginStream(start);
@@ -308,15 +320,16 @@
 				failed(attempt, CallFailure.BROKEN_ANSWER);
 				return;
 			}
+			this.migration.recordAnswer(attempt);
 			attempt.endpoint().requestAnswered(true, now());
 			this.crashTracking.recordSuccess(attempt);
-			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
-					attempt.responseTimes());
+			this.accounting.recordAnswered(attempt);
 			startStream(attempt);
 			this.caller.endStream();
 			end("answered", attempt.responseHead().status().code());
 			return;
 		}
+		this.migration.recordRefusal(attempt);
 		evaluate(attempt);
 	}
 
@@ -327,7 +340,7 @@
 			return;
 		}
 		this.mayHaveRun = true;
-		recordUsage();
+		this.accounting.recordUsage();
 		boolean success = status.code() >= 200 && status.code() < 300;
 		boolean valid = success ? attempt.responseHeaders().sealed() : status.code() < 500;
 		attempt.endpoint().requestAnswered(valid, now());
@@ -336,11 +349,10 @@
 			this.crashTracking.recordSuccess(attempt);
 		}
 		if (valid) {
-			rollouts().recordAnswered(this.service.name(), this.route.name(), attempt.version(),
-					attempt.responseTimes());
+			this.accounting.recordAnswered(attempt);
 		}
 		else {
-			rollouts().recordFailed(this.service.name(), this.route.name(), attempt.version());
+			this.accounting.recordFailed(attempt);
 		}
 		if (valid) {
 			forwardResponse(attempt);
@@ -385,7 +397,7 @@
 			this.caller.abort();
 			return;
 		}
-		this.firstByteAt = now();
+		this.accounting.recordFirstByte();
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, attempt.responseHead().status(),
 				attempt.body());
 		EndToEndHeaders.copy(attempt.responseHead().headers(), response.headers());
@@ -394,7 +406,7 @@
 	}
 
 	void failed(Attempt attempt, CallFailure failure) {
-		if (this.ended) {
+		if (this.ended || this.migration.handlesFailure(attempt, failure)) {
 			return;
 		}
 		this.dispatcher.requestLog()
@@ -413,10 +425,10 @@
 		}
 		this.mayHaveRun = true;
 		if (this.route.kind() != RouteKind.STREAMING) {
-			recordUsage();
+			this.accounting.recordUsage();
 		}
 		attempt.endpoint().requestFailed(attempt.sentAt(), now());
-		rollouts().recordFailed(this.service.name(), this.route.name(), attempt.version());
+		this.accounting.recordFailed(attempt);
 		this.eventSplitter.discardPartialEvent();
 		if (retryIfAllowed()) {
 			return;
@@ -428,7 +440,7 @@
 	// long to fail as the last.
 	private void placeAfterFailedConnect() {
 		boolean waited = elapsed().compareTo(this.dispatcher.admission().maximumWait(this.route, remaining())) > 0;
-		if (waited && this.dispatcher.connections().connector().isPartitioned(connectContext())) {
+		if (waited && this.dispatcher.connections().connector().isPartitioned(this.endpointRequests.connectContext())) {
 			endWithError(ErrorKind.NO_ENDPOINT);
 		}
 		else {
@@ -446,13 +458,6 @@
 		return true;
 	}
 
-	private void recordUsage() {
-		if (!this.usageRecorded && this.account != null) {
-			this.usageRecorded = true;
-			this.dispatcher.meters().usage().recordStart(this.account.name(), this.dispatcher.wallClock().instant());
-		}
-	}
-
 	private void startResponseTimer(Duration timeout) {
 		cancel(this.responseTimer);
 		this.responseTimer = null;
@@ -463,6 +468,10 @@
 
 	private void responseTimedOut() {
 		Attempt current = this.currentAttempt;
+		if (this.migration.awaitsAnswer()) {
+			startResponseTimer(MigrationRule.ANSWER_TIMEOUT);
+			return;
+		}
 		if (this.ended || current == null || !this.retries.tryAcquire()) {
 			return;
 		}
@@ -497,14 +506,10 @@
 			this.dispatcher.requestLog()
 				.attemptFailed(current.describe(), "no response before the request was cancelled");
 			current.endpoint().requestFailed(current.sentAt(), now());
-			rollouts().recordFailed(this.service.name(), this.route.name(), current.version());
+			this.accounting.recordFailed(current);
 		}
 	}
 
-	private RolloutTable rollouts() {
-		return this.dispatcher.endpoints().rollouts();
-	}
-
 	// Ends a request for which no endpoint response can be forwarded.
 	private void endWithError(ErrorKind kind) {
 		endWithError(kind, retryAfterRejection());
@@ -547,16 +552,9 @@
 		cancel(this.responseTimer);
 		cancel(this.placementTimer);
 		this.retries.end();
+		this.migration.end();
 		this.dispatcher.ended();
-		Duration timeToFirstByte = (this.firstByteAt != null)
-				? Duration.ofNanos(this.firstByteAt - this.request.arrivedAt()) : null;
-		Attempt last = this.currentAttempt;
-		String endpoint = (last != null) ? last.endpoint().id().value() : null;
-		String endpointVersion = (last != null) ? last.version() : null;
-		this.dispatcher.requestLog()
-			.ended(new RequestLog.EndedRequest(this.requestId, this.route.name(), outcome, status, endpoint,
-					endpointVersion, this.requestHeaders.resumedRequestId(), this.retries.attempts(), timeToFirstByte,
-					elapsed(), this.configurationVersion));
+		this.accounting.recordEnd(outcome, status, this.currentAttempt, this.retries.attempts());
 	}
 
 	String requestId() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -37,6 +37,7 @@
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.banyancove.gateway.shared.StreamMoveCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -80,6 +81,8 @@
 
 	private final StreamOrigins streamOrigins;
 
+	private final StreamMigrations migrations;
+
 	private final ResponseBuffers responseBuffers = new ResponseBuffers();
 
 	private final ConnectionAllowance connectionAllowance = new ConnectionAllowance();
@@ -116,11 +119,13 @@
 	 * @param retryBudgets the retries that this gateway may grant
 	 * @param quarantine the requests that crash endpoints
 	 * @param streamOrigins the origins of the fleet's streams
+	 * @param moves the codec of the calls that move streams
 	 */
 	public RequestDispatcher(EventLoop eventLoop, MonotonicClock clock, InstantSource wallClock, RandomGenerator random,
 			HeaderCodec headerCodec, ConnectionPool connections, ServingEndpoints endpoints,
 			EndpointFreshness freshness, PlacementRule placement, Meters meters, RequestLog requestLog,
-			RetryBudgets retryBudgets, RequestQuarantine quarantine, StreamOrigins streamOrigins) {
+			RetryBudgets retryBudgets, RequestQuarantine quarantine, StreamOrigins streamOrigins,
+			StreamMoveCodec moves) {
 		this.eventLoop = eventLoop;
 		this.clock = clock;
 		this.wallClock = wallClock;
@@ -136,6 +141,7 @@
 		this.retryBudgets = retryBudgets;
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
+		this.migrations = new StreamMigrations(eventLoop, connections, moves);
 	}
 
 	/**
@@ -146,7 +152,7 @@
 		this.configuration = newConfiguration;
 		for (AccountName name : Set.copyOf(this.quotaLimiters.keySet())) {
 			QuotaLimiter limiter = Objects.requireNonNull(this.quotaLimiters.get(name));
-			TokenQuota quota = quota(name, newConfiguration);
+			TokenQuota quota = newConfiguration.quota(name);
 			if (quota == null) {
 				this.quotaLimiters.remove(name);
 				this.acceptedByRemovedLimiters.merge(name, limiter.used(), Double::sum);
@@ -160,15 +166,6 @@
 		this.deferred.clear();
 	}
 
-	private static @Nullable TokenQuota quota(AccountName name, Configuration configuration) {
-		for (ClientAccount account : configuration.accounts()) {
-			if (account.name().equals(name)) {
-				return account.quota();
-			}
-		}
-		return null;
-	}
-
 	/**
 	 * Updates the fleet.
 	 * @param listedGateways the number of gateways that may be running, including this
@@ -210,7 +207,7 @@
 		if (existing != null || this.configuration == null) {
 			return existing;
 		}
-		TokenQuota quota = quota(name, this.configuration);
+		TokenQuota quota = this.configuration.quota(name);
 		if (quota == null) {
 			return null;
 		}
@@ -374,10 +371,6 @@
 		return this.connections;
 	}
 
-	boolean endpointsCurrent() {
-		return this.freshness.current();
-	}
-
 	EndpointFreshness freshness() {
 		return this.freshness;
 	}
@@ -402,6 +395,10 @@
 		return this.streamOrigins;
 	}
 
+	StreamMigrations migrations() {
+		return this.migrations;
+	}
+
 	AdmissionRule admission() {
 		return this.admission;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -8,6 +8,7 @@
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.migration.MoveOutcome;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.tunnel.TunnelListener;
 import org.jspecify.annotations.Nullable;
@@ -58,6 +59,12 @@
 	void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
 			@Nullable KnownOrigin origin, Duration elapsed);
 
+	/**
+	 * Called when the move of a stream off an endpoint that leaves has ended.
+	 * @param move the move
+	 */
+	void streamMoveEnded(EndedMove move);
+
 	/**
 	 * Called when an endpoint has changed its rate limit.
 	 * @param endpoint the endpoint
@@ -173,4 +180,19 @@
 			@Nullable Duration timeToFirstByte, Duration elapsed, long version) {
 	}
 
+	/**
+	 * The move of a stream that has ended.
+	 *
+	 * @param requestId the request id
+	 * @param outcome the outcome
+	 * @param source the endpoint that leaves
+	 * @param destination the endpoint chosen as the destination, or {@code null} if none
+	 * was available
+	 * @param forwardedEvents the events of the stream forwarded so far
+	 * @param elapsed the time since the source was asked for the move
+	 */
+	record EndedMove(String requestId, MoveOutcome outcome, EndpointId source, @Nullable EndpointId destination,
+			int forwardedEvents, Duration elapsed) {
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
@@ -26,6 +26,8 @@
 
 	private int length;
 
+	private int forwardedEvents;
+
 	private @Nullable String lastEventId;
 
 	SseEventSplitter(@Nullable String lastEventId) {
@@ -36,6 +38,22 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns the number of events that were returned by {@link #read}.
+	 * @return the number
+	 */
+	int forwardedEvents() {
+		return this.forwardedEvents;
+	}
+
+	/**
+	 * Returns whether another engine can continue the stream after the forwarded events.
+	 * @return {@code false} if events without ids were forwarded
+	 */
+	boolean isContinuable() {
+		return this.forwardedEvents == 0 || this.lastEventId != null;
+	}
+
 	/**
 	 * Returns whether the stream can end here.
 	 * @return whether no partial event is buffered
@@ -74,6 +92,7 @@
 		int start = 0;
 		for (int end = findEventEnd(start); end > 0; end = findEventEnd(start)) {
 			if (isNew(start, end)) {
+				this.forwardedEvents++;
 				System.arraycopy(this.buffer, start, complete, count, end - start);
 				count += end - start;
 			}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointCall.java
@@ -19,9 +19,11 @@
  * @param lastEventId the id of the event after which to resume a stream, or {@code null}
  * @param prefixSource the address from which the endpoint can copy the cached prefixes of
  * the prompt, or {@code null}
+ * @param continued the run that the endpoint continues, or {@code null} if it begins one
  */
 public record EndpointCall(EndpointId endpoint, @Nullable Duration remaining, @Nullable AccountName account,
-		@Nullable Integer priority, @Nullable String lastEventId, @Nullable InetSocketAddress prefixSource) {
+		@Nullable Integer priority, @Nullable String lastEventId, @Nullable InetSocketAddress prefixSource,
+		@Nullable StoppedRun continued) {
 
 	/**
 	 * Creates the metadata.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -35,6 +35,7 @@
 import org.banyancove.gateway.exchange.ConnectionPool;
 import org.banyancove.gateway.exchange.ListeningSocket;
 import org.banyancove.gateway.exchange.TestHeaderCodec;
+import org.banyancove.gateway.exchange.TestMoveCodec;
 import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.ExposureLimits;
 import org.banyancove.gateway.rollout.Rollout;
@@ -261,7 +262,8 @@
 					new Gateway.Clocks(System::nanoTime, InstantSource.system()),
 					new SplittableRandom(this.number + 1000L * this.starts),
 					new TestHeaderCodec(GatewayFleet.this.requestCost), new FleetRecordCodec(),
-					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties()),
+					new Gateway.Ports(GatewayFleet.this.store.client(this.eventLoops.next()), new NoDuties(),
+							new TestMoveCodec()),
 					connections);
 			ServerSocketChannel socket = ListeningSocket.open(this.callers);
 			this.callersSocket = socket;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -120,7 +120,7 @@
 				new PlacementRule(DATA_CENTER, () -> 0),
 				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
 				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
-				new RequestQuarantine(this.endpoints), new LocalStreamOrigins());
+				new RequestQuarantine(this.endpoints), new LocalStreamOrigins(), new TestMoveCodec());
 		created.updateFleet(1, FleetView.ALONE, List.of());
 		return created;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -30,6 +30,10 @@
 	public void retryDecided(RetryDecision retry) {
 	}
 
+	@Override
+	public void streamMoveEnded(EndedMove move) {
+	}
+
 	@Override
 	public void ended(EndedRequest request) {
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import org.banyancove.gateway.endpoint.LoadReport;
 import org.banyancove.gateway.endpoint.Prompt;
 import org.banyancove.gateway.endpoint.PromptPart;
 import org.banyancove.gateway.shared.CallerHeaders;
@@ -72,6 +73,9 @@
 		if (call.lastEventId() != null) {
 			headers.set("last-event", call.lastEventId());
 		}
+		if (call.continued() != null) {
+			headers.set("continued", call.continued().source().getPort() + "/" + call.continued().handle());
+		}
 	}
 
 	@Override
@@ -81,7 +85,8 @@
 
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
-		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"), null,
+		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"),
+				headers.contains("slowdown") ? new LoadReport(0, 0, 10, 1.0) : null,
 				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
 				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after"))) : null,
 				headers.contains("leaving"),
