--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -67,7 +67,7 @@
 	 * estimate is the lower quartile of the first tokens on idle engines; other work on
 	 * the machine makes the mean longer.
 	 */
-	private static final double SHARED_MACHINE_FACTOR = 1.6;
+	private static final double SHARED_MACHINE_FACTOR = 1.3;
 
 	private final Duties duties;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -61,6 +61,8 @@
 
 	private final EndpointMetrics endpoints;
 
+	private final MigrationMetrics migrations;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -112,6 +114,7 @@
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
 		this.endpoints = new EndpointMetrics(registry, log);
+		this.migrations = new MigrationMetrics(registry, log);
 		this.requestedPauses = Counter.builder()
 			.withoutExemplars()
 			.name("banyancove_requested_pauses_total")
@@ -284,6 +287,14 @@
 		}
 	}
 
+	@Override
+	public void streamMoveEnded(EndedMove move) {
+		this.migrations.count(move);
+		if (tryAcquireLine()) {
+			this.migrations.log(move);
+		}
+	}
+
 	@Override
 	public void ended(EndedRequest request) {
 		this.requests.labelValues(request.outcome()).inc();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -79,6 +79,9 @@
 		if (call.lastEventId() != null) {
 			headers.set("last-event", call.lastEventId());
 		}
+		if (call.continued() != null) {
+			headers.set("continued", call.continued().source().getPort() + "/" + call.continued().handle());
+		}
 	}
 
 	@Override
