--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -64,10 +64,10 @@
 
 	/**
 	 * Engine time that a request takes on shared machines relative to the estimate. The
-	 * estimate is the lower quartile of the first tokens on idle engines; other work on
+	 * estimate is the lower quartile of the first tokens at usual speed; other work on
 	 * the machine makes the mean longer.
 	 */
-	private static final double SHARED_MACHINE_FACTOR = 1.3;
+	private static final double SHARED_MACHINE_FACTOR = 2;
 
 	private final Duties duties;
 
