--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/admission/AdmissionRule.java
@@ -32,7 +32,7 @@
 	 */
 	private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(200);
 
-	private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(4);
+	static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(4);
 
 	/**
 	 * Connect timeout relative to a request's target; leaves time for another endpoint.
@@ -93,7 +93,7 @@
 		if (!exceedsTarget && !exceedsRemaining(predicted, remaining)) {
 			return Duration.ZERO;
 		}
-		return clamp(predicted.minus(route.latencyTarget().dividedBy(2)), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
+		return clampRetryAfter(predicted.minus(route.latencyTarget().dividedBy(2)));
 	}
 
 	private static boolean exceedsRemaining(Duration predicted, Duration remaining) {
@@ -109,8 +109,7 @@
 	 * @return the time after which the caller may retry, or zero if it is admitted
 	 */
 	public Duration retryAfterResumption(Duration predicted, Duration remaining) {
-		return exceedsRemaining(predicted, remaining)
-				? clamp(predicted.dividedBy(2), MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER) : Duration.ZERO;
+		return exceedsRemaining(predicted, remaining) ? clampRetryAfter(predicted.dividedBy(2)) : Duration.ZERO;
 	}
 
 	/**
@@ -179,6 +178,10 @@
 		return scaled(route.eventIntervalTarget(), STREAM_TIMEOUT_FACTOR);
 	}
 
+	static Duration clampRetryAfter(Duration duration) {
+		return clamp(duration, MINIMUM_RETRY_AFTER, MAXIMUM_RETRY_AFTER);
+	}
+
 	private static Duration clamp(Duration duration, Duration minimum, Duration maximum) {
 		if (duration.compareTo(minimum) < 0) {
 			return minimum;
