Let requests wait at the gateway where endpoints announce a slowdown

Cause: Exchange chose an endpoint and sent every request that was admitted, so that requests with a longer target built up the backlog at the engines.

The quotas move from RequestDispatcher to QuotaLimiters. Services whose endpoints announce no slowdown are served as before. Waiting requests and bytes, rejections by reason and the time waited are metrics.

RequestWaitingTests: sent once the backlog has gone, past the queue for the shortest target, caller leaves, shutdown, expiry after a pause of the process, no slowdown announced.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -383,6 +383,7 @@
 			EndpointLoad load = this.fleetView.loads().getOrDefault(endpoint.id(), EndpointLoad.NONE);
 			endpoint.updateRemoteLoad(load.inFlight(), load.pendingPrefillTokens());
 		}
+		this.requestDispatcher.queues().check();
 	}
 
 	private void updateTunnels() {
@@ -407,6 +408,7 @@
 			updateTunnels();
 			this.fleetExchange.streamOrigins().tick(now);
 			this.metrics.rememberedStreamOrigins(this.fleetExchange.streamOrigins().size());
+			this.metrics.waiting(this.requestDispatcher.queues().size(), this.requestDispatcher.queues().bytes());
 			this.quarantine.expire(now);
 			this.metrics.quarantined(this.quarantine.quarantined(now));
 			this.metrics.backedOffEndpoints(
@@ -431,12 +433,14 @@
 	}
 
 	/**
-	 * Shuts down gracefully: stops accepting connections, lets requests complete and
-	 * closes idle connections. Returns when no connection remains or the time is up.
+	 * Shuts down gracefully: stops accepting connections, rejects waiting requests, lets
+	 * the others complete and closes idle connections. Returns when no connection remains
+	 * or the time is up.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void stop() throws InterruptedException {
 		this.eventLoop.execute(() -> this.stopping = true);
+		this.eventLoop.execute(this.requestDispatcher.queues()::close);
 		this.eventLoop.execute(this.fleetExchange.streamOrigins()::handOver);
 		new GracefulShutdown(this.eventLoop, this.clock, this.callerServer, this.tunnelServer, this.requestDispatcher)
 			.run(this.settings.shutdownTimeout());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -59,6 +59,8 @@
 
 	private final RetryMetrics retries;
 
+	private final WaitingMetrics waiting;
+
 	private final Counter requestedPauses;
 
 	private final Counter tunnels;
@@ -105,6 +107,7 @@
 			.labelNames("response")
 			.register(registry);
 		this.retries = new RetryMetrics(registry, log);
+		this.waiting = new WaitingMetrics(registry, log, BUCKET_BOUNDS);
 		this.requestedPauses = Counter.builder()
 			.name("banyancove_requested_pauses_total")
 			.help("Pauses that endpoints asked this gateway for")
@@ -180,6 +183,10 @@
 		this.retries.available(byService);
 	}
 
+	void waiting(int requests, long bytes) {
+		this.waiting.waiting(requests, bytes);
+	}
+
 	void endpointsAge(Duration age) {
 		this.endpointsAge.set(age.toNanos() / 1e9);
 	}
@@ -288,6 +295,14 @@
 		}
 	}
 
+	@Override
+	public void waitingEnded(WaitedRequest request) {
+		this.waiting.count(request);
+		if (request.retryAfter() != null && tryAcquireLine()) {
+			this.waiting.log(request);
+		}
+	}
+
 	// A caller may send any text as an identifier.
 	private static @Nullable String abbreviated(@Nullable String text) {
 		return (text == null || text.length() <= MAXIMUM_IDENTIFIER_LENGTH) ? text
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Endpoint.java
@@ -432,7 +432,7 @@
 		return this.prefillLatency.millis(tokens);
 	}
 
-	private double slowdown(long now) {
+	double slowdown(long now) {
 		return 1 + (this.slowdown - 1) * Math.exp((double) (this.slowdownAt - now) / SLOWDOWN_DECAY_NANOS);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/EndpointPartition.java
@@ -82,10 +82,18 @@
 	 * Returns whether an endpoint of the service announced a slowdown.
 	 * @return whether the endpoints share their machines
 	 */
-	boolean slowdownAnnounced() {
+	public boolean slowdownAnnounced() {
 		return this.slowdownAnnounced;
 	}
 
+	/**
+	 * Returns the shortest latency target of the service's routes.
+	 * @return the target, or {@code null} if the service has no route
+	 */
+	public @Nullable Duration shortestTarget() {
+		return this.shortestTarget;
+	}
+
 	/**
 	 * Returns the class of a request.
 	 * @param latencyTarget the latency target of its route
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/Placement.java
@@ -1,5 +1,7 @@
 package org.banyancove.gateway.endpoint;
 
+import java.time.Duration;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,4 +25,28 @@
 		}
 	}
 
+	/**
+	 * Returns the predicted time to the first event if nothing were pending at the
+	 * endpoint.
+	 * @param now the current time
+	 * @return the time
+	 */
+	public Duration serviceTime(long now) {
+		return millis(this.endpoint.slowdown(now) * this.endpoint.idleFirstTokenMillis(this.prefillTokens));
+	}
+
+	/**
+	 * Returns the time needed to prefill what all gateways have pending at the endpoint.
+	 * @param now the current time
+	 * @return the time
+	 */
+	public Duration backlog(long now) {
+		int pending = (int) Math.min(Integer.MAX_VALUE, this.endpoint.totalPendingPrefillTokens());
+		return millis(this.endpoint.slowdown(now) * this.endpoint.prefillMillis(pending));
+	}
+
+	private static Duration millis(double millis) {
+		return Duration.ofNanos((long) (millis * 1e6));
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/endpoint/PlacementRule.java
@@ -115,6 +115,31 @@
 	 */
 	public @Nullable Placement choose(Collection<Endpoint> endpoints, Prompt prompt, Duration latencyTarget,
 			Set<EndpointId> tried, long now) {
+		Placement placement = find(endpoints, prompt, latencyTarget, tried, now);
+		Endpoint any = endpoints.stream().findFirst().orElse(null);
+		if (any != null) {
+			any.recordDemand(placement != null, now);
+		}
+		if (placement != null) {
+			Endpoint chosen = placement.endpoint();
+			LatencyClass latencyClass = chosen.partition().classOf(latencyTarget);
+			chosen.partition().record(latencyClass, chosen.serviceTimeMillis(placement.prefillTokens()), now);
+		}
+		return placement;
+	}
+
+	/**
+	 * Finds the present endpoint for a request that has been counted before, such as one
+	 * that waits.
+	 * @param endpoints the service's endpoints
+	 * @param prompt the request's prompt
+	 * @param latencyTarget the latency target of its route
+	 * @param tried the endpoints that the request must not be sent to
+	 * @param now the current time
+	 * @return the placement, or {@code null} if no endpoint is available
+	 */
+	public @Nullable Placement find(Collection<Endpoint> endpoints, Prompt prompt, Duration latencyTarget,
+			Set<EndpointId> tried, long now) {
 		Endpoint any = endpoints.stream().findFirst().orElse(null);
 		if (any == null) {
 			return null;
@@ -124,12 +149,7 @@
 		Placement divided = partition.applies(endpoints.size())
 				? chooseBest(endpoints, prompt, latencyClass, tried, now) : null;
 		// Endpoints beyond the spillover limit are used if no other is available.
-		Placement placement = (divided != null) ? divided : chooseBest(endpoints, prompt, null, tried, now);
-		any.recordDemand(placement != null, now);
-		if (placement != null) {
-			partition.record(latencyClass, placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now);
-		}
-		return placement;
+		return (divided != null) ? divided : chooseBest(endpoints, prompt, null, tried, now);
 	}
 
 	private @Nullable Placement chooseBest(Collection<Endpoint> endpoints, Prompt prompt,
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -186,6 +186,7 @@
 		if (!this.prefillCompleted) {
 			this.prefillCompleted = true;
 			this.endpoint.prefillCompleted(this.prefillTokens);
+			this.exchange.endpointHasRoom();
 		}
 	}
 
@@ -196,6 +197,7 @@
 			this.reservedBytes = 0;
 			completePrefill();
 			this.endpoint.requestCompleted();
+			this.exchange.endpointHasRoom();
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -1,9 +1,6 @@
 package org.banyancove.gateway.exchange;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -14,7 +11,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import org.banyancove.core.EndpointId;
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Route;
@@ -39,20 +35,11 @@
  */
 final class Exchange implements InFlightRequest {
 
-	/** The interval at which placement is retried while no endpoint is available. */
-	private static final Duration POLL_INTERVAL = Duration.ofMillis(40);
-
-	/** The interval at which placement is retried while the endpoints are outdated. */
-	private static final Duration REFRESH_POLL_INTERVAL = Duration.ofMillis(10);
-
 	/**
 	 * The grace period after the deadline, for a response that is still in transit.
 	 */
 	private static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
 
-	/** The retry delay reported to the caller of a request that was not run. */
-	private static final Duration RETRY_AFTER = Duration.ofMillis(400);
-
 	private final RequestDispatcher dispatcher;
 
 	private final CallerConnection caller;
@@ -73,8 +60,6 @@
 
 	private final long deadlineAt;
 
-	private final Set<EndpointId> triedEndpoints = new HashSet<>();
-
 	private final EndpointRequestFactory endpointRequests;
 
 	private final SseEventSplitter eventSplitter;
@@ -85,7 +70,7 @@
 
 	private final RequestRetries retries;
 
-	private final double versionDraw;
+	private final RequestPlacement placement;
 
 	private boolean mayHaveRun;
 
@@ -101,8 +86,6 @@
 
 	private @Nullable ScheduledFuture<?> responseTimer;
 
-	private @Nullable ScheduledFuture<?> placementTimer;
-
 	Exchange(RequestDispatcher dispatcher, CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
 			RoutingDecision.Accepted accepted, @Nullable KnownOrigin streamOrigin) {
 		this.dispatcher = dispatcher;
@@ -124,114 +107,19 @@
 		this.crashTracking = new CrashTracking(dispatcher, request, requestHeaders.prompt(), this.account);
 		this.continuation = new StreamContinuation(dispatcher, request, requestHeaders, accepted, streamOrigin);
 		this.retries = new RequestRetries(dispatcher, this.requestId, this.service.name(), this.route);
-		this.versionDraw = dispatcher.nextRandom();
+		this.placement = new RequestPlacement(dispatcher, this, request, accepted, this.crashTracking,
+				this.continuation, this.retries);
 	}
 
 	void begin() {
 		long timeoutNanos = this.deadlineAt - now() + RESPONSE_GRACE.toNanos();
 		this.deadlineTimer = schedule(this::deadlineExceeded, timeoutNanos);
-		place();
-	}
-
-	private void place() {
-		if (this.ended) {
-			return;
-		}
-		// A busy event loop may run this later than planned.
-		if (!remaining().isPositive()) {
-			endWithError(ErrorKind.OUTCOME_UNKNOWN);
-			return;
-		}
-		Duration quarantine = this.crashTracking.quarantine();
-		if (quarantine.isPositive()) {
-			endWithError(ErrorKind.REQUEST_QUARANTINED, quarantine);
-			return;
-		}
-		if (!this.dispatcher.endpointsCurrent() || !this.continuation.isReady()) {
-			this.placementTimer = schedule(this::place, REFRESH_POLL_INTERVAL.toNanos());
-			return;
-		}
-		if (!this.continuation.isCertain()) {
-			endWithError(ErrorKind.STREAM_ORIGIN_UNKNOWN, StreamResumption.RETRY_AFTER_UNKNOWN_ORIGIN);
-			return;
-		}
-		Placement placement = choosePlacement();
-		if (placement == null) {
-			placementFailed();
-			return;
-		}
-		if (this.retries.attempts() == 0) {
-			this.dispatcher.meters()
-				.demand()
-				.add(this.service.name(), placement.endpoint().serviceTimeMillis(placement.prefillTokens()), now());
-			Duration predicted = Duration.ofNanos((long) (placement.predictedMillis() * 1e6));
-			Duration retryAfter = this.continuation.isBound()
-					? this.dispatcher.admission().retryAfterResumption(predicted, remaining())
-					: this.dispatcher.admission().retryAfter(this.route, predicted, elapsed(), remaining());
-			if (!retryAfter.isZero()) {
-				reject(ErrorKind.OVERLOADED, retryAfter);
-				return;
-			}
-		}
-		send(placement);
+		this.placement.place();
 	}
 
-	private @Nullable Placement choosePlacement() {
-		List<Endpoint> eligible = eligible();
-		Placement placement = choosePlacement(eligible, this.triedEndpoints);
-		// The endpoint that broke off may be the last one of its version.
-		return (placement == null && this.continuation.isBound()) ? choosePlacement(eligible, Set.of()) : placement;
-	}
-
-	private @Nullable Placement choosePlacement(List<Endpoint> eligible, Set<EndpointId> tried) {
-		return this.dispatcher.choosePlacement(this.service, eligible, prompt(), this.route.latencyTarget(), tried);
-	}
-
-	private void placementFailed() {
-		Duration retryAfter = (this.retries.attempts() == 0)
-				? this.dispatcher.placement().retryAfter(eligible(), this.triedEndpoints, now()) : null;
-		if (retryAfter != null) {
-			reject(ErrorKind.OVERLOADED, this.dispatcher.admission().retryAfter(retryAfter));
-		}
-		else {
-			waitForEndpoint();
-		}
-	}
-
-	// Retries go to a version that has proved stable.
-	private List<Endpoint> eligible() {
-		if (this.continuation.isBound()) {
-			return this.continuation.eligible(now());
-		}
-		boolean boundToEndpoint = this.route.kind() == RouteKind.STREAMING && !this.route.resumable();
-		return (this.retries.attempts() == 0)
-				? this.dispatcher.endpoints().forRequest(this.service.name(), boundToEndpoint, this.versionDraw, now())
-				: this.dispatcher.endpoints().stableEndpoints(this.service.name(), now());
-	}
-
-	private void waitForEndpoint() {
-		Duration wait = this.dispatcher.admission().maximumWait(this.route, remaining()).minus(elapsed());
-		Duration retryAfter = (this.retries.attempts() == 0)
-				? this.dispatcher.placement().retryAfterBackoff(eligible(), wait, now()) : null;
-		if (this.continuation.isBound() && eligible().stream().allMatch(Endpoint::draining)) {
-			endWithError(ErrorKind.STREAM_VERSION_UNAVAILABLE);
-		}
-		else if (retryAfter != null) {
-			reject(ErrorKind.NO_ENDPOINT, this.dispatcher.admission().retryAfter(retryAfter));
-		}
-		else if (wait.isPositive() && this.retries.attempts() == 0) {
-			this.triedEndpoints.clear();
-			this.placementTimer = schedule(this::place, POLL_INTERVAL.toNanos());
-		}
-		else {
-			endWithError(ErrorKind.NO_ENDPOINT);
-		}
-	}
-
-	private void send(Placement placement) {
+	void send(Placement chosen) {
 		this.retries.attemptStarted();
-		this.triedEndpoints.add(placement.endpoint().id());
-		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now(),
+		Attempt newAttempt = new Attempt(this, chosen, this.retries.attempts(), now(),
 				this.dispatcher.responseBuffers());
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
@@ -241,13 +129,13 @@
 				this.dispatcher.admission().connectTimeout(this.route), this.dispatcher.connectionLimit(this.service),
 				connectContext());
 		newAttempt.callStarted(this.dispatcher.connections()
-			.call(placement.endpoint().entry().address(),
-					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId()), options,
+			.call(chosen.endpoint().entry().address(),
+					this.endpointRequests.create(chosen, remaining(), this.eventSplitter.lastEventId()), options,
 					newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 	}
 
-	private ConnectContext connectContext() {
+	ConnectContext connectContext() {
 		return new ConnectContext(this.service.name(), this.dispatcher.endpoints().count(this.service.name()),
 				this.requestId, this.dispatcher.requestLog());
 	}
@@ -262,6 +150,10 @@
 		return this.dispatcher.announcements();
 	}
 
+	void endpointHasRoom() {
+		this.dispatcher.queues().check();
+	}
+
 	boolean isStreaming(Attempt attempt) {
 		return this.route.kind() == RouteKind.STREAMING && attempt.responseHeaders().sealed()
 				&& attempt.responseHead().status().equals(HttpResponseStatus.OK);
@@ -405,7 +297,7 @@
 			if (failure.endpointUnreachable()) {
 				attempt.endpoint().unreachable(attempt.sentAt(), now());
 			}
-			placeAfterFailedConnect();
+			this.placement.placeAfterFailedConnect();
 			return;
 		}
 		if (failure.connectionLost()) {
@@ -424,25 +316,13 @@
 		endWithError(ErrorKind.ENDPOINT_FAILED);
 	}
 
-	// While no endpoint can be reached, directly or through a peer, the next one takes as
-	// long to fail as the last.
-	private void placeAfterFailedConnect() {
-		boolean waited = elapsed().compareTo(this.dispatcher.admission().maximumWait(this.route, remaining())) > 0;
-		if (waited && this.dispatcher.connections().connector().isPartitioned(connectContext())) {
-			endWithError(ErrorKind.NO_ENDPOINT);
-		}
-		else {
-			place();
-		}
-	}
-
 	private boolean retryIfAllowed() {
 		boolean allowed = (!this.mayHaveRun || this.route.repeatable()) && this.retries.hasAttemptsLeft();
 		if (!allowed || !remaining().isPositive() || this.crashTracking.quarantine().isPositive()
 				|| !this.retries.tryAcquire()) {
 			return false;
 		}
-		place();
+		this.placement.place();
 		return true;
 	}
 
@@ -506,17 +386,11 @@
 	}
 
 	// Ends a request for which no endpoint response can be forwarded.
-	private void endWithError(ErrorKind kind) {
-		endWithError(kind, retryAfterRejection());
-	}
-
-	// The endpoints that this request was sent to may serve the caller's next one.
-	private Duration retryAfterRejection() {
-		Duration retryAfter = this.dispatcher.placement().retryAfter(eligible(), Set.of(), now());
-		return (retryAfter != null) ? this.dispatcher.admission().retryAfter(retryAfter) : RETRY_AFTER;
+	void endWithError(ErrorKind kind) {
+		endWithError(kind, this.placement.retryAfterRejection());
 	}
 
-	private void endWithError(ErrorKind kind, Duration retryAfter) {
+	void endWithError(ErrorKind kind, Duration retryAfter) {
 		if (this.ended) {
 			return;
 		}
@@ -545,7 +419,7 @@
 		this.ended = true;
 		cancel(this.deadlineTimer);
 		cancel(this.responseTimer);
-		cancel(this.placementTimer);
+		this.placement.end();
 		this.retries.end();
 		this.dispatcher.ended();
 		Duration timeToFirstByte = (this.firstByteAt != null)
@@ -575,7 +449,7 @@
 		return this.dispatcher.clock().nanos();
 	}
 
-	private Duration elapsed() {
+	Duration elapsed() {
 		return Duration.ofNanos(now() - this.request.arrivedAt());
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -4,11 +4,9 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -23,7 +21,6 @@
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Service;
-import org.banyancove.gateway.configuration.TokenQuota;
 import org.banyancove.gateway.duty.FleetView;
 import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.Placement;
@@ -37,6 +34,7 @@
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.banyancove.gateway.waiting.BacklogRule;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -86,15 +84,15 @@
 
 	private final AdmissionRule admission = new AdmissionRule();
 
-	private final Map<AccountName, QuotaLimiter> quotaLimiters = new HashMap<>();
+	private final BacklogRule backlogRule = new BacklogRule(this.admission);
 
-	private final List<DeferredRequest> deferred = new ArrayList<>();
+	private final QuotaLimiters quotas = new QuotaLimiters();
 
-	private @Nullable Configuration configuration;
+	private final RequestQueues queues;
 
-	private final Map<AccountName, Double> acceptedByRemovedLimiters = new HashMap<>();
+	private final List<DeferredRequest> deferred = new ArrayList<>();
 
-	private double reachableShare = 1;
+	private @Nullable Configuration configuration;
 
 	private DrainPhase drainPhase = DrainPhase.ALL;
 
@@ -133,6 +131,7 @@
 		this.meters = meters;
 		this.requestLog = requestLog;
 		this.announcements = new EndpointAnnouncements(requestLog);
+		this.queues = new RequestQueues(eventLoop, clock, requestLog);
 		this.retryBudgets = retryBudgets;
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
@@ -144,31 +143,11 @@
 	 */
 	public void configure(Configuration newConfiguration) {
 		this.configuration = newConfiguration;
-		for (AccountName name : Set.copyOf(this.quotaLimiters.keySet())) {
-			QuotaLimiter limiter = Objects.requireNonNull(this.quotaLimiters.get(name));
-			TokenQuota quota = quota(name, newConfiguration);
-			if (quota == null) {
-				this.quotaLimiters.remove(name);
-				this.acceptedByRemovedLimiters.merge(name, limiter.used(), Double::sum);
-			}
-			else if (!limiter.quota().equals(quota)) {
-				this.quotaLimiters.put(name, limiter.withQuota(quota, this.clock.nanos()));
-			}
-		}
-		newConfiguration.accounts().forEach((account) -> limiter(account.name()));
+		this.quotas.configure(newConfiguration, this.clock.nanos());
 		this.deferred.forEach(DeferredRequest::start);
 		this.deferred.clear();
 	}
 
-	private static @Nullable TokenQuota quota(AccountName name, Configuration configuration) {
-		for (ClientAccount account : configuration.accounts()) {
-			if (account.name().equals(name)) {
-				return account.quota();
-			}
-		}
-		return null;
-	}
-
 	/**
 	 * Updates the fleet.
 	 * @param listedGateways the number of gateways that may be running, including this
@@ -178,8 +157,7 @@
 	 */
 	public void updateFleet(int listedGateways, FleetView fleet, Collection<Endpoint> allEndpoints) {
 		this.connectionAllowance.update(listedGateways, fleet, allEndpoints, this.clock.nanos());
-		this.reachableShare = fleet.reachableShare();
-		this.quotaLimiters.values().forEach((limiter) -> limiter.setReachableShare(this.reachableShare));
+		this.quotas.setReachableShare(fleet.reachableShare());
 	}
 
 	/**
@@ -187,12 +165,7 @@
 	 * @param used the usage since its last report, by client account
 	 */
 	public void addRemoteUsage(Map<AccountName, Double> used) {
-		used.forEach((name, amount) -> {
-			QuotaLimiter limiter = limiter(name);
-			if (limiter != null) {
-				limiter.deductRemoteUsage(amount, this.clock.nanos());
-			}
-		});
+		this.quotas.addRemoteUsage(used, this.clock.nanos());
 	}
 
 	/**
@@ -200,24 +173,7 @@
 	 * @return the totals by client account
 	 */
 	public Map<AccountName, Double> quotaUsage() {
-		Map<AccountName, Double> sums = new HashMap<>(this.acceptedByRemovedLimiters);
-		this.quotaLimiters.forEach((name, limiter) -> sums.merge(name, limiter.used(), Double::sum));
-		return sums;
-	}
-
-	private @Nullable QuotaLimiter limiter(AccountName name) {
-		QuotaLimiter existing = this.quotaLimiters.get(name);
-		if (existing != null || this.configuration == null) {
-			return existing;
-		}
-		TokenQuota quota = quota(name, this.configuration);
-		if (quota == null) {
-			return null;
-		}
-		QuotaLimiter created = new QuotaLimiter(quota, this.clock.nanos());
-		created.setReachableShare(this.reachableShare);
-		this.quotaLimiters.put(name, created);
-		return created;
+		return this.quotas.used();
 	}
 
 	/**
@@ -295,7 +251,7 @@
 
 	private RequestLog.@Nullable RejectedRequest chargeQuota(@Nullable ClientAccount account,
 			CallerHeaders requestHeaders) {
-		QuotaLimiter limiter = (account != null) ? limiter(account.name()) : null;
+		QuotaLimiter limiter = (account != null) ? this.quotas.limiter(account.name(), this.clock.nanos()) : null;
 		if (account == null || limiter == null || limiter
 			.tryAcquire(limiter.quota().costOf(requestHeaders.prompt().totalTokens()), this.clock.nanos())) {
 			return null;
@@ -334,22 +290,43 @@
 		return this.connectionAllowance.limit(service);
 	}
 
-	// An endpoint without a free connection remains the owner and the source of prompts.
 	@Nullable Placement choosePlacement(Service service, List<Endpoint> candidates, Prompt prompt, Duration latencyTarget,
 			Set<EndpointId> tried) {
+		return this.placement.choose(candidates, prompt, latencyTarget, unavailable(service, candidates, tried),
+				this.clock.nanos());
+	}
+
+	// An endpoint without a free connection remains the owner and the source of prompts.
+	Set<EndpointId> unavailable(Service service, List<Endpoint> candidates, Set<EndpointId> tried) {
 		int maximum = connectionLimit(service).open();
-		Set<EndpointId> excluded = new HashSet<>(tried);
+		Set<EndpointId> unavailable = new HashSet<>(tried);
 		candidates.stream()
 			.filter((endpoint) -> endpoint.inFlight() >= maximum)
 			.map(Endpoint::id)
-			.forEach(excluded::add);
-		return this.placement.choose(candidates, prompt, latencyTarget, excluded, this.clock.nanos());
+			.forEach(unavailable::add);
+		return unavailable;
 	}
 
 	long configurationVersion() {
 		return (this.configuration != null) ? this.configuration.version() : 0;
 	}
 
+	/**
+	 * Returns the requests that wait for an endpoint.
+	 * @return the queues of all services
+	 */
+	public RequestQueues queues() {
+		return this.queues;
+	}
+
+	BacklogRule backlogRule() {
+		return this.backlogRule;
+	}
+
+	QuotaLimiters quotas() {
+		return this.quotas;
+	}
+
 	EventLoop eventLoop() {
 		return this.eventLoop;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -48,6 +48,14 @@
 	 */
 	void ended(EndedRequest request);
 
+	/**
+	 * Called when a request was sent, rejected or ended that waited for an endpoint, or
+	 * was rejected instead of waiting.
+	 * @param request the request
+	 */
+	default void waitingEnded(WaitedRequest request) {
+	}
+
 	/**
 	 * Called when the origin of a stream that a caller resumes was searched for.
 	 * @param requestId the id of the request that resumes the stream, or {@code null}
@@ -173,4 +181,20 @@
 			@Nullable Duration timeToFirstByte, Duration elapsed, long version) {
 	}
 
+	/**
+	 * A request that no longer waits for an endpoint.
+	 *
+	 * @param requestId the request id
+	 * @param service the service of the request
+	 * @param outcome {@code sent}, {@code left} if its caller left or its deadline
+	 * passed, otherwise the reason of the rejection
+	 * @param waited the time since its arrival
+	 * @param retryAfter the delay after which the caller may retry, or {@code null} if
+	 * the request was not rejected
+	 * @param waiting the number of requests that wait at this gateway
+	 */
+	record WaitedRequest(String requestId, ServiceName service, String outcome, Duration waited,
+			@Nullable Duration retryAfter, int waiting) {
+	}
+
 }
