Record the metrics of endpoints and moves without exemplars

The gauge of slowed endpoints is set at each tick, and these metrics were merged without the setting that the others have. Each set of a gauge with exemplars schedules a task of the client's own thread, 21 wake-ups a second in an idle gateway as measured for the others; not measured again.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointMetrics.java
@@ -30,10 +30,12 @@
 	EndpointMetrics(PrometheusRegistry registry, Logger log) {
 		this.log = log;
 		this.unreadableLoadHeaders = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_unreadable_load_headers_total")
 			.help("Answers of endpoints whose load header could not be read")
 			.register(registry);
 		this.slowedEndpoints = Gauge.builder()
+			.withoutExemplars()
 			.name("banyancove_slowed_endpoints")
 			.help("Endpoints whose announced slowdown is above 1.5")
 			.register(registry);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/MigrationMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/MigrationMetrics.java
@@ -20,6 +20,7 @@
 	MigrationMetrics(PrometheusRegistry registry, Logger log) {
 		this.log = log;
 		this.moves = Counter.builder()
+			.withoutExemplars()
 			.name("banyancove_stream_moves_total")
 			.help("Streams on endpoints that leave, by what became of their move")
 			.labelNames("outcome")
