--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/EndpointAutoscaler.java
@@ -145,10 +145,8 @@
 		this.listedCount = count;
 	}
 
-	// The first order replaces the endpoints of a fleet without requests by as many. If
-	// it
-	// is sent before all of them are listed, the fleet shrinks just before its first
-	// request.
+	// A first order before all endpoints are listed would shrink a fleet just before its
+	// first request, since it replaces the listed endpoints by as many.
 	private boolean isListing(long now) {
 		boolean demand = this.fleetView.get().demand().values().stream().anyMatch((millis) -> millis > 0)
 				|| this.demandEstimator.demandByService(now).values().stream().anyMatch((millis) -> millis > 0);
@@ -207,10 +205,8 @@
 			});
 	}
 
-	// An accepted order for no more endpoints than are running shows nothing. If it
-	// counted,
-	// the on-demand endpoints that replace reclaimed ones would be cancelled while they
-	// start.
+	// Without additional endpoints an accepted order shows nothing, and on-demand
+	// endpoints that replace reclaimed ones would be cancelled while they start.
 	private void recordAvailability(ServiceName service, boolean accepted, boolean additional) {
 		if (!accepted) {
 			this.reclaimableAvailable.remove(service);
