Count an answer without a length as complete only after an orderly end

Cause: ClientConnection told a reset from an orderly end by the exception of a failed read. While a part of the request is still to be written, the event loop writes first; the write fails and closes the channel, of which handlers see an inactive channel and no exception. The HTTP decoder then ends the answer.

Change: OrderlyEndHandler, ahead of the other handlers of a connection, records the first end: the peer's end of stream (half-closure, reported by the transport when it was read), or any other. The reader of answers asks it before it counts an answer as complete. It serves endpoints, the platform and calls that move streams, which share this reader.

Evidence: on the code before, ResponseEndTests#responseWithoutLengthIsIncompleteAfterAResetWhileTheRequestIsWritten and #responseWithoutLengthIsIncompleteIfAWriteFailsBeforeTheEndIsRead got "completed: hel" instead of BROKEN_ANSWER. Both pass, with the order of a failure after the end (OrderlyEndHandlerTests) and whole answers to requests that are still being written.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.banyancove.gateway.tunnel.OrderlyEndHandler;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -176,7 +177,15 @@
 		if (content.content().isReadable()) {
 			current.content(content.content());
 		}
-		if (last && this.call == current && !current.ended()) {
+		if (!last || this.call != current || current.ended()) {
+			return;
+		}
+		// The decoder also ends a response that is delimited by the end of its connection
+		// when that was cut.
+		if (OrderlyEndHandler.isBroken(this.channel)) {
+			fail(CallFailure.BROKEN_ANSWER);
+		}
+		else {
 			finish(current);
 		}
 	}
@@ -238,8 +247,6 @@
 		if (!(cause instanceof IOException)) {
 			log.error("Connection to {} failed", this.address, cause);
 		}
-		// After a reset, a response delimited by the end of its connection must not count
-		// as complete.
 		fail(this.headReceived ? CallFailure.BROKEN_ANSWER : CallFailure.NO_ANSWER);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -149,12 +149,7 @@
 		HttpProxyHandler handshake = new HttpProxyHandler(peer.address(), headers);
 		handshake.setConnectTimeoutMillis(timeout.toMillis());
 		Promise<ConnectedChannel> result = this.eventLoop.newPromise();
-		Bootstrap bootstrap = bootstrap(timeout, new ChannelInitializer<Channel>() {
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(handshake, new ConnectingHandler());
-			}
-		});
+		Bootstrap bootstrap = bootstrap(timeout, handshake, new ConnectingHandler());
 		TunnelPeer own = this.peers.own();
 		if (own != null) {
 			bootstrap.localAddress(own.address().getAddress(), 0);
@@ -173,9 +168,10 @@
 	@SuppressWarnings("unchecked")
 	private static Map<ChannelOption<Object>, Object> connectionOptions() {
 		Map<ChannelOption<?>, Object> options = Map.of(ChannelOption.TCP_NODELAY, true, ChannelOption.SO_KEEPALIVE,
-				true, NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS,
-				NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_INTERVAL_SECONDS,
-				NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT);
+				true, ChannelOption.ALLOW_HALF_CLOSURE, true, NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+				KEEP_ALIVE_IDLE_SECONDS, NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+				KEEP_ALIVE_PROBE_INTERVAL_SECONDS, NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+				KEEP_ALIVE_PROBE_COUNT);
 		return (Map<ChannelOption<Object>, Object>) (Map<?, ?>) options;
 	}
 
@@ -201,12 +197,17 @@
 		}
 	}
 
-	private Bootstrap bootstrap(Duration timeout, ChannelHandler handler) {
+	private Bootstrap bootstrap(Duration timeout, ChannelHandler... handlers) {
 		Bootstrap bootstrap = new Bootstrap().group(this.eventLoop)
 			.channelFactory(this.channelFactory)
 			.resolver(NoopAddressResolverGroup.INSTANCE)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(timeout.toMillis()))
-			.handler(handler);
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline().addLast(new OrderlyEndHandler()).addLast(handlers);
+				}
+			});
 		CONNECTION_OPTIONS.forEach(bootstrap::option);
 		return bootstrap;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -89,7 +89,9 @@
 		bootstrap.childHandler(new ChannelInitializer<Channel>() {
 			@Override
 			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(new HttpServerCodec(), new TunnelRequestHandler(TunnelServer.this));
+				channel.pipeline()
+					.addLast(new OrderlyEndHandler(), new HttpServerCodec(),
+							new TunnelRequestHandler(TunnelServer.this));
 			}
 		}).bind(address).sync();
 	}
