Pass on a failed write of a tunnel as a reset

TunnelHandler passed on a reset only if a read had met it; after a failed write to one side, the other side got an orderly end.

Change: TunnelHandler asks OrderlyEndHandler as well.

Evidence: before, TunnelServerTests#passesOnAResetThatAWriteToTheEndpointMeets and #passesOnAResetThatAWriteToTheGatewayMeets read an orderly end, and ResponseEndTests#responseWithoutLengthIsIncompleteAfterAResetBehindATunnel got "completed: hel".

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
@@ -9,7 +9,7 @@
 
 /**
  * Copies the bytes of one side of a tunnel to the other one. An orderly end is passed on
- * as such, and a reset as a reset: a response that is delimited by the end of its
+ * as such, and any other as a reset: a response that is delimited by the end of its
  * connection must not look complete after a reset.
  */
 final class TunnelHandler extends ChannelInboundHandlerAdapter {
@@ -20,8 +20,6 @@
 
 	private final ChannelFutureListener onEnd;
 
-	private boolean reset;
-
 	TunnelHandler(Channel otherSide, Runnable onData, ChannelFutureListener onEnd) {
 		this.otherSide = otherSide;
 		this.onData = onData;
@@ -46,7 +44,7 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		if (this.reset) {
+		if (OrderlyEndHandler.isBroken(context.channel())) {
 			reset(this.otherSide);
 		}
 		else {
@@ -56,7 +54,6 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.reset = true;
 		context.close();
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
@@ -93,6 +93,17 @@
 		assertThat(this.response.end.get(5, TimeUnit.SECONDS)).isEqualTo("BROKEN_ANSWER");
 	}
 
+	// Guards against the same through a tunnel, which would pass on an orderly end.
+	@Test
+	void responseWithoutLengthIsIncompleteAfterAResetBehindATunnel() throws Exception {
+		openTunnelServer();
+		Socket accepted = sendLongRequest();
+		ScriptedEndpoint.write(accepted, HEAD + "hel");
+		awaitBody("hel");
+		reset(accepted);
+		assertThat(this.response.end.get(5, TimeUnit.SECONDS)).isEqualTo("BROKEN_ANSWER");
+	}
+
 	// Guards against a truncated response that looks complete because a write failed
 	// before the end of the stream was read.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
@@ -98,6 +98,52 @@
 		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
 	}
 
+	// Guards against the same because a write to the endpoint met the reset.
+	@Test
+	void passesOnAResetThatAWriteToTheEndpointMeets() throws Exception {
+		this.endpoint.setReceiveBufferSize(4096);
+		Socket tunnel = open(target());
+		readHead(tunnel);
+		Socket accepted = this.endpoint.accept();
+		Thread request = Thread.ofVirtual().start(() -> writeUntilReset(tunnel));
+		accepted.getOutputStream().write("resp".getBytes(StandardCharsets.US_ASCII));
+		assertThat(tunnel.getInputStream().readNBytes(4)).asString().isEqualTo("resp");
+		TimeUnit.MILLISECONDS.sleep(300);
+		accepted.setSoLinger(true, 0);
+		accepted.close();
+		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
+		request.join();
+	}
+
+	// Guards against a request that an endpoint runs after its caller left, because a
+	// write to the gateway met the reset.
+	@Test
+	void passesOnAResetThatAWriteToTheGatewayMeets() throws Exception {
+		Socket tunnel = open(target());
+		readHead(tunnel);
+		Socket accepted = this.endpoint.accept();
+		accepted.setSoTimeout(5000);
+		tunnel.getOutputStream().write(1);
+		assertThat(accepted.getInputStream().read()).isOne();
+		Thread response = Thread.ofVirtual().start(() -> writeUntilReset(accepted));
+		TimeUnit.MILLISECONDS.sleep(300);
+		tunnel.setSoLinger(true, 0);
+		tunnel.close();
+		assertThatThrownBy(() -> accepted.getInputStream().read()).isInstanceOf(SocketException.class);
+		response.join();
+	}
+
+	private static void writeUntilReset(Socket socket) {
+		try {
+			while (true) {
+				socket.getOutputStream().write(new byte[64 * 1024]);
+			}
+		}
+		catch (IOException ex) {
+			// The other side was reset, which is what the test waits for.
+		}
+	}
+
 	// Guards against a truncated response that looks complete because the tunnel was
 	// closed for want of data.
 	@Test
