Reset streams to HTTP/1.0 callers whenever they end early

When the process of the gateway ended in the middle, or the connection was closed for another reason than an abort, the caller got an orderly end and took the stream for complete.

Cause: the reset was requested by the abort of a stream alone.

Change: the socket is set to reset when such a stream begins, and to close in order when it is complete, so that whoever closes it, the kernel at the end of the process included, sends the reset.

Evidence: ExchangeTests#streamToAnHttp10CallerEndsWithAResetIfTheProcessEnds read an orderly end before and passes now; the other tests of HTTP/1.0 callers pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -178,6 +178,7 @@
 		this.keepAliveRequested &= this.chunksUnderstood;
 		setConnection(start, this.keepAliveRequested && !this.server.stopping());
 		if (this.channel != null) {
+			setResetOnClose(this.channel, !this.chunksUnderstood);
 			this.channel.write(start);
 		}
 	}
@@ -198,6 +199,7 @@
 	void endStream() {
 		Channel openChannel = this.channel;
 		if (openChannel != null) {
+			setResetOnClose(openChannel, false);
 			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT),
 					this.keepAliveRequested && !this.server.stopping());
 		}
@@ -205,15 +207,18 @@
 
 	/**
 	 * Aborts an incomplete response by closing the connection, so that the caller can
-	 * detect the truncation. Without chunks, only a reset shows it.
+	 * detect the truncation.
 	 */
 	void abort() {
-		if (this.channel != null && !this.chunksUnderstood) {
-			this.channel.config().setOption(ChannelOption.SO_LINGER, 0);
-		}
 		close();
 	}
 
+	// Without chunks, only a reset shows that a stream is truncated. The socket is set to
+	// reset beforehand, since the process may end too.
+	private static void setResetOnClose(Channel channel, boolean reset) {
+		channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+	}
+
 	boolean streaming() {
 		return this.streaming;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -642,6 +642,18 @@
 		}
 	}
 
+	// Guards against the same because the process of the gateway ended.
+	@Test
+	void streamToAnHttp10CallerEndsWithAResetIfTheProcessEnds() throws Exception {
+		endpoint("a").thenRespond(STREAM_HEAD + FIRST_EVENT);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("GET /stream/x HTTP/1.0", "host: host", "id: 1", "", ""));
+			TimeUnit.MILLISECONDS.sleep(300);
+			this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+			assertThatThrownBy(caller::readToEnd).isInstanceOf(SocketException.class);
+		}
+	}
+
 	// Guards against an endpoint that holds a request, and the memory of the gateway,
 	// with
 	// bytes that never become a response.
