--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -173,7 +174,7 @@
 	}
 
 	private void awaitBody(String text) throws InterruptedException {
-		while (!this.response.body.toString().equals(text)) {
+		while (!this.response.body.get().equals(text)) {
 			TimeUnit.MILLISECONDS.sleep(5);
 		}
 	}
@@ -188,7 +189,7 @@
 	 */
 	private static final class Response implements ResponseListener {
 
-		private final StringBuffer body = new StringBuffer();
+		private final AtomicReference<String> body = new AtomicReference<>("");
 
 		private final CompletableFuture<String> end = new CompletableFuture<>();
 
@@ -199,12 +200,12 @@
 
 		@Override
 		public void content(ByteBuf content) {
-			this.body.append(content.toString(StandardCharsets.US_ASCII));
+			this.body.accumulateAndGet(content.toString(StandardCharsets.US_ASCII), String::concat);
 		}
 
 		@Override
 		public void completed() {
-			this.end.complete("completed: " + this.body);
+			this.end.complete("completed: " + this.body.get());
 		}
 
 		@Override
