Follow a topic whatever a listener throws

Cause: each read of a topic schedules the next one at its end. An exception of a listener left the callback of a future, where nobody sees it; here the one of EndpointId, which takes 200 characters, outside of the block that expects unreadable entries.

Change: all listeners of topics are called through one method of TopicFollower, which logs whatever they throw with key and offset, at most once a second, and goes on. A store client that throws counts as a failed read. A stack overflow while an entry, a configuration or an order is parsed counts as unreadable, so that an endpoint that was listed under the key is removed.

Tried: errors of five types, 5,000 odd records at once, keys that are empty, blank, of control characters and of 210 characters.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
@@ -219,6 +219,14 @@
 		return (age != null) ? age : SharedStateVersion.UNKNOWN_AGE;
 	}
 
+	/**
+	 * Returns when the store last confirmed the known endpoints.
+	 * @return the monotonic time in ns, or {@code null} if they were never read
+	 */
+	@Nullable Long endpointsConfirmedAt() {
+		return this.endpointFollower.confirmedAt();
+	}
+
 	/**
 	 * Applies records that another gateway read and relayed.
 	 * @param records the records
@@ -362,7 +370,7 @@
 		try {
 			newest = this.recordCodec.readConfiguration(entry.value());
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			log.atError()
 				.addKeyValue("offset", entry.offset())
 				.addKeyValue("cause", ex.toString())
@@ -389,7 +397,7 @@
 		try {
 			order = this.recordCodec.readRollout(entry.key(), value, entry.offset());
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			log.atError()
 				.addKeyValue("offset", entry.offset())
 				.addKeyValue("cause", ex.toString())
@@ -437,8 +445,11 @@
 	 */
 	private final class EndpointListener implements TopicFollower.Listener {
 
+		private final FailureLog failureLog = new FailureLog(log, SharedStateFollower.this.clock);
+
 		@Override
 		public void changed(TopicRecord entry) {
+			// A key that cannot be an identifier is rejected here and was never listed.
 			EndpointId id = new EndpointId(entry.key());
 			if (entry.value() == null) {
 				removeEndpoint(id, entry);
@@ -448,8 +459,8 @@
 			try {
 				read = SharedStateFollower.this.recordCodec.readEndpoint(id, entry.value());
 			}
-			catch (RuntimeException ex) {
-				log.atWarn().addKeyValue("endpoint", id).addKeyValue("cause", ex.toString()).log("endpoint unreadable");
+			catch (RuntimeException | StackOverflowError ex) {
+				this.failureLog.failed("endpoint unreadable", entry.key(), entry.offset(), ex);
 				SharedStateFollower.this.endpoints.remove(id, SharedStateFollower.this.clock.nanos());
 				SharedStateFollower.this.digests.remove(id);
 				return;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -5,9 +5,12 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.banyancove.gateway.shared.MonotonicClock;
@@ -50,6 +53,8 @@
 
 	private final Listener listener;
 
+	private final FailureLog failureLog;
+
 	private final Map<String, Long> offsets = new HashMap<>();
 
 	private long nextOffset = -1;
@@ -87,6 +92,7 @@
 		this.pollingPolicy = pollingPolicy;
 		this.readsDelegated = readsDelegated;
 		this.listener = listener;
+		this.failureLog = new FailureLog(log, clock);
 	}
 
 	void start() {
@@ -106,8 +112,8 @@
 			readListing(null);
 		}
 		else {
-			this.topics.readChanges(this.topic, this.nextOffset, this.pollingPolicy.longPollTimeout())
-				.whenComplete(this::readChanges);
+			read(() -> this.topics.readChanges(this.topic, this.nextOffset, this.pollingPolicy.longPollTimeout()),
+					this::applyChanges);
 		}
 	}
 
@@ -129,6 +135,14 @@
 		return (this.confirmedAt != null) ? Duration.ofNanos(now - this.confirmedAt) : null;
 	}
 
+	/**
+	 * Returns when the store was last queried for the known state.
+	 * @return the monotonic time in ns, or {@code null} if the topic was never read
+	 */
+	@Nullable Long confirmedAt() {
+		return this.confirmedAt;
+	}
+
 	/**
 	 * Records that the known state was the complete state of the store at some time.
 	 * @param at when the store was queried
@@ -211,48 +225,60 @@
 		return Math.max(this.nextOffset, this.highestOffset + 1);
 	}
 
-	private void readListing(@Nullable String after) {
-		this.topics.readLatest(this.topic, after).whenComplete((page, failure) -> {
+	// A read that ends without a result would be the last, since each read schedules the
+	// next one.
+	private void read(Supplier<CompletableFuture<TopicPage>> query, Consumer<TopicPage> reader) {
+		CompletableFuture<TopicPage> result;
+		try {
+			result = query.get();
+		}
+		catch (RuntimeException ex) {
+			result = CompletableFuture.failedFuture(ex);
+		}
+		result.whenComplete((page, failure) -> {
 			if (page == null) {
 				readFailed(failure);
 				return;
 			}
 			readSucceeded();
-			if (this.listedEndOffset < 0) {
-				this.listedEndOffset = page.nextOffset();
-			}
-			for (TopicRecord entry : page.records()) {
-				this.listedKeys.add(entry.key());
-				apply(entry);
-			}
-			if (page.nextKey() != null) {
-				readListing(page.nextKey());
-			}
-			else {
-				completeListing();
-			}
+			reader.accept(page);
 		});
 	}
 
+	private void readListing(@Nullable String after) {
+		read(() -> this.topics.readLatest(this.topic, after), this::applyListing);
+	}
+
+	private void applyListing(TopicPage page) {
+		if (this.listedEndOffset < 0) {
+			this.listedEndOffset = page.nextOffset();
+		}
+		for (TopicRecord entry : page.records()) {
+			this.listedKeys.add(entry.key());
+			apply(entry);
+		}
+		if (page.nextKey() != null) {
+			readListing(page.nextKey());
+		}
+		else {
+			completeListing();
+		}
+	}
+
 	private void completeListing() {
 		for (String key : Set.copyOf(this.offsets.keySet())) {
 			if (!this.listedKeys.contains(key) && this.offsets.getOrDefault(key, 0L) < this.listedEndOffset) {
-				this.listener.unlisted(key);
+				notifyListener(key, this.listedEndOffset, () -> this.listener.unlisted(key));
 			}
 		}
 		this.nextOffset = this.listedEndOffset;
 		this.complete = true;
 		confirm(this.requestedAt);
-		this.listener.readThrough(this.nextOffset);
+		notifyListener("", this.nextOffset, () -> this.listener.readThrough(this.nextOffset));
 		scheduleNextRead(this.pollingPolicy.pollInterval().get());
 	}
 
-	private void readChanges(@Nullable TopicPage page, @Nullable Throwable failure) {
-		if (page == null) {
-			readFailed(failure);
-			return;
-		}
-		readSucceeded();
+	private void applyChanges(TopicPage page) {
 		if (page.historyLost()) {
 			log.atWarn()
 				.addKeyValue("topic", this.topic)
@@ -268,7 +294,7 @@
 		if (!more || page.nextKey() == null) {
 			confirm(this.requestedAt);
 		}
-		this.listener.readThrough(this.nextOffset);
+		notifyListener("", this.nextOffset, () -> this.listener.readThrough(this.nextOffset));
 		scheduleNextRead((more && page.nextKey() != null) ? Duration.ZERO : this.pollingPolicy.pollInterval().get());
 	}
 
@@ -279,7 +305,17 @@
 		}
 		this.offsets.put(entry.key(), entry.offset());
 		this.highestOffset = Math.max(this.highestOffset, entry.offset());
-		this.listener.changed(entry);
+		notifyListener(entry.key(), entry.offset(), () -> this.listener.changed(entry));
+	}
+
+	// Whatever a listener throws concerns one record of any writer; the others hold.
+	private void notifyListener(String key, long offset, Runnable notification) {
+		try {
+			notification.run();
+		}
+		catch (Throwable ex) {
+			this.failureLog.failed("record ignored", key, offset, ex);
+		}
 	}
 
 	private void readSucceeded() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/SharedStateFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/SharedStateFollowerTests.java
@@ -1,7 +1,9 @@
 package org.banyancove.gateway.daemon;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +14,7 @@
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.endpoint.Endpoint;
 import org.banyancove.gateway.endpoint.EndpointEntry;
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
@@ -25,11 +28,19 @@
 import org.banyancove.gateway.shared.TopicStore;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class SharedStateFollowerTests {
 
+	private static final String LONG_KEY = "projects/lagoon/agents/0123456789012345678901234567890123456789012345678901234567890123456789"
+			+ "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234567890123456789"
+			+ "0123456789";
+
+	private static final byte[] VALUE = "entry".getBytes(StandardCharsets.US_ASCII);
+
 	private static final Duration STEP = Duration.ofMillis(10);
 
 	private static final int STEPS = 300;
@@ -61,6 +72,35 @@
 		assertThat(often.store.endpointReads).isEqualTo(once.store.endpointReads);
 	}
 
+	// Guards against endpoints that are not followed any more, and against a gateway that
+	// never becomes ready, because of an entry of another writer.
+	@ParameterizedTest
+	@ValueSource(strings = { "", " ", "\t\u0000", LONG_KEY })
+	void endpointsAreFollowedBesideAnEntryUnderAnOddKey(String key) {
+		Follower follower = new Follower(List.of(new TopicRecord(0, key, VALUE)));
+		assertThat(follower.sharedState.complete()).isTrue();
+		follower.write(key, VALUE);
+		follower.write("a", VALUE);
+		follower.write(key, null);
+		follower.awaitRead();
+		assertThat(follower.listed()).contains(new EndpointId("a"));
+	}
+
+	// Guards against requests to an endpoint whose entry was replaced by one that cannot
+	// be
+	// read, for whatever reason.
+	@ParameterizedTest
+	@ValueSource(strings = { "malformed", "overflow" })
+	void endpointWhoseEntryCannotBeReadAnyMoreIsRemoved(String value) {
+		Follower follower = new Follower();
+		follower.write("a", VALUE);
+		follower.write("b", VALUE);
+		follower.awaitRead();
+		follower.write("a", value.getBytes(StandardCharsets.US_ASCII));
+		follower.awaitRead();
+		assertThat(follower.listed()).containsExactly(new EndpointId("b"));
+	}
+
 	/**
 	 * A follower before a store of its own.
 	 */
@@ -70,15 +110,22 @@
 
 		private final CountingStore store = new CountingStore();
 
+		private final EndpointTable endpoints = new EndpointTable(
+				new FleetAllocation("gateway", () -> List.of("gateway")));
+
 		private final SharedStateFollower sharedState;
 
 		private long now;
 
 		Follower() {
+			this(List.of());
+		}
+
+		Follower(List<TopicRecord> initial) {
+			this.store.endpointRecords.addAll(initial);
 			this.channel.freezeTime();
 			this.sharedState = new SharedStateFollower(this.store, this.channel.eventLoop(), () -> this.now,
-					new EmptyRecordCodec(), new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway"))),
-					() -> false, () -> Duration.ofMillis(250), (records) -> {
+					new EmptyRecordCodec(), this.endpoints, () -> false, () -> Duration.ofMillis(250), (records) -> {
 					}, (records) -> {
 					}, (configuration) -> {
 					}, (order) -> false, Duration.ofSeconds(2));
@@ -86,6 +133,20 @@
 			advance();
 		}
 
+		private void write(String key, byte @Nullable [] value) {
+			this.store.endpointRecords.add(new TopicRecord(this.store.endpointRecords.size(), key, value));
+		}
+
+		private List<EndpointId> listed() {
+			return this.endpoints.all().stream().map(Endpoint::id).toList();
+		}
+
+		private void awaitRead() {
+			for (int i = 0; i < STEPS; i++) {
+				advance();
+			}
+		}
+
 		private void advance() {
 			this.now += STEP.toNanos();
 			this.channel.advanceTimeBy(STEP.toMillis(), TimeUnit.MILLISECONDS);
@@ -104,16 +165,20 @@
 
 		private int endpointReads;
 
+		private final List<TopicRecord> endpointRecords = new ArrayList<>();
+
 		@Override
 		public CompletableFuture<TopicPage> readLatest(Topic topic, @Nullable String afterKey) {
 			List<TopicRecord> records = (topic == Topic.CONFIGURATION)
-					? List.of(new TopicRecord(0, "configuration", new byte[0])) : List.of();
-			return read(topic, new TopicPage(records, 1, null, false));
+					? List.of(new TopicRecord(0, "configuration", new byte[0])) : List.copyOf(this.endpointRecords);
+			return read(topic, new TopicPage(records, records.size(), null, false));
 		}
 
 		@Override
 		public CompletableFuture<TopicPage> readChanges(Topic topic, long fromOffset, Duration maximumWait) {
-			return read(topic, new TopicPage(List.of(), fromOffset, null, false));
+			List<TopicRecord> records = (topic == Topic.ENDPOINTS)
+					? this.endpointRecords.subList((int) fromOffset, this.endpointRecords.size()) : List.of();
+			return read(topic, new TopicPage(records, fromOffset + records.size(), null, false));
 		}
 
 		private CompletableFuture<TopicPage> read(Topic topic, TopicPage page) {
@@ -163,6 +228,12 @@
 
 		@Override
 		public EndpointEntry readEndpoint(EndpointId id, byte[] value) {
+			switch (new String(value, StandardCharsets.US_ASCII)) {
+				case "malformed" -> throw new IllegalArgumentException("port must be below 65536: 70000");
+				case "overflow" -> throw new StackOverflowError();
+				default -> {
+				}
+			}
 			return new EndpointEntry(id, new ServiceName("service"), "v1", new InetSocketAddress("10.0.0.1", 80),
 					new DataCenterName("dc"), 1, false, false, 1);
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TopicFollowerTests.java
@@ -1,11 +1,13 @@
 package org.banyancove.gateway.daemon;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.banyancove.core.error.BanyancoveException;
@@ -17,6 +19,8 @@
 import org.banyancove.gateway.shared.TopicStore;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -37,6 +41,7 @@
 			() -> this.readsDelegated, new TopicFollower.Listener() {
 				@Override
 				public void changed(TopicRecord entry) {
+					throwFailure(entry.key());
 					byte[] value = entry.value();
 					TopicFollowerTests.this.received.add(entry.key()
 							+ ((value != null) ? "=" + new String(value, StandardCharsets.US_ASCII) : " removed"));
@@ -44,10 +49,77 @@
 
 				@Override
 				public void unlisted(String key) {
+					throwFailure(key);
 					TopicFollowerTests.this.received.add(key + " missing");
 				}
+
+				@Override
+				public void readThrough(long nextOffset) {
+					if (nextOffset == TopicFollowerTests.this.failingOffset) {
+						throw new IllegalStateException("read through " + nextOffset);
+					}
+				}
+
 			});
 
+	private @Nullable Throwable failure;
+
+	private long failingOffset = -1;
+
+	private <E extends Throwable> void throwFailure(String key) throws E {
+		if (this.failure != null && key.startsWith("odd")) {
+			@SuppressWarnings("unchecked")
+			E thrown = (E) this.failure;
+			throw thrown;
+		}
+	}
+
+	static List<Throwable> failures() {
+		return List.of(new IllegalArgumentException("key must have at most 200 characters"), new StackOverflowError(),
+				new AssertionError("unreadable"), new IOException("not expected"), new OutOfMemoryError());
+	}
+
+	// Guards against a topic that is not followed any more after one record that its
+	// listener cannot handle, and against a gateway that never starts because of one.
+	@ParameterizedTest
+	@MethodSource("failures")
+	void followsTheTopicAfterARecordThatCannotBeHandled(Throwable thrown) {
+		this.failure = thrown;
+		this.topics.newest.add(page(3, entry(0, "a", "1"), entry(1, "odd", "1"), entry(2, "b", "1")));
+		this.topics.changes.add(page(6, entry(3, "odd", "2"), entry(4, "a", "2"), entry(5, "odd2", null)));
+		this.topics.changes.add(new TopicPage(List.of(), 6, null, true));
+		this.topics.newest.add(page(8, entry(4, "a", "2")));
+		this.topics.changes.add(page(9, entry(8, "c", "1")));
+		runFor(3);
+		assertThat(this.received).containsExactly("a=1", "b=1", "a=2", "b missing", "c=1");
+		assertThat(this.follower.complete()).isTrue();
+	}
+
+	// Guards against the same after many records at once.
+	@Test
+	void followsTheTopicAfterManyRecordsThatCannotBeHandled() {
+		this.failure = new IllegalArgumentException("odd");
+		List<TopicRecord> odd = IntStream.range(0, 5000).mapToObj((i) -> entry(i, "odd" + i, "1")).toList();
+		this.topics.newest.add(new TopicPage(odd, 5000, null, false));
+		this.topics.changes.add(page(5001, entry(5000, "a", "1")));
+		runFor(1);
+		assertThat(this.received).containsExactly("a=1");
+	}
+
+	// Guards against the same after a failure outside of a single record.
+	@Test
+	void followsTheTopicAfterAFailedReadThroughOrAStoreThatThrows() {
+		this.failingOffset = 2;
+		this.topics.newest.add(page(1, entry(0, "a", "1")));
+		this.topics.changes.add(page(2, entry(1, "a", "2")));
+		this.topics.throwsAtOffset = 2;
+		runFor(1);
+		this.topics.throwsAtOffset = -1;
+		this.topics.changes.add(page(3, entry(2, "a", "3")));
+		advance(1);
+		assertThat(this.received).containsExactly("a=1", "a=2", "a=3");
+	}
+
 	@Test
 	void readsTheListingOnceAndThenChanges() {
 		this.topics.newest.add(page(2, entry(0, "a", "1"), entry(1, "b", "1")));
@@ -189,6 +261,8 @@
 
 		private final List<Long> requestedOffsets = new ArrayList<>();
 
+		private long throwsAtOffset = -1;
+
 		@Override
 		public CompletableFuture<TopicPage> readLatest(Topic topic, @Nullable String after) {
 			return CompletableFuture.completedFuture(this.newest.removeFirst());
@@ -197,6 +271,9 @@
 		@Override
 		public CompletableFuture<TopicPage> readChanges(Topic topic, long from, Duration wait) {
 			this.requestedOffsets.add(from);
+			if (from == this.throwsAtOffset) {
+				throw new IllegalStateException("no call can be made");
+			}
 			if (this.changes.isEmpty()) {
 				return CompletableFuture.completedFuture(page(from));
 			}
