Infer a stream's version only from a list confirmed since its caller returned

After a kill of all it can't happen: a process infers a version only after it has itself seen no other for twice the route's timeout. Shown by StreamOriginFleetTests#originIsNotGuessedAfterAllGatewaysWereKilled (9 and 90 gateways), which is green on the code before, too.

At a gateway out of step it can, in narrow windows. Cause: "always so since I started" was inferred from a list up to two seconds old, recorded at the last tick, and over times in which the list couldn't be read.

Change: the store has to confirm the list after the caller returned, which is waited for half a second at most; the list of that moment is compared; a gap in the confirmations longer than a change may take ends the certainty.

Evidence: with the three conditions taken out of a scratch copy, StreamOriginFleetTests#originIsNotGuessedFromAListThatIsOlderThanTheReturn and #originIsNotGuessedWhileTheListCannotBeRead got the wrong version, and OnlyVersionsTests#nothingIsCertainAfterAGapInWhichAnotherVersionMayHaveServed and #versionThatIsListedButNotRecordedYetEndsTheCertainty failed.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -33,6 +34,7 @@
 import org.banyancove.gateway.exchange.Meters;
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.resumption.ListedVersions;
 import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.retry.RetryBudgets;
 import org.banyancove.gateway.rollout.RolloutController;
@@ -137,7 +139,7 @@
 
 	private final RequestQuarantine quarantine;
 
-	private final OnlyVersions onlyVersions = new OnlyVersions(this::endpointsRecent);
+	private final OnlyVersions onlyVersions;
 
 	private final RetryBudgets retryBudgets;
 
@@ -199,6 +201,7 @@
 		this.endpoints = new EndpointTable(new FleetAllocation(settings.name(), this::gateways, this::gatewaysListed));
 		this.endpointReports = new EndpointReports(this.endpoints, this.metrics);
 		this.servingEndpoints = new ServingEndpoints(this.endpoints, this.rollouts);
+		this.onlyVersions = new OnlyVersions(new StoredVersions(), settings.changeDeadline());
 		this.placementRule = new PlacementRule(settings.dataCenter(), random::nextDouble);
 		this.quarantine = new RequestQuarantine(this.endpoints);
 		this.peerTable = new PeerTable(this.incarnation, settings.dataCenter());
@@ -296,10 +299,6 @@
 		return this.fleetExchange.listedGateways() > 0;
 	}
 
-	private boolean endpointsRecent() {
-		return this.sharedState.endpointsAge(this.clock.nanos()).compareTo(this.settings.changeDeadline()) <= 0;
-	}
-
 	private CallerLimits callerLimits() {
 		return (this.configuration != null) ? this.configuration.limits() : CallerLimits.DEFAULT;
 	}
@@ -346,9 +345,7 @@
 		this.rollouts.applyDecisions(this.fleetView.rollouts().rollouts(), now);
 		if (this.configuration != null) {
 			this.servingEndpoints.recordVersions(this.configuration.serviceNames(), now);
-			for (ServiceName service : this.configuration.serviceNames()) {
-				this.onlyVersions.recordVersions(service, this.servingEndpoints.versions(service), now);
-			}
+			this.onlyVersions.recordVersions(this.configuration.serviceNames(), now);
 		}
 	}
 
@@ -411,6 +408,28 @@
 			.run(this.settings.shutdownTimeout());
 	}
 
+	/**
+	 * The versions of the endpoints that the store lists.
+	 */
+	private final class StoredVersions implements ListedVersions {
+
+		@Override
+		public Set<String> of(ServiceName service) {
+			return Gateway.this.servingEndpoints.versions(service);
+		}
+
+		@Override
+		public @Nullable Long confirmedAt() {
+			return Gateway.this.sharedState.endpointsConfirmedAt();
+		}
+
+		@Override
+		public boolean confirmedSince(long time) {
+			return Gateway.this.sharedState.endpointsConfirmedSince(time, Gateway.this.clock.nanos());
+		}
+
+	}
+
 	/**
 	 * How recent the endpoints are that the store was asked for.
 	 */
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/StreamOriginExchange.java
@@ -42,6 +42,15 @@
 	 */
 	private static final int MAXIMUM_SENDS = 4;
 
+	/** Interval at which an origin is sought while the store is read. */
+	private static final Duration CONFIRMATION_INTERVAL = Duration.ofMillis(10);
+
+	/**
+	 * Maximum time from the start of a search until the store has confirmed which
+	 * versions are listed. The caller of an unknown stream may begin anew.
+	 */
+	private static final Duration MAXIMUM_CONFIRMATION_TIME = Duration.ofMillis(500);
+
 	/** Bounds the size of a message. */
 	private static final int MAXIMUM_ORIGINS_IN_MESSAGE = 200;
 
@@ -124,7 +133,7 @@
 		Map<StreamKey, KnownOrigin> origins = new HashMap<>();
 		this.unreplicated.removeIf((stream) -> {
 			KnownOrigin known = this.table.find(stream, now);
-			if (known != null && !this.onlyVersions.listsOnly(known.origin())) {
+			if (known != null && !this.onlyVersions.listsOnly(known.origin(), now)) {
 				origins.put(stream, known);
 			}
 			return known == null || origins.containsKey(stream);
@@ -184,7 +193,7 @@
 		}
 		long number = ++this.searchCount;
 		Search search = new Search(new StreamOriginMessage.Query(number, stream, route.host(), route.pathPrefix()),
-				route, listener);
+				route, listener, this.clock.nanos());
 		this.searches.put(number, search);
 		query(search);
 	}
@@ -211,14 +220,27 @@
 			.toList();
 	}
 
-	// Without a record, the stream can only have begun at the only version.
+	// Without a record, the stream can only have begun at the only version. Another one
+	// may have begun it since the list of endpoints was read.
 	private void conclude(Search search) {
 		this.searches.remove(search.query.number());
-		KnownOrigin only = this.onlyVersions.originOf(search.route, this.clock.nanos());
-		if (only == null && search.onlyVersion != null && this.onlyVersions.listsOnly(search.onlyVersion.origin())) {
-			only = search.onlyVersion;
+		long now = this.clock.nanos();
+		KnownOrigin only = onlyOrigin(search, now);
+		if (only == null || this.onlyVersions.confirmedSince(search.startedAt)) {
+			search.listener.accept(only);
+		}
+		else if (now - search.startedAt < MAXIMUM_CONFIRMATION_TIME.toNanos()) {
+			this.scheduler.accept(() -> conclude(search), CONFIRMATION_INTERVAL);
+		}
+		else {
+			search.listener.accept(null);
 		}
-		search.listener.accept(only);
+	}
+
+	private @Nullable KnownOrigin onlyOrigin(Search search, long now) {
+		KnownOrigin own = this.onlyVersions.originOf(search.route, now);
+		KnownOrigin other = search.onlyVersion;
+		return (own == null && other != null && this.onlyVersions.listsOnly(other.origin(), now)) ? other : own;
 	}
 
 	/**
@@ -291,13 +313,16 @@
 
 		private final Consumer<@Nullable KnownOrigin> listener;
 
+		private final long startedAt;
+
 		private final Set<String> answered = new HashSet<>();
 
 		private @Nullable KnownOrigin onlyVersion;
 
 		private int sends;
 
-		Search(StreamOriginMessage.Query query, Route route, Consumer<@Nullable KnownOrigin> listener) {
+		Search(StreamOriginMessage.Query query, Route route, Consumer<@Nullable KnownOrigin> listener, long startedAt) {
+			this.startedAt = startedAt;
 			this.query = query;
 			this.route = route;
 			this.listener = listener;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/OnlyVersions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/resumption/OnlyVersions.java
@@ -1,11 +1,11 @@
 package org.banyancove.gateway.resumption;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.configuration.Route;
@@ -26,7 +26,11 @@
 	 */
 	private static final int RETURN_TIMEOUT_FACTOR = 2;
 
-	private final BooleanSupplier endpointsRecent;
+	private final ListedVersions listedVersions;
+
+	private final Duration maximumAge;
+
+	private @Nullable Long confirmedAt;
 
 	private final Map<ServiceName, Since<Set<String>>> versionsByService = new HashMap<>();
 
@@ -34,26 +38,54 @@
 
 	/**
 	 * Creates an empty record.
-	 * @param endpointsRecent whether the endpoints are recent; otherwise, another version
-	 * may have been listed that is unknown here
+	 * @param listedVersions the versions that the store lists
+	 * @param maximumAge the time for which another version may be listed, and have left
+	 * again, without having begun streams
 	 */
-	public OnlyVersions(BooleanSupplier endpointsRecent) {
-		this.endpointsRecent = endpointsRecent;
+	public OnlyVersions(ListedVersions listedVersions, Duration maximumAge) {
+		this.listedVersions = listedVersions;
+		this.maximumAge = maximumAge;
 	}
 
 	/**
-	 * Records the listed versions of a service.
-	 * @param service the service
-	 * @param listed the versions; none are listed while all endpoints are lost
+	 * Records the listed versions of services. Another version may have joined and left
+	 * while the list was not confirmed for long; nothing of the time before is certain
+	 * then.
+	 * @param services the services
 	 * @param now the current time
 	 */
-	public void recordVersions(ServiceName service, Set<String> listed, long now) {
+	public void recordVersions(Collection<ServiceName> services, long now) {
+		Long confirmed = this.listedVersions.confirmedAt();
+		if (confirmed != null && this.confirmedAt != null && confirmed - this.confirmedAt > this.maximumAge.toNanos()) {
+			this.versionsByService.clear();
+		}
+		this.confirmedAt = confirmed;
+		services.forEach((service) -> recordVersions(service, now));
+	}
+
+	private void recordVersions(ServiceName service, long now) {
+		Set<String> listed = this.listedVersions.of(service);
 		Since<Set<String>> recorded = this.versionsByService.get(service);
 		if (!listed.isEmpty() && (recorded == null || !recorded.value().equals(listed))) {
 			this.versionsByService.put(service, new Since<>(Set.copyOf(listed), now));
 		}
 	}
 
+	private boolean isRecent(long now) {
+		Long confirmed = this.listedVersions.confirmedAt();
+		return confirmed != null && now - confirmed <= this.maximumAge.toNanos();
+	}
+
+	/**
+	 * Returns whether the store has confirmed since a time which versions are listed; if
+	 * not, reads it.
+	 * @param time the monotonic time in ns
+	 * @return whether {@link #originOf} knows every version that is listed since
+	 */
+	public boolean confirmedSince(long time) {
+		return this.listedVersions.confirmedSince(time);
+	}
+
 	/**
 	 * Records the routes of a configuration.
 	 * @param routes the routes
@@ -83,10 +115,11 @@
 	public @Nullable KnownOrigin originOf(Route route, long now) {
 		Since<List<WeightedService>> services = this.servicesByRoute.get(key(route));
 		if (services == null || services.value().size() != 1 || !services.value().equals(route.services())
-				|| !this.endpointsRecent.getAsBoolean()) {
+				|| !isRecent(now)) {
 			return null;
 		}
 		ServiceName service = services.value().getFirst().service();
+		recordVersions(List.of(service), now);
 		Since<Set<String>> versions = this.versionsByService.get(service);
 		if (versions == null || versions.value().size() != 1) {
 			return null;
@@ -103,9 +136,11 @@
 	/**
 	 * Returns whether a version is the only one that a service lists now.
 	 * @param origin the service and version
+	 * @param now the current time
 	 * @return whether it lists no other
 	 */
-	public boolean listsOnly(StreamOrigin origin) {
+	public boolean listsOnly(StreamOrigin origin, long now) {
+		recordVersions(List.of(origin.service()), now);
 		Since<Set<String>> versions = this.versionsByService.get(origin.service());
 		return versions != null && versions.value().equals(Set.of(origin.version()));
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashSimulation.java
@@ -431,7 +431,7 @@
 			return new FleetExchange(this.address, this.timers.eventLoop(), () -> CrashSimulation.this.now, this,
 					this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, this.quarantine, new OnlyVersions(() -> true));
+					}, this.quarantine, new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/CrashingRequestFleetTests.java
@@ -312,7 +312,7 @@
 			return new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> CrashingRequestFleetTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, this.quarantine, new OnlyVersions(() -> true));
+					}, this.quarantine, new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/DrainingPropagationTests.java
@@ -313,7 +313,7 @@
 			this.exchange = new FleetExchange(this.address, this.channel.eventLoop(),
 					() -> DrainingPropagationTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> this.sharedState().applyRelayed(records), new RequestQuarantine(this.endpoints),
-					new OnlyVersions(() -> true));
+					new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 			this.sharedState = new SharedStateFollower(this, this.channel.eventLoop(),
 					() -> DrainingPropagationTests.this.now, new StateRecordCodec(), this.endpoints,
 					this.delegation::delegatesSharedState, () -> Duration.ofMillis(this.view.aggregator() ? 250 : 2000),
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/EndpointRateLimitTests.java
@@ -199,7 +199,8 @@
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> EndpointRateLimitTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, new RequestQuarantine(this.endpoints), new OnlyVersions(() -> true));
+					}, new RequestQuarantine(this.endpoints),
+					new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
 			this.endpoints.put(entry(LIMITED, dataCenter));
 			this.endpoints.put(entry(OTHER, dataCenter));
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/FleetExchangeTests.java
@@ -304,7 +304,7 @@
 					this, this.table, this::report,
 					(remoteUsage) -> remoteUsage.values().forEach((amount) -> this.charged += amount), this::relayed,
 					new RequestQuarantine(new EndpointTable(new FleetAllocation(this.name, () -> List.of(this.name)))),
-					new OnlyVersions(() -> true));
+					new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 		}
 
 		void restart() {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/RejectionLimitFleetTests.java
@@ -309,7 +309,8 @@
 			this.exchange = new FleetExchange(this.address, new EmbeddedChannel().eventLoop(),
 					() -> RejectionLimitFleetTests.this.now, this, this.table, this::report, (used) -> {
 					}, (records) -> {
-					}, new RequestQuarantine(this.endpoints), new OnlyVersions(() -> true));
+					}, new RequestQuarantine(this.endpoints),
+					new OnlyVersions(new UnreadVersions(), Duration.ofSeconds(2)));
 			this.reportAt = Duration.ofMillis(number * 7L % 250).toNanos();
 			for (int i = 0; i < RejectionLimitFleetTests.this.backends.size(); i++) {
 				this.endpoints.put(new EndpointEntry(new EndpointId("e-" + i), SERVICE, "v1",
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StreamOriginFleetTests.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 import org.banyancove.core.DataCenterName;
 import org.banyancove.core.EndpointId;
@@ -23,6 +24,7 @@
 import org.banyancove.gateway.configuration.RouteKind;
 import org.banyancove.gateway.configuration.WeightedService;
 import org.banyancove.gateway.resumption.KnownOrigin;
+import org.banyancove.gateway.resumption.ListedVersions;
 import org.banyancove.gateway.resumption.OnlyVersions;
 import org.banyancove.gateway.resumption.StreamKey;
 import org.banyancove.gateway.resumption.StreamOrigin;
@@ -56,6 +58,8 @@
 	/** A record must stay small beside the headers of a datagram. */
 	private static final int MAXIMUM_RECORD_BYTES = 64;
 
+	private static final Duration MAXIMUM_AGE = Duration.ofSeconds(2);
+
 	private static final long MILLISECOND = Duration.ofMillis(1).toNanos();
 
 	private final List<Peer> fleet = new ArrayList<>();
@@ -188,7 +192,7 @@
 	void nothingIsReplicatedForTheOnlyVersion() {
 		start(9, 1);
 		this.fleet.forEach((peer) -> peer.list(Set.of("v1")));
-		runFor(Duration.ofSeconds(10));
+		runWhileConfirmed(Duration.ofSeconds(10));
 		Peer first = this.fleet.getFirst();
 		StreamKey stream = new StreamKey(7, 7);
 		first.exchange.record(stream, ROUTE, new StreamOrigin(SERVICE, "v1", new EndpointId("a")));
@@ -207,7 +211,7 @@
 	void originsAreReplicatedOnceASecondVersionIsListed() {
 		start(9, 1);
 		this.fleet.forEach((peer) -> peer.list(Set.of("v1")));
-		runFor(Duration.ofSeconds(10));
+		runWhileConfirmed(Duration.ofSeconds(10));
 		Peer first = this.fleet.getFirst();
 		StreamKey stream = new StreamKey(7, 7);
 		first.exchange.record(stream, ROUTE, new StreamOrigin(SERVICE, "v1", new EndpointId("a")));
@@ -222,6 +226,63 @@
 		assertThat(this.found).isEqualTo(9);
 	}
 
+	// Guards against streams that go on at a version that did not begin them, since all
+	// gateways were killed when the version that began them left.
+	@ParameterizedTest
+	@CsvSource({ "9, 1", "90, 2" })
+	void originIsNotGuessedAfterAllGatewaysWereKilled(int gateways, long seed) {
+		start(gateways, seed);
+		for (Duration away : List.of(Duration.ZERO, Duration.ofSeconds(1), Duration.ofMillis(5900))) {
+			this.fleet.forEach((peer) -> peer.list(Set.of("v1")));
+			runWhileConfirmed(Duration.ofSeconds(10));
+			List<StreamKey> streams = IntStream.range(0, 20).mapToObj((i) -> begin(randomPeer(), 1)).toList();
+			runFor(Duration.ofMillis(5));
+			this.fleet.forEach(Peer::restart);
+			this.fleet.forEach((peer) -> peer.list(Set.of("v2")));
+			runWhileConfirmed(away);
+			streams.forEach((stream) -> returnTo(randomPeer(), stream, 1));
+			runFor(Duration.ofSeconds(1));
+		}
+		assertThat(this.wrong + this.found).isZero();
+		assertThat(this.unknown).isEqualTo(60);
+	}
+
+	// Guards against streams that go on at a version that did not begin them, at a
+	// gateway
+	// that cannot reach the others and has not read yet that there is a second version.
+	@Test
+	void originIsNotGuessedFromAListThatIsOlderThanTheReturn() {
+		start(9, 1);
+		this.fleet.forEach((peer) -> peer.list(Set.of("v1")));
+		runWhileConfirmed(Duration.ofSeconds(10));
+		Peer outOfStep = this.fleet.getFirst();
+		outOfStep.listed.unread = Set.of("v1", "v2");
+		this.lossRate = 1;
+		returnTo(outOfStep, begin(this.fleet.getLast(), 2), 2);
+		runFor(Duration.ofSeconds(1));
+		assertThat(this.wrong).isZero();
+		assertThat(this.unknown).isEqualTo(1);
+	}
+
+	// Guards against the same while that gateway cannot read the list, and against
+	// callers
+	// that wait for it.
+	@Test
+	void originIsNotGuessedWhileTheListCannotBeRead() {
+		start(9, 1);
+		this.fleet.forEach((peer) -> peer.list(Set.of("v1")));
+		runWhileConfirmed(Duration.ofSeconds(10));
+		Peer outOfStep = this.fleet.getFirst();
+		outOfStep.listed.unreadableSince = this.now;
+		runFor(Duration.ofSeconds(1));
+		this.lossRate = 1;
+		returnTo(outOfStep, begin(this.fleet.getLast(), 2), 2);
+		runFor(Duration.ofSeconds(1));
+		assertThat(this.wrong).isZero();
+		assertThat(this.unknown).isEqualTo(1);
+		assertThat(this.slowest).isLessThan(Duration.ofMillis(600));
+	}
+
 	// Guards against streams whose cost to other gateways grows with the fleet.
 	@ParameterizedTest
 	@CsvSource({ "9", "90", "300" })
@@ -344,6 +405,15 @@
 		this.now = end;
 	}
 
+	// The gateways read in short intervals which versions are listed.
+	private void runWhileConfirmed(Duration duration) {
+		long end = this.now + duration.toNanos();
+		while (this.now < end) {
+			runFor(Duration.ofNanos(Math.min(MAXIMUM_AGE.toNanos() / 2, end - this.now)));
+			this.fleet.forEach((peer) -> peer.onlyVersions.recordVersions(List.of(SERVICE), this.now));
+		}
+	}
+
 	private void deliver(Peer from, InetSocketAddress to, byte[] message) {
 		this.datagrams++;
 		this.bytes += message.length;
@@ -375,7 +445,9 @@
 
 		private GatewayDirectory directory;
 
-		private OnlyVersions onlyVersions = new OnlyVersions(() -> true);
+		private ListedStub listed = new ListedStub();
+
+		private OnlyVersions onlyVersions = new OnlyVersions(this.listed, MAXIMUM_AGE);
 
 		private StreamOriginExchange exchange;
 
@@ -412,7 +484,8 @@
 		// A process that starts knows nothing of before.
 		void restart(Duration untilOthersAreKnown) {
 			this.directory = new GatewayDirectory(this.address);
-			this.onlyVersions = new OnlyVersions(() -> true);
+			this.listed = new ListedStub();
+			this.onlyVersions = new OnlyVersions(this.listed, MAXIMUM_AGE);
 			this.exchange = newExchange();
 			if (untilOthersAreKnown.isZero()) {
 				start();
@@ -440,7 +513,8 @@
 		}
 
 		void list(Set<String> versions) {
-			this.onlyVersions.recordVersions(SERVICE, versions, StreamOriginFleetTests.this.now);
+			this.listed.versions = versions;
+			this.onlyVersions.recordVersions(List.of(SERVICE), StreamOriginFleetTests.this.now);
 		}
 
 		void receive(Peer from, byte[] message) {
@@ -450,4 +524,39 @@
 
 	}
 
+	/**
+	 * The list of endpoints of one gateway, which the store confirms unless it cannot be
+	 * read.
+	 */
+	private final class ListedStub implements ListedVersions {
+
+		private Set<String> versions = Set.of();
+
+		/** The newest list, which the gateway has not read yet. */
+		private @Nullable Set<String> unread;
+
+		private @Nullable Long unreadableSince;
+
+		@Override
+		public Set<String> of(ServiceName service) {
+			return this.versions;
+		}
+
+		@Override
+		public Long confirmedAt() {
+			return (this.unreadableSince != null) ? this.unreadableSince : StreamOriginFleetTests.this.now;
+		}
+
+		@Override
+		public boolean confirmedSince(long time) {
+			if (this.unreadableSince == null && this.unread != null) {
+				this.versions = this.unread;
+				this.unread = null;
+				return false;
+			}
+			return confirmedAt() >= time;
+		}
+
+	}
+
 }
