Accept only requests that end before the process does

Cause: one constant, 2 s before the end, stood for "as long as a plain request may take"; their timeout and deadline was 2,501 ms.

Change: a request is accepted while its arrival plus the earlier of its route's timeout and its own deadline, plus the grace period of a response, comes before the end of the process, and rejected as not run otherwise, streams included. DrainPhase is gone. At the end, requests in progress are answered (503 as not run if nothing was sent, else 504), and those still being read get 503. All waits end with the grace period, however short; before, the shutdown slept for 2.5 s in any case.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Route.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/configuration/Route.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.banyancove.core.ServiceName;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A route for requests of a host and path prefix, with their services and targets.
@@ -40,6 +41,15 @@
 		}
 	}
 
+	/**
+	 * Returns the maximum time to the final answer of a request.
+	 * @param deadline the caller's deadline, or {@code null} if it states none
+	 * @return the earlier of the timeout and the deadline
+	 */
+	public Duration timeout(@Nullable Duration deadline) {
+		return (deadline != null && deadline.compareTo(this.timeout) < 0) ? deadline : this.timeout;
+	}
+
 	/**
 	 * Returns whether a request that may have been executed can be retried.
 	 * @return whether a retry is permitted
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -2,11 +2,11 @@
 
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 import org.banyancove.gateway.exchange.CallerServer;
-import org.banyancove.gateway.exchange.DrainPhase;
 import org.banyancove.gateway.exchange.RequestDispatcher;
 import org.banyancove.gateway.shared.MonotonicClock;
 import org.banyancove.gateway.tunnel.TunnelServer;
@@ -21,16 +21,10 @@
 	private static final Logger log = LoggerFactory.getLogger(GracefulShutdown.class);
 
 	/**
-	 * Delay until requests that may last long are rejected: callers are routed to other
-	 * gateways after two failed readiness checks, a second apart.
+	 * Minimum duration: callers are routed to other gateways after two failed readiness
+	 * checks, a second apart.
 	 */
-	private static final Duration LONG_REQUESTS_REJECTED_AFTER = Duration.ofMillis(2500);
-
-	/**
-	 * Period before the deadline in which all requests are rejected. It is as long as a
-	 * plain request may take: a request accepted later would be cut off while it runs.
-	 */
-	private static final Duration REJECT_ALL_PERIOD = Duration.ofSeconds(2);
+	private static final Duration ROUTED_AWAY_AFTER = Duration.ofMillis(2500);
 
 	/** Time reserved after the deadline, so that the last responses leave the VM. */
 	private static final Duration RESPONSE_FLUSH_TIME = Duration.ofMillis(400);
@@ -64,29 +58,44 @@
 	 */
 	void run(Duration shutdownTimeout) throws InterruptedException {
 		long startedAt = this.clock.nanos();
+		long endsAt = startedAt + Math.max(0, shutdownTimeout.minus(RESPONSE_FLUSH_TIME).toNanos());
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopping");
-		this.eventLoop.execute(this.callerServer::stop);
-		this.eventLoop.execute(this.tunnelServer::stop);
-		TimeUnit.MILLISECONDS.sleep(LONG_REQUESTS_REJECTED_AFTER.toMillis());
-		this.eventLoop.execute(() -> this.requestDispatcher.setDrainPhase(DrainPhase.NON_STREAMING));
-		long deadline = startedAt + shutdownTimeout.minus(RESPONSE_FLUSH_TIME).toNanos();
-		long rejectAllAt = deadline - REJECT_ALL_PERIOD.toNanos();
-		while (this.clock.nanos() < deadline && closeIdleConnections() > 0) {
-			if (this.clock.nanos() > rejectAllAt) {
-				this.eventLoop.execute(() -> this.requestDispatcher.setDrainPhase(DrainPhase.NONE));
-			}
-			TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL.toMillis());
+		this.eventLoop.execute(() -> begin(endsAt));
+		sleepUntil(Math.min(startedAt + ROUTED_AWAY_AFTER.toNanos(), endsAt));
+		while (this.clock.nanos() < endsAt && closeIdleConnections() > 0) {
+			sleepUntil(Math.min(this.clock.nanos() + CHECK_INTERVAL.toNanos(), endsAt));
 		}
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopped");
+		complete(this.eventLoop.submit(this::endRequests, 0));
+	}
+
+	private void begin(long endsAt) {
+		this.requestDispatcher.stop(endsAt);
+		this.callerServer.stop();
+		this.tunnelServer.stop();
+	}
+
+	private void endRequests() {
+		this.requestDispatcher.endRequests();
+		this.callerServer.rejectUnread();
+	}
+
+	private void sleepUntil(long time) throws InterruptedException {
+		TimeUnit.NANOSECONDS.sleep(time - this.clock.nanos());
 	}
 
 	// Returns the number of connections that remain.
 	private int closeIdleConnections() throws InterruptedException {
+		return complete(this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()));
+	}
+
+	// Returns the result, or 0 if the work failed: the shutdown goes on.
+	private static int complete(Future<Integer> work) throws InterruptedException {
 		try {
-			return this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()).get();
+			return work.get();
 		}
 		catch (ExecutionException ex) {
-			log.error("closing idle connections failed", ex);
+			log.error("shutdown step failed", ex);
 			return 0;
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -232,6 +232,15 @@
 		}
 	}
 
+	/**
+	 * Rejects a request that is still being read.
+	 */
+	void rejectUnread() {
+		if (this.requestHead != null) {
+			reject(ErrorKind.STOPPING);
+		}
+	}
+
 	private void finish(ChannelFuture writeFuture, boolean keepAlive) {
 		this.inFlight = null;
 		this.streaming = false;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -109,6 +109,13 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Answers the requests that are still being read, since the process ends.
+	 */
+	public void rejectUnread() {
+		List.copyOf(this.connections).forEach(CallerConnection::rejectUnread);
+	}
+
 	boolean stopping() {
 		return this.stopping;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -47,7 +47,7 @@
 	/**
 	 * The grace period after the deadline, for a response that is still in transit.
 	 */
-	private static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
+	static final Duration RESPONSE_GRACE = Duration.ofMillis(120);
 
 	/** The retry delay reported to the caller of a request that was not run. */
 	private static final Duration RETRY_AFTER = Duration.ofMillis(400);
@@ -107,11 +107,7 @@
 		this.route = accepted.route();
 		this.service = accepted.service();
 		this.requestId = String.valueOf(requestHeaders.requestId());
-		Duration timeout = this.route.timeout();
-		if (requestHeaders.deadline() != null && requestHeaders.deadline().compareTo(timeout) < 0) {
-			timeout = requestHeaders.deadline();
-		}
-		this.deadlineAt = request.arrivedAt() + timeout.toNanos();
+		this.deadlineAt = request.arrivedAt() + this.route.timeout(requestHeaders.deadline()).toNanos();
 		this.endpointRequests = new EndpointRequestFactory(dispatcher, request, this.requestId, accepted);
 		this.eventSplitter = new SseEventSplitter(requestHeaders.lastEventId());
 		this.crashTracking = new CrashTracking(dispatcher, request, requestHeaders.prompt(), accepted.account());
@@ -484,6 +480,15 @@
 		endWithError(ErrorKind.OUTCOME_UNKNOWN);
 	}
 
+	/**
+	 * Answers the request at the end of the process. A request that was sent may have
+	 * run.
+	 */
+	void processEnds() {
+		cancelAttempt();
+		endWithError((this.retries.attempts() > 0) ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.STOPPING);
+	}
+
 	@Override
 	public void callerDisconnected() {
 		if (this.ended) {
@@ -553,7 +558,7 @@
 		cancel(this.placementTimer);
 		this.retries.end();
 		this.migration.end();
-		this.dispatcher.ended();
+		this.dispatcher.ended(this);
 		this.accounting.recordEnd(outcome, status, this.currentAttempt, this.retries.attempts());
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -99,9 +100,10 @@
 
 	private double reachableShare = 1;
 
-	private DrainPhase drainPhase = DrainPhase.ALL;
+	private final Set<Exchange> inProgress = new LinkedHashSet<>();
 
-	private int inProgress;
+	/** When the process ends, or {@code null} if it is not shutting down. */
+	private @Nullable Long processEndsAt;
 
 	/**
 	 * Creates the dispatcher.
@@ -162,8 +164,7 @@
 			}
 		}
 		newConfiguration.accounts().forEach((account) -> limiter(account.name()));
-		this.deferred.forEach(DeferredRequest::start);
-		this.deferred.clear();
+		startDeferred();
 	}
 
 	/**
@@ -218,11 +219,23 @@
 	}
 
 	/**
-	 * Sets the drain phase.
-	 * @param newDrainPhase the phase
+	 * Starts the shutdown: only requests that end before the process are accepted.
+	 * @param endsAt when the process ends
 	 */
-	public void setDrainPhase(DrainPhase newDrainPhase) {
-		this.drainPhase = newDrainPhase;
+	public void stop(long endsAt) {
+		this.processEndsAt = endsAt;
+	}
+
+	/** Answers all requests that are in progress, since the process ends. */
+	public void endRequests() {
+		startDeferred();
+		List.copyOf(this.inProgress).forEach(Exchange::processEnds);
+	}
+
+	private void startDeferred() {
+		List<DeferredRequest> ready = List.copyOf(this.deferred);
+		this.deferred.clear();
+		ready.forEach(DeferredRequest::start);
 	}
 
 	/**
@@ -230,7 +243,7 @@
 	 * @return the number
 	 */
 	public int inProgress() {
-		return this.inProgress;
+		return this.inProgress.size();
 	}
 
 	InFlightRequest begin(CallerConnection caller, CallerRequest request) {
@@ -253,8 +266,7 @@
 
 	private InFlightRequest beginNow(CallerConnection caller, CallerRequest request) {
 		CallerHeaders requestHeaders = this.headerCodec.readCaller(request.head().headers());
-		RequestRouter router = new RequestRouter(this.configuration, this.drainPhase);
-		RoutingDecision decision = router.decide(request.head().headers().get("host"), request.head().uri(),
+		RoutingDecision decision = router(request).decide(request.head().headers().get("host"), request.head().uri(),
 				requestHeaders, this.random.nextDouble());
 		return switch (decision) {
 			case RoutingDecision.Rejected rejected -> {
@@ -272,8 +284,14 @@
 	}
 
 	RoutingDecision decideResumption(CallerRequest request, CallerHeaders requestHeaders, ServiceName streamOrigin) {
-		return new RequestRouter(this.configuration, this.drainPhase)
-			.decideResumption(request.head().headers().get("host"), request.head().uri(), requestHeaders, streamOrigin);
+		return router(request).decideResumption(request.head().headers().get("host"), request.head().uri(),
+				requestHeaders, streamOrigin);
+	}
+
+	private RequestRouter router(CallerRequest request) {
+		Long endsAt = this.processEndsAt;
+		return new RequestRouter(this.configuration, (endsAt != null)
+				? Duration.ofNanos(endsAt - request.arrivedAt()).minus(Exchange.RESPONSE_GRACE) : null);
 	}
 
 	InFlightRequest begin(CallerConnection caller, CallerRequest request, CallerHeaders requestHeaders,
@@ -283,9 +301,9 @@
 			reject(caller, rejection);
 			return InFlightRequest.NO_OP;
 		}
-		this.inProgress++;
 		this.retryBudgets.recordRequest(accepted.service().name(), this.clock.nanos());
 		Exchange exchange = new Exchange(this, caller, request, requestHeaders, accepted, streamOrigin);
+		this.inProgress.add(exchange);
 		exchange.begin();
 		return exchange;
 	}
@@ -319,8 +337,8 @@
 		this.requestLog.connectionClosedUnread();
 	}
 
-	void ended() {
-		this.inProgress--;
+	void ended(Exchange exchange) {
+		this.inProgress.remove(exchange);
 	}
 
 	RetryBudgets retryBudgets() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
@@ -7,7 +7,6 @@
 import org.banyancove.gateway.configuration.ClientAccount;
 import org.banyancove.gateway.configuration.Configuration;
 import org.banyancove.gateway.configuration.Route;
-import org.banyancove.gateway.configuration.RouteKind;
 import org.banyancove.gateway.configuration.Service;
 import org.banyancove.gateway.shared.CallerHeaders;
 import org.jspecify.annotations.Nullable;
@@ -24,11 +23,17 @@
 
 	private final @Nullable Configuration configuration;
 
-	private final DrainPhase phase;
+	private final @Nullable Duration availableTime;
 
-	RequestRouter(@Nullable Configuration configuration, DrainPhase phase) {
+	/**
+	 * Creates the router.
+	 * @param configuration the configuration, or {@code null} if none was read
+	 * @param availableTime the time from the arrival of the request until it must have
+	 * ended because the process ends, or {@code null} if the process goes on
+	 */
+	RequestRouter(@Nullable Configuration configuration, @Nullable Duration availableTime) {
 		this.configuration = configuration;
-		this.phase = phase;
+		this.availableTime = availableTime;
 	}
 
 	RoutingDecision decide(@Nullable String host, String uri, CallerHeaders requestHeaders, double serviceDraw) {
@@ -50,7 +55,7 @@
 				return new RoutingDecision.Rejected(ErrorKind.ACCOUNT_UNKNOWN, null);
 			}
 		}
-		if (!accepts(route)) {
+		if (!endsInTime(route.timeout(requestHeaders.deadline()))) {
 			return new RoutingDecision.Rejected(ErrorKind.STOPPING, RETRY_AFTER);
 		}
 		Service service = current.service(route.serviceFor(serviceDraw));
@@ -81,12 +86,8 @@
 				: new RoutingDecision.Rejected(ErrorKind.STREAM_VERSION_UNAVAILABLE, RETRY_AFTER);
 	}
 
-	private boolean accepts(Route route) {
-		return switch (this.phase) {
-			case ALL -> true;
-			case NON_STREAMING -> route.kind() != RouteKind.STREAMING;
-			case NONE -> false;
-		};
+	private boolean endsInTime(Duration timeout) {
+		return this.availableTime == null || timeout.compareTo(this.availableTime) <= 0;
 	}
 
 	private static String path(String uri) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -86,6 +86,8 @@
 
 	private final Duration requestCost;
 
+	private volatile Duration shutdownTimeout = Duration.ofSeconds(8);
+
 	GatewayFleet(int gateways, int endpoints, Duration responseTime) throws IOException, InterruptedException {
 		this(gateways, endpoints, responseTime, MAXIMUM_CONNECTIONS, Duration.ZERO);
 	}
@@ -150,15 +152,39 @@
 		return new DataCenterName("dc-" + number % DATA_CENTERS);
 	}
 
-	private Configuration configuration() {
-		return new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
-				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
-				route("/resumed/", RouteKind.STREAMING, true, 2)),
+	/** Publishes a configuration whose routes have another timeout. */
+	void configure(long version, Duration timeout) {
+		this.store.append(Topic.CONFIGURATION, "configuration",
+				(version + " " + timeout.toMillis()).getBytes(StandardCharsets.US_ASCII));
+	}
+
+	/**
+	 * Sets the time from the signal to stop to the end of the process, for gateways that
+	 * start.
+	 */
+	void setShutdownTimeout(Duration timeout) {
+		this.shutdownTimeout = timeout;
+	}
+
+	private Configuration configuration(byte[] value) {
+		if (value.length == 0) {
+			return configuration(1, TIMEOUT);
+		}
+		String[] fields = new String(value, StandardCharsets.US_ASCII).split(" ", -1);
+		return configuration(Long.parseLong(fields[0]), Duration.ofMillis(Long.parseLong(fields[1])));
+	}
+
+	private Configuration configuration(long version, Duration timeout) {
+		return new Configuration(version,
+				List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1, timeout),
+						route("/again/", RouteKind.IDEMPOTENT, false, 2, timeout),
+						route("/stream/", RouteKind.STREAMING, false, 1, timeout),
+						route("/resumed/", RouteKind.STREAMING, true, 2, timeout)),
 				List.of(new Service(SERVICE, this.maximumConnections, null, null)), List.of(), CallerLimits.DEFAULT);
 	}
 
-	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
-		return new Route(prefix, "host", prefix, kind, resumable, TIMEOUT, LATENCY_TARGET, EVENT_INTERVAL, 0,
+	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts, Duration timeout) {
+		return new Route(prefix, "host", prefix, kind, resumable, timeout, LATENCY_TARGET, EVENT_INTERVAL, 0,
 				List.of(new WeightedService(SERVICE, 1)), attempts, true);
 	}
 
@@ -255,7 +281,7 @@
 					GatewayFleet.dataCenter(this.number), this.callers,
 					new InetSocketAddress(this.peers.getAddress(), 0), null, this.peers,
 					new RetryLimits(0.2, 50, Duration.ofSeconds(10)), Duration.ofSeconds(3), Duration.ofSeconds(5),
-					false, false, Duration.ofSeconds(8), ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
+					false, false, GatewayFleet.this.shutdownTimeout, ExposureLimits.DEFAULT, 1, Duration.ofSeconds(2));
 			ConnectionPool connections = new ConnectionPool(this.eventLoops.next(), System::nanoTime,
 					this.partition::newChannel);
 			Gateway started = new Gateway(settings, this.eventLoops,
@@ -312,7 +338,7 @@
 
 		@Override
 		public Configuration readConfiguration(byte[] value) {
-			return configuration();
+			return configuration(value);
 		}
 
 		@Override
