Discard answers without an id on connections that carried other requests

Reproduced with a stand-in that answers twice, in the same segment or up to 2 s later, with the same id, another's or none, framed by a length, chunks or the end of the connection, directly and through a tunnel.

Cause: an answer was compared with its request only where it named one. One that names none was taken for that of the request in progress.

Change: such an answer counts only on a connection that has carried no other request, which is not used again; on others it is discarded, logged (`response discarded`) and counted, and the answer of the request is waited for. An answer that names a request isn't taken for that of a call that moves or frees a run.

Whether this is what the users saw is only suspected.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -57,6 +57,8 @@
 
 	private final Counter lostAttempts;
 
+	private final Counter discardedResponses;
+
 	private final RetryMetrics retries;
 
 	private final EndpointMetrics endpoints;
@@ -106,6 +108,12 @@
 			.name("banyancove_failed_attempts_total")
 			.help("Attempts at endpoints that brought no answer")
 			.register(registry);
+		this.discardedResponses = Counter.builder()
+			.withoutExemplars()
+			.name("banyancove_discarded_responses_total")
+			.help("Responses that did not belong to the request whose response was expected, by the request they named")
+			.labelNames("named")
+			.register(registry);
 		this.lostAttempts = Counter.builder()
 			.withoutExemplars()
 			.name("banyancove_lost_attempts_total")
@@ -274,6 +282,19 @@
 		}
 	}
 
+	@Override
+	public void responseDiscarded(String requestId, EndpointId endpoint, @Nullable String statedRequestId, int status) {
+		this.discardedResponses.labelValues((statedRequestId != null) ? "other" : "none").inc();
+		if (tryAcquireLine()) {
+			log.atInfo()
+				.addKeyValue("requestId", requestId)
+				.addKeyValue("endpoint", endpoint)
+				.addKeyValue("statedRequestId", statedRequestId)
+				.addKeyValue("status", status)
+				.log("response discarded");
+		}
+	}
+
 	private static String hexadecimal(List<Long> parts) {
 		return parts.stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).collect(Collectors.joining(","));
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -232,11 +232,26 @@
 	}
 
 	@Override
-	public boolean head(HttpResponse response) {
-		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(response.headers());
-		if (headers.requestId() != null && !headers.requestId().equals(this.exchange.requestId())) {
-			return false;
+	public ResponseMatch match(HttpResponse response) {
+		String stated = requestId(response);
+		if (stated == null) {
+			return ResponseMatch.UNIDENTIFIED;
 		}
+		return stated.equals(this.exchange.requestId()) ? ResponseMatch.OWN : ResponseMatch.OTHER;
+	}
+
+	private @Nullable String requestId(HttpResponse response) {
+		return this.exchange.headerCodec().readEndpoint(response.headers()).requestId();
+	}
+
+	@Override
+	public void discarded(HttpResponse response) {
+		this.exchange.responseDiscarded(this, requestId(response), response.status().code());
+	}
+
+	@Override
+	public void head(HttpResponse response) {
+		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(response.headers());
 		this.head = response;
 		this.responseHeaders = headers;
 		boolean currentProcess = !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)
@@ -247,7 +262,6 @@
 				.applyProcessState(this.endpoint, response.status(), headers, this.exchange.now());
 		}
 		this.exchange.announcements().applyLimits(this.endpoint, headers, currentProcess, this.exchange.now());
-		return true;
 	}
 
 	private long connectedAt() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -62,8 +62,18 @@
 		return this.request.retain();
 	}
 
-	boolean head(HttpResponse head) {
-		return this.ended || this.listener.head(head);
+	ResponseMatch match(HttpResponse head) {
+		return this.ended ? ResponseMatch.OWN : this.listener.match(head);
+	}
+
+	void discarded(HttpResponse head) {
+		this.listener.discarded(head);
+	}
+
+	void head(HttpResponse head) {
+		if (!this.ended) {
+			this.listener.head(head);
+		}
 	}
 
 	void content(ByteBuf content) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -59,6 +59,8 @@
 
 	private @Nullable ClientCall call;
 
+	private int calls;
+
 	private @Nullable ChannelFuture requestWrite;
 
 	private boolean headReceived;
@@ -111,6 +113,7 @@
 
 	void send(ClientCall newCall) {
 		this.call = newCall;
+		this.calls++;
 		this.headReceived = false;
 		this.ignoringResponse = false;
 		this.ignoredBytes = 0;
@@ -157,14 +160,20 @@
 	}
 
 	private void readHead(ClientCall current, HttpResponse head) {
-		this.ignoringResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !current.head(head);
+		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		ResponseMatch match = informational ? ResponseMatch.OTHER : current.match(head);
+		this.ignoringResponse = match == ResponseMatch.OTHER || (match == ResponseMatch.UNIDENTIFIED && this.calls > 1);
 		if (this.ignoringResponse) {
+			if (!informational) {
+				current.discarded(head);
+			}
 			ignore(IGNORED_HEAD_BYTES);
 			return;
 		}
 		this.headReceived = true;
-		this.reusable = HttpUtil.isKeepAlive(head)
+		this.reusable = match == ResponseMatch.OWN && HttpUtil.isKeepAlive(head)
 				&& (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
+		current.head(head);
 		this.keepAliveTimeout = parseKeepAliveTimeout(head);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -269,6 +269,11 @@
 		return this.dispatcher.announcements();
 	}
 
+	void responseDiscarded(Attempt attempt, @Nullable String statedRequestId, int status) {
+		this.dispatcher.requestLog()
+			.responseDiscarded(this.requestId, attempt.endpoint().id(), statedRequestId, status);
+	}
+
 	boolean isStreaming(Attempt attempt) {
 		return this.route.kind() == RouteKind.STREAMING && attempt.responseHeaders().sealed()
 				&& attempt.responseHead().status().equals(HttpResponseStatus.OK);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.banyancove.gateway.migration.MigrationRule;
 import org.banyancove.gateway.migration.SourceAnswer;
+import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.StreamMoveCodec;
 import org.jspecify.annotations.Nullable;
 
@@ -25,6 +26,8 @@
 
 	private final StreamMoveCodec codec;
 
+	private final HeaderCodec headerCodec;
+
 	private final Consumer<SourceAnswer> outcome;
 
 	private final ScheduledFuture<?> timer;
@@ -37,8 +40,9 @@
 
 	private @Nullable ClientCall call;
 
-	MoveCall(StreamMoveCodec codec, EventLoop eventLoop, Consumer<SourceAnswer> outcome) {
+	MoveCall(StreamMoveCodec codec, HeaderCodec headerCodec, EventLoop eventLoop, Consumer<SourceAnswer> outcome) {
 		this.codec = codec;
+		this.headerCodec = headerCodec;
 		this.outcome = outcome;
 		this.timer = eventLoop.schedule(this::cancel, MigrationRule.ANSWER_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
 	}
@@ -48,9 +52,24 @@
 	}
 
 	@Override
-	public boolean head(HttpResponse head) {
+	public ResponseMatch match(HttpResponse head) {
+		return matchWithoutRequest(this.headerCodec, head);
+	}
+
+	/**
+	 * Matches the response to a call that has no request id. One that names a request
+	 * belongs to that.
+	 * @param headerCodec reads the headers
+	 * @param head the status and headers
+	 * @return what the head shows
+	 */
+	static ResponseMatch matchWithoutRequest(HeaderCodec headerCodec, HttpResponse head) {
+		return (headerCodec.readEndpoint(head.headers()).requestId() != null) ? ResponseMatch.OTHER : ResponseMatch.OWN;
+	}
+
+	@Override
+	public void head(HttpResponse head) {
 		this.status = head.status().code();
-		return true;
 	}
 
 	@Override
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -143,7 +143,7 @@
 		this.retryBudgets = retryBudgets;
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
-		this.migrations = new StreamMigrations(eventLoop, connections, moves);
+		this.migrations = new StreamMigrations(eventLoop, connections, moves, headerCodec);
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -59,6 +59,17 @@
 	void streamOriginSearched(@Nullable String requestId, @Nullable String resumedRequestId,
 			@Nullable KnownOrigin origin, Duration elapsed);
 
+	/**
+	 * Called when a response was discarded that does not belong to the request whose
+	 * response was expected.
+	 * @param requestId the request whose response was expected
+	 * @param endpoint the endpoint
+	 * @param statedRequestId the request that the response names, or {@code null} if it
+	 * names none
+	 * @param status the response's status
+	 */
+	void responseDiscarded(String requestId, EndpointId endpoint, @Nullable String statedRequestId, int status);
+
 	/**
 	 * Called when the move of a stream off an endpoint that leaves has ended.
 	 * @param move the move
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseListener.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseListener.java
@@ -20,11 +20,26 @@
 	}
 
 	/**
-	 * Receives the status and headers of a response.
+	 * Returns whether a response belongs to the call. One that does not is discarded.
 	 * @param head the status and headers
-	 * @return whether the response belongs to the call; one that does not is discarded
+	 * @return what the head shows
 	 */
-	boolean head(HttpResponse head);
+	default ResponseMatch match(HttpResponse head) {
+		return ResponseMatch.OWN;
+	}
+
+	/**
+	 * Called when a response was discarded.
+	 * @param head the status and headers
+	 */
+	default void discarded(HttpResponse head) {
+	}
+
+	/**
+	 * Receives the status and headers of the response.
+	 * @param head the status and headers
+	 */
+	void head(HttpResponse head);
 
 	/**
 	 * Receives a chunk of the body.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamMigrations.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamMigrations.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import org.banyancove.gateway.migration.SourceAnswer;
+import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.StoppedRun;
 import org.banyancove.gateway.shared.StreamMoveCodec;
 
@@ -29,11 +30,14 @@
 
 	private final StreamMoveCodec codec;
 
+	private final HeaderCodec headerCodec;
+
 	private final Set<StreamMigration> watched = new LinkedHashSet<>();
 
 	private boolean checkScheduled;
 
-	StreamMigrations(EventLoop eventLoop, ConnectionPool connections, StreamMoveCodec codec) {
+	StreamMigrations(EventLoop eventLoop, ConnectionPool connections, StreamMoveCodec codec, HeaderCodec headerCodec) {
+		this.headerCodec = headerCodec;
 		this.eventLoop = eventLoop;
 		this.connections = connections;
 		this.codec = codec;
@@ -76,7 +80,7 @@
 	 */
 	void requestMove(InetSocketAddress source, String requestId, InetSocketAddress destination, CallOptions options,
 			Consumer<SourceAnswer> outcome) {
-		MoveCall listener = new MoveCall(this.codec, this.eventLoop, outcome);
+		MoveCall listener = new MoveCall(this.codec, this.headerCodec, this.eventLoop, outcome);
 		listener.started(this.connections.call(source, this.codec.moveRequest(source, requestId, destination), options,
 				listener));
 	}
@@ -88,17 +92,22 @@
 	 * @param options the connection options
 	 */
 	void release(StoppedRun run, CallOptions options) {
-		this.connections.call(run.source(), this.codec.releaseRequest(run), options, new IgnoredAnswer());
+		this.connections.call(run.source(), this.codec.releaseRequest(run), options,
+				new IgnoredAnswer(this.headerCodec));
 	}
 
 	/**
 	 * Ignores the answer to a call.
 	 */
-	private static final class IgnoredAnswer implements ResponseListener {
+	private record IgnoredAnswer(HeaderCodec headerCodec) implements ResponseListener {
+
+		@Override
+		public ResponseMatch match(HttpResponse head) {
+			return MoveCall.matchWithoutRequest(this.headerCodec, head);
+		}
 
 		@Override
-		public boolean head(HttpResponse head) {
-			return true;
+		public void head(HttpResponse head) {
 		}
 
 		@Override
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -34,6 +34,10 @@
 	public void retryDecided(RetryDecision retry) {
 	}
 
+	@Override
+	public void responseDiscarded(String requestId, EndpointId endpoint, @Nullable String statedRequestId, int status) {
+	}
+
 	@Override
 	public void streamMoveEnded(EndedMove move) {
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
@@ -194,8 +194,7 @@
 		private final CompletableFuture<String> end = new CompletableFuture<>();
 
 		@Override
-		public boolean head(HttpResponse head) {
-			return true;
+		public void head(HttpResponse head) {
 		}
 
 		@Override
