Let the rest of a stream wait for a slow store

Cause: the rest of a stream was placed 100 ms after the store had been asked, answered or not. A slow store was taken for one that had confirmed the list.

Change: it is placed once the store has answered, or once two reads in a row have failed, or after 1.5 s: longer than a read may take (1.2 s), shorter than the pause of 2 s after which callers abandon a stream.

Evidence: ExchangeTests#streamWaitsForASlowStoreAndThenGoesOnOnlyAtItsVersion fails with the former wait on a scratch copy (a mixed stream) and passes; #streamGoesOnAtOnceWhileTheStoreFails keeps the case of an outage.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -445,6 +445,11 @@
 			return Gateway.this.sharedState.endpointsConfirmedSince(time, Gateway.this.clock.nanos());
 		}
 
+		@Override
+		public boolean storeFailing() {
+			return Gateway.this.sharedState.storeFailing();
+		}
+
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/SharedStateFollower.java
@@ -317,11 +317,17 @@
 		return false;
 	}
 
-	// A single failed read is not sufficient: it may have timed out while this process
-	// was paused.
+	/**
+	 * Returns whether reads of the endpoints fail. A single failed read is not
+	 * sufficient: it may have timed out while this process was paused.
+	 * @return whether several reads in a row have failed since they were confirmed
+	 */
+	boolean storeFailing() {
+		return this.endpointFollower.failuresSinceConfirmed() >= FAILED_READS_THRESHOLD;
+	}
+
 	private boolean storeUnavailable() {
-		return this.endpointFollower.failuresSinceConfirmed() >= FAILED_READS_THRESHOLD
-				|| this.unansweredTicks >= UNANSWERED_TICKS_THRESHOLD;
+		return storeFailing() || this.unansweredTicks >= UNANSWERED_TICKS_THRESHOLD;
 	}
 
 	private void countUnansweredTicks() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointFreshness.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointFreshness.java
@@ -19,4 +19,11 @@
 	 */
 	boolean confirmedSince(long time);
 
+	/**
+	 * Returns whether the store fails, so that there is no newer state to wait for.
+	 * @return whether several reads in a row have failed since the endpoints were
+	 * confirmed
+	 */
+	boolean storeFailing();
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamContinuation.java
@@ -21,8 +21,11 @@
  */
 final class StreamContinuation {
 
-	/** Maximum time that the rest of a stream waits for the store. */
-	private static final Duration MAXIMUM_CONFIRMATION_WAIT = Duration.ofMillis(100);
+	/**
+	 * Maximum time that the rest of a stream waits for the store: longer than a read may
+	 * take, and shorter than the pause after which callers abandon a stream.
+	 */
+	private static final Duration MAXIMUM_CONFIRMATION_WAIT = Duration.ofMillis(1500);
 
 	/** Maximum difference between the clocks of VMs. */
 	private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(50);
@@ -104,7 +107,7 @@
 	 * Returns whether the endpoints are recent enough to place the rest of the stream. An
 	 * endpoint may have started again as another version since they were last confirmed.
 	 * @return whether they were confirmed since this method was first called for an
-	 * attempt, or the store has not answered in time
+	 * attempt, or the store fails or has not answered in time
 	 */
 	boolean isReady() {
 		long now = this.dispatcher.clock().nanos();
@@ -114,7 +117,8 @@
 		if (this.endpointsNeededAt == null) {
 			this.endpointsNeededAt = now;
 		}
-		return this.dispatcher.freshness().confirmedSince(this.endpointsNeededAt)
+		EndpointFreshness freshness = this.dispatcher.freshness();
+		return freshness.confirmedSince(this.endpointsNeededAt) || freshness.storeFailing()
 				|| now - this.endpointsNeededAt > MAXIMUM_CONFIRMATION_WAIT.toNanos();
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -104,6 +104,10 @@
 
 	private volatile BooleanSupplier endpointsCurrent = () -> true;
 
+	private volatile boolean endpointsConfirmed = true;
+
+	private volatile boolean storeFailing;
+
 	private final NoOpRequestLog requestLog = new NoOpRequestLog();
 
 	private final RequestDispatcher dispatcher = newDispatcher();
@@ -882,6 +886,49 @@
 		assertThat(other.unreadRequests()).isZero();
 	}
 
+	// Guards against an answer whose events come from two versions because the store took
+	// longer than usual to tell that an endpoint had started again as the second one.
+	@Test
+	void streamWaitsForASlowStoreAndThenGoesOnOnlyAtItsVersion() throws Exception {
+		endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
+		ScriptedEndpoint restarted = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
+		put("b", "v1", restarted, true, 1);
+		this.endpointsConfirmed = false;
+		try (Caller caller = new Caller()) {
+			caller.send("POST /resumed/x HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+			TimeUnit.MILLISECONDS.sleep(40);
+			put("b", "v1", restarted, false, 1);
+			recordFailure("b");
+			TimeUnit.MILLISECONDS.sleep(460);
+			put("a", "v2", restarted, true, 2);
+			put("b", "v2", restarted, false, 2);
+			this.endpointsConfirmed = true;
+			TestCaller.Response response = caller.read();
+			assertThat(response.body()).isEqualTo("id: 1\n\n");
+			assertThat(response.complete()).isFalse();
+		}
+		assertThat(restarted.unreadRequests()).isZero();
+	}
+
+	// Guards against a stream that is given up while the store is unavailable and cannot
+	// confirm the endpoints.
+	@Test
+	void streamGoesOnAtOnceWhileTheStoreFails() throws Exception {
+		endpoint("a").thenReset(STREAM_HEAD + FIRST_EVENT);
+		ScriptedEndpoint other = endpoint("b").thenRespond(STREAM_HEAD + LAST_EVENT);
+		put("b", "v1", other, true, 1);
+		this.endpointsConfirmed = false;
+		this.storeFailing = true;
+		long startedAt = System.nanoTime();
+		try (Caller caller = new Caller()) {
+			caller.send("POST /resumed/x HTTP/1.1\r\nhost: host\r\nid: 1\r\ncontent-length: 0\r\n\r\n");
+			TimeUnit.MILLISECONDS.sleep(40);
+			put("b", "v1", other, false, 1);
+			assertThat(caller.read().body()).isEqualTo("id: 1\n\nid: 2\n\n");
+		}
+		assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(Duration.ofMillis(1200));
+	}
+
 	// Guards against a stream that is given up although the only endpoint of its version
 	// has merely reset a connection.
 	@Test
@@ -1058,7 +1105,12 @@
 
 		@Override
 		public boolean confirmedSince(long time) {
-			return true;
+			return ExchangeTests.this.endpointsConfirmed;
+		}
+
+		@Override
+		public boolean storeFailing() {
+			return ExchangeTests.this.storeFailing;
 		}
 
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StreamMigrationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StreamMigrationTests.java
@@ -482,6 +482,11 @@
 			return true;
 		}
 
+		@Override
+		public boolean storeFailing() {
+			return false;
+		}
+
 	}
 
 	private static final class RecordingLog extends NoOpRequestLog {
