Retry a read whose page can't be applied; tell a move's answer by its request

An exception while a page is applied, outside of the listeners, would still have ended the follower; it counts as a failed read. An answer to a call that moves a run may name the run's own request; only one that names another is discarded.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -66,7 +66,7 @@
 			sleepUntil(Math.min(this.clock.nanos() + CHECK_INTERVAL.toNanos(), endsAt));
 		}
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopped");
-		complete(this.eventLoop.submit(this::endRequests, 0));
+		await(this.eventLoop.submit(this::endRequests, 0));
 	}
 
 	private void begin(long endsAt) {
@@ -86,11 +86,11 @@
 
 	// Returns the number of connections that remain.
 	private int closeIdleConnections() throws InterruptedException {
-		return complete(this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()));
+		return await(this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()));
 	}
 
 	// Returns the result, or 0 if the work failed: the shutdown goes on.
-	private static int complete(Future<Integer> work) throws InterruptedException {
+	private static int await(Future<Integer> work) throws InterruptedException {
 		try {
 			return work.get();
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/TopicFollower.java
@@ -225,8 +225,8 @@
 		return Math.max(this.nextOffset, this.highestOffset + 1);
 	}
 
-	// A read that ends without a result would be the last, since each read schedules the
-	// next one.
+	// Each read schedules the next one: one that ended with an exception would be the
+	// last.
 	private void read(Supplier<CompletableFuture<TopicPage>> query, Consumer<TopicPage> reader) {
 		CompletableFuture<TopicPage> result;
 		try {
@@ -241,7 +241,12 @@
 				return;
 			}
 			readSucceeded();
-			reader.accept(page);
+			try {
+				reader.accept(page);
+			}
+			catch (RuntimeException ex) {
+				readFailed(ex);
+			}
 		});
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
@@ -28,6 +28,8 @@
 
 	private final HeaderCodec headerCodec;
 
+	private final String requestId;
+
 	private final Consumer<SourceAnswer> outcome;
 
 	private final ScheduledFuture<?> timer;
@@ -40,9 +42,11 @@
 
 	private @Nullable ClientCall call;
 
-	MoveCall(StreamMoveCodec codec, HeaderCodec headerCodec, EventLoop eventLoop, Consumer<SourceAnswer> outcome) {
+	MoveCall(StreamMoveCodec codec, HeaderCodec headerCodec, String requestId, EventLoop eventLoop,
+			Consumer<SourceAnswer> outcome) {
 		this.codec = codec;
 		this.headerCodec = headerCodec;
+		this.requestId = requestId;
 		this.outcome = outcome;
 		this.timer = eventLoop.schedule(this::cancel, MigrationRule.ANSWER_TIMEOUT.toNanos(), TimeUnit.NANOSECONDS);
 	}
@@ -51,20 +55,12 @@
 		this.call = startedCall;
 	}
 
+	// The call has no id of its own. An answer that names another request is a late one
+	// of that.
 	@Override
 	public ResponseMatch match(HttpResponse head) {
-		return matchWithoutRequest(this.headerCodec, head);
-	}
-
-	/**
-	 * Matches the response to a call that has no request id. One that names a request
-	 * belongs to that.
-	 * @param headerCodec reads the headers
-	 * @param head the status and headers
-	 * @return what the head shows
-	 */
-	static ResponseMatch matchWithoutRequest(HeaderCodec headerCodec, HttpResponse head) {
-		return (headerCodec.readEndpoint(head.headers()).requestId() != null) ? ResponseMatch.OTHER : ResponseMatch.OWN;
+		String stated = this.headerCodec.readEndpoint(head.headers()).requestId();
+		return (stated == null || stated.equals(this.requestId)) ? ResponseMatch.OWN : ResponseMatch.OTHER;
 	}
 
 	@Override
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamMigrations.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamMigrations.java
@@ -80,7 +80,7 @@
 	 */
 	void requestMove(InetSocketAddress source, String requestId, InetSocketAddress destination, CallOptions options,
 			Consumer<SourceAnswer> outcome) {
-		MoveCall listener = new MoveCall(this.codec, this.headerCodec, this.eventLoop, outcome);
+		MoveCall listener = new MoveCall(this.codec, this.headerCodec, requestId, this.eventLoop, outcome);
 		listener.started(this.connections.call(source, this.codec.moveRequest(source, requestId, destination), options,
 				listener));
 	}
@@ -92,19 +92,13 @@
 	 * @param options the connection options
 	 */
 	void release(StoppedRun run, CallOptions options) {
-		this.connections.call(run.source(), this.codec.releaseRequest(run), options,
-				new IgnoredAnswer(this.headerCodec));
+		this.connections.call(run.source(), this.codec.releaseRequest(run), options, new IgnoredAnswer());
 	}
 
 	/**
 	 * Ignores the answer to a call.
 	 */
-	private record IgnoredAnswer(HeaderCodec headerCodec) implements ResponseListener {
-
-		@Override
-		public ResponseMatch match(HttpResponse head) {
-			return MoveCall.matchWithoutRequest(this.headerCodec, head);
-		}
+	private static final class IgnoredAnswer implements ResponseListener {
 
 		@Override
 		public void head(HttpResponse head) {
