Fail a request at once whose answer has neither id nor seal

Change: an answer without id and seal on a connection that carried other requests is unreadable, and its request fails at once, as before the change for second answers; one with a seal is still discarded, as a late second answer.

Result: ExchangeTests#unreadableResponseFailsItsRequestAtOnce failed before and passes.

The buffers are filled without a blocked write; what is asserted is unchanged. - ExchangeTests#unsentNonRepeatableRequestIsSentToAnotherEndpoint (504 after the whole timeout): a closed ScriptedEndpoint still accepted a connection until its accepting thread had ended, and had no script for its request. By reading, not seen again; close() now waits for that thread.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -233,20 +233,18 @@
 
 	@Override
 	public ResponseMatch match(HttpResponse response) {
-		String stated = requestId(response);
+		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(response.headers());
+		String stated = headers.requestId();
 		if (stated == null) {
-			return ResponseMatch.UNIDENTIFIED;
+			return headers.sealed() ? ResponseMatch.UNIDENTIFIED : ResponseMatch.UNREADABLE;
 		}
 		return stated.equals(this.exchange.requestId()) ? ResponseMatch.OWN : ResponseMatch.OTHER;
 	}
 
-	private @Nullable String requestId(HttpResponse response) {
-		return this.exchange.headerCodec().readEndpoint(response.headers()).requestId();
-	}
-
 	@Override
 	public void discarded(HttpResponse response) {
-		this.exchange.responseDiscarded(this, requestId(response), response.status().code());
+		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(response.headers());
+		this.exchange.responseDiscarded(this, headers.requestId(), response.status().code());
 	}
 
 	@Override
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -162,12 +162,17 @@
 	private void readHead(ClientCall current, HttpResponse head) {
 		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		ResponseMatch match = informational ? ResponseMatch.OTHER : current.match(head);
-		this.ignoringResponse = match == ResponseMatch.OTHER || (match == ResponseMatch.UNIDENTIFIED && this.calls > 1);
+		this.ignoringResponse = match == ResponseMatch.OTHER || (match != ResponseMatch.OWN && this.calls > 1);
 		if (this.ignoringResponse) {
 			if (!informational) {
 				current.discarded(head);
 			}
-			ignore(IGNORED_HEAD_BYTES);
+			if (match == ResponseMatch.UNREADABLE) {
+				fail(CallFailure.UNREADABLE);
+			}
+			else {
+				ignore(IGNORED_HEAD_BYTES);
+			}
 			return;
 		}
 		this.headReceived = true;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseMatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseMatch.java
@@ -14,6 +14,12 @@
 	 */
 	UNIDENTIFIED,
 
+	/**
+	 * It names no call and isn't sealed, so that no call can have it as its response on
+	 * such a connection.
+	 */
+	UNREADABLE,
+
 	/** It names another call. */
 	OTHER
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -515,6 +515,20 @@
 		}
 	}
 
+	// Guards against a request that waits until its deadline for the answer of an
+	// endpoint
+	// that sent bytes which are no answer, on a connection that was used before.
+	@Test
+	void unreadableResponseFailsItsRequestAtOnce() throws Exception {
+		endpoint("a").thenRespond(COMPLETE).thenRespond("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong");
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").body()).isEqualTo("hello");
+			long startedAt = System.nanoTime();
+			assertThat(caller.call("POST /once/ HTTP/1.1", "2").status()).isEqualTo(502);
+			assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(Duration.ofMillis(500));
+		}
+	}
+
 	// Guards against running a request twice: the endpoint reads the request and resets
 	// the connection. It may have run the request, so that the request is not retried,
 	// and the caller is not told that it was not run.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
@@ -26,6 +26,8 @@
 
 	private final ServerSocket server;
 
+	private final Thread acceptor;
+
 	private final Queue<Script> scripts = new ArrayDeque<>();
 
 	private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
@@ -34,7 +36,7 @@
 
 	ScriptedEndpoint() throws IOException {
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		Thread.ofVirtual().start(this::accept);
+		this.acceptor = Thread.ofVirtual().start(this::accept);
 	}
 
 	InetSocketAddress address() {
@@ -166,9 +168,18 @@
 		return head + new String(body, StandardCharsets.US_ASCII);
 	}
 
+	/**
+	 * Stops listening. Until the accepting thread ends, connections would be accepted.
+	 */
 	@Override
 	public void close() throws IOException {
 		this.server.close();
+		try {
+			this.acceptor.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	/**
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
@@ -6,6 +6,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -119,18 +122,32 @@
 	// write to the gateway met the reset.
 	@Test
 	void passesOnAResetThatAWriteToTheGatewayMeets() throws Exception {
+		this.endpoint.close();
+		this.endpoint = ServerSocketChannel.open()
+			.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+			.socket();
 		Socket tunnel = open(target());
 		readHead(tunnel);
 		Socket accepted = this.endpoint.accept();
 		accepted.setSoTimeout(5000);
 		tunnel.getOutputStream().write(1);
 		assertThat(accepted.getInputStream().read()).isOne();
-		Thread response = Thread.ofVirtual().start(() -> writeUntilReset(accepted));
-		TimeUnit.MILLISECONDS.sleep(300);
+		fillBuffers(accepted.getChannel());
 		tunnel.setSoLinger(true, 0);
 		tunnel.close();
 		assertThatThrownBy(() -> accepted.getInputStream().read()).isInstanceOf(SocketException.class);
-		response.join();
+	}
+
+	// A blocked write beside the read would take the reset, and the read see an end.
+	private static void fillBuffers(SocketChannel channel) throws Exception {
+		channel.configureBlocking(false);
+		long end = System.nanoTime() + Duration.ofMillis(300).toNanos();
+		while (System.nanoTime() < end) {
+			if (channel.write(ByteBuffer.allocate(64 * 1024)) == 0) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+		}
+		channel.configureBlocking(true);
 	}
 
 	private static void writeUntilReset(Socket socket) {
