Set the reset on close for streams without chunks only

Found on rereading: each stream set the socket option twice, at its beginning and its end, though only streams to callers that don't know chunks need it.

Change: the option is left alone where the caller knows chunks. Behaviour is unchanged otherwise.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -178,7 +178,7 @@
 		this.keepAliveRequested &= this.chunksUnderstood;
 		setConnection(start, this.keepAliveRequested && !this.server.stopping());
 		if (this.channel != null) {
-			setResetOnClose(this.channel, !this.chunksUnderstood);
+			setResetOnClose(this.channel, true);
 			this.channel.write(start);
 		}
 	}
@@ -215,8 +215,10 @@
 
 	// Without chunks, only a reset shows that a stream is truncated. The socket is set to
 	// reset beforehand, since the process may end too.
-	private static void setResetOnClose(Channel channel, boolean reset) {
-		channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+	private void setResetOnClose(Channel openChannel, boolean reset) {
+		if (!this.chunksUnderstood) {
+			openChannel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+		}
 	}
 
 	boolean streaming() {
