Report bytes that are no part of the expected response

Neither logs nor metrics showed on which bytes an answer rested, so that the hypotheses of the incident could not be told apart.

The decoder of responses is now one of our own that extends the library's response decoder, for one request at a time. It reports bytes received while no response is expected, bytes after a complete response, a response that does not begin with a status line, and a head with two status lines: as `framing violation detected` with the request, within the limit of log lines, and as banyancove_framing_violations_total. What becomes of a response is not changed by this.

20 tests of the decoder are green: sound responses in segments of 1, 7 and all bytes are no violation, each kind is reported.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -217,6 +217,7 @@
 				this.fleetExchange.streamOrigins(), ports.moves());
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.eventLoops = eventLoops;
+		connections.setFramingListener(this.metrics);
 		this.tunnelPeers = connections.connector().peers();
 		this.tunnelServer = new TunnelServer(eventLoops, connections.connector(), this.fleetExchange::isGateway,
 				this.endpoints::isListed, this.metrics);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -15,6 +15,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.ServiceName;
 import org.banyancove.core.suspect.Fingerprint;
+import org.banyancove.gateway.exchange.FramingViolation;
 import org.banyancove.gateway.exchange.RequestLog;
 import org.banyancove.gateway.quarantine.SuspectKeys;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -59,6 +60,8 @@
 
 	private final Counter discardedResponses;
 
+	private final Counter framingViolations;
+
 	private final RetryMetrics retries;
 
 	private final EndpointMetrics endpoints;
@@ -114,6 +117,12 @@
 			.help("Responses that did not belong to the request whose response was expected, by the request they named")
 			.labelNames("named")
 			.register(registry);
+		this.framingViolations = Counter.builder()
+			.withoutExemplars()
+			.name("banyancove_framing_violations_total")
+			.help("Bytes of servers that were no part of the expected response, by what showed it")
+			.labelNames("violation")
+			.register(registry);
 		this.lostAttempts = Counter.builder()
 			.withoutExemplars()
 			.name("banyancove_lost_attempts_total")
@@ -295,6 +304,19 @@
 		}
 	}
 
+	@Override
+	public void framingViolated(InetSocketAddress address, @Nullable String requestId, FramingViolation violation) {
+		String name = violation.name().toLowerCase(Locale.ROOT);
+		this.framingViolations.labelValues(name).inc();
+		if (tryAcquireLine()) {
+			log.atInfo()
+				.addKeyValue("requestId", requestId)
+				.addKeyValue("address", address)
+				.addKeyValue("violation", name)
+				.log("framing violation detected");
+		}
+	}
+
 	private static String hexadecimal(List<Long> parts) {
 		return parts.stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).collect(Collectors.joining(","));
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
@@ -23,6 +23,14 @@
 	/** A non-repeatable request cannot be retried if its connection turns out dead. */
 	private static final Duration MAXIMUM_IDLE_TIME_NON_REPEATABLE = Duration.ofSeconds(2);
 
+	/**
+	 * Returns the id of the request that the call is made for.
+	 * @return the id, or {@code null} for a call to the platform
+	 */
+	@Nullable String requestId() {
+		return (this.context != null) ? this.context.requestId() : null;
+	}
+
 	/**
 	 * Returns the options of a caller's request.
 	 * @param repeatable whether the request may run more than once
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
@@ -12,14 +13,17 @@
 
 	private final FullHttpRequest request;
 
+	private final @Nullable String requestId;
+
 	private final ResponseListener listener;
 
 	private @Nullable ClientConnection connection;
 
 	private boolean ended;
 
-	ClientCall(FullHttpRequest request, ResponseListener listener) {
+	ClientCall(FullHttpRequest request, @Nullable String requestId, ResponseListener listener) {
 		this.request = request;
+		this.requestId = requestId;
 		this.listener = listener;
 	}
 
@@ -49,6 +53,14 @@
 		return this.connection.connectedAt();
 	}
 
+	HttpMethod method() {
+		return this.request.method();
+	}
+
+	@Nullable String requestId() {
+		return this.requestId;
+	}
+
 	boolean ended() {
 		return this.ended;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -57,6 +57,8 @@
 
 	private final long expiresAt;
 
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this::framingViolated);
+
 	private @Nullable ClientCall call;
 
 	private int calls;
@@ -89,6 +91,10 @@
 		return this.address;
 	}
 
+	StrictResponseDecoder decoder() {
+		return this.decoder;
+	}
+
 	ConnectionLimit limit() {
 		return this.limit;
 	}
@@ -117,6 +123,7 @@
 		this.headReceived = false;
 		this.ignoringResponse = false;
 		this.ignoredBytes = 0;
+		this.decoder.expectResponse(newCall.method());
 		this.requestWrite = this.channel.writeAndFlush(newCall.assignTo(this));
 	}
 
@@ -211,7 +218,12 @@
 		}
 	}
 
+	private void framingViolated(FramingViolation violation) {
+		this.pool.framingViolated(this, this.call, violation);
+	}
+
 	private void finish(ClientCall current) {
+		this.decoder.endResponse();
 		this.call = null;
 		ChannelFuture pendingWrite = this.requestWrite;
 		// A response may precede the end of the request. The server would read the rest
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -13,7 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
 import org.banyancove.gateway.shared.MonotonicClock;
 import org.banyancove.gateway.tunnel.ConnectContext;
@@ -31,12 +31,6 @@
  */
 public final class ConnectionPool {
 
-	private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
-
-	private static final int MAXIMUM_CHUNK_BYTES = 64 * 1024;
-
-	private static final int MAXIMUM_INITIAL_LINE_BYTES = 8 * 1024;
-
 	private final EventLoop eventLoop;
 
 	private final MonotonicClock clock;
@@ -47,6 +41,9 @@
 
 	private final Map<InetSocketAddress, Integer> openConnections = new HashMap<>();
 
+	private FramingListener framingListener = (address, requestId, violation) -> {
+	};
+
 	/**
 	 * Creates an empty pool.
 	 * @param eventLoop the event loop that serves the connections
@@ -68,6 +65,14 @@
 		this.connector = new EndpointConnector(eventLoop, clock, channelFactory, new SplittableRandom());
 	}
 
+	/**
+	 * Sets the listener of framing violations.
+	 * @param listener the listener
+	 */
+	public void setFramingListener(FramingListener listener) {
+		this.framingListener = listener;
+	}
+
 	/**
 	 * Returns the connector that establishes the connections.
 	 * @return the connector
@@ -87,7 +92,7 @@
 	 */
 	public ClientCall call(InetSocketAddress address, FullHttpRequest request, CallOptions options,
 			ResponseListener listener) {
-		ClientCall call = new ClientCall(request, listener);
+		ClientCall call = new ClientCall(request, options.requestId(), listener);
 		ClientConnection pooled = acquireIdle(address, options);
 		if (pooled != null) {
 			pooled.send(call);
@@ -153,9 +158,7 @@
 		long expiresAt = connected.tunnelled() ? connectedAt + TunnelServer.MAXIMUM_AGE.toNanos() : Long.MAX_VALUE;
 		ClientConnection connection = new ClientConnection(this, address, channel, options.connections(), connectedAt,
 				expiresAt);
-		channel.pipeline()
-			.addLast(new HttpClientCodec(MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
-			.addLast(connection);
+		channel.pipeline().addLast(new HttpRequestEncoder()).addLast(connection.decoder()).addLast(connection);
 		return connection;
 	}
 
@@ -182,6 +185,10 @@
 		this.idleConnections.computeIfAbsent(connection.address(), (key) -> new ArrayDeque<>()).push(connection);
 	}
 
+	void framingViolated(ClientConnection connection, @Nullable ClientCall call, FramingViolation violation) {
+		this.framingListener.framingViolated(connection.address(), (call != null) ? call.requestId() : null, violation);
+	}
+
 	void removeIdle(ClientConnection connection) {
 		Deque<ClientConnection> connections = this.idleConnections.get(connection.address());
 		if (connections != null) {
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
@@ -0,0 +1,20 @@
+package org.banyancove.gateway.exchange;
+
+/**
+ * The signs that the bytes on a connection are not, or not only, the expected response.
+ */
+public enum FramingViolation {
+
+	/** Bytes were received while no response was expected. */
+	UNEXPECTED_BYTES,
+
+	/** Bytes follow a complete response. */
+	BYTES_AFTER_RESPONSE,
+
+	/** A response does not begin with a status line. */
+	NO_STATUS_LINE,
+
+	/** The head has two status lines, so that it consists of parts of two responses. */
+	SECOND_STATUS_LINE
+
+}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -16,7 +16,7 @@
 /**
  * Receives the outcomes of requests.
  */
-public interface RequestLog extends TunnelListener {
+public interface RequestLog extends TunnelListener, FramingListener {
 
 	/**
 	 * Called when a request was rejected without an attempt at an endpoint.
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StatusLineScanner.java
@@ -0,0 +1,76 @@
+package org.banyancove.gateway.exchange;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+
+/**
+ * Finds the beginnings of status lines in a sequence of bytes, however it is divided.
+ */
+final class StatusLineScanner {
+
+	/** The beginning of a status line; {@code d} stands for a digit. */
+	private static final byte[] PATTERN = "HTTP/1.d ddd".getBytes(StandardCharsets.US_ASCII);
+
+	private long position;
+
+	private int matched;
+
+	private boolean startMatches = true;
+
+	private boolean foundLater;
+
+	/** Begins another sequence. */
+	void reset() {
+		this.position = 0;
+		this.matched = 0;
+		this.startMatches = true;
+		this.foundLater = false;
+	}
+
+	/**
+	 * Reads more bytes of the sequence, without consuming them.
+	 * @param bytes the buffer
+	 * @param from the index of the first byte
+	 * @param to the index after the last byte
+	 */
+	void scan(ByteBuf bytes, int from, int to) {
+		for (int i = from; i < to; i++) {
+			scan(bytes.getByte(i));
+		}
+	}
+
+	private void scan(byte value) {
+		if (this.position < PATTERN.length && !matches(value, (int) this.position)) {
+			this.startMatches = false;
+		}
+		this.position++;
+		// Only the first byte of the pattern can begin another match.
+		this.matched = matches(value, this.matched) ? this.matched + 1 : (matches(value, 0) ? 1 : 0);
+		if (this.matched == PATTERN.length) {
+			this.foundLater |= this.position > PATTERN.length;
+			this.matched = 0;
+		}
+	}
+
+	private static boolean matches(byte value, int index) {
+		return (PATTERN[index] == 'd') ? value >= '0' && value <= '9' : value == PATTERN[index];
+	}
+
+	/**
+	 * Returns whether the sequence begins with a status line, as far as it has been read.
+	 * @return {@code false} if its first bytes are no status line
+	 */
+	boolean startMatches() {
+		return this.startMatches;
+	}
+
+	/**
+	 * Returns whether a status line begins after the first byte.
+	 * @return whether the sequence has such a status line
+	 */
+	boolean foundLater() {
+		return this.foundLater;
+	}
+
+}
--- /dev/null
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -0,0 +1,125 @@
+package org.banyancove.gateway.exchange;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decodes the responses of a connection with one request at a time, and reports bytes
+ * that are no part of the expected response.
+ * <p>
+ * The general decoder keeps an unfinished head, whenever it was received, and lets the
+ * next response complete it. Bytes that arrive before a response can't be told from its
+ * own by the time at which they arrive, since a server may respond before it has read the
+ * request. A head therefore counts as that of one response if its only status line begins
+ * at its first byte: a head that consists of two has the second status line somewhere
+ * after that.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+
+	private static final HttpDecoderConfig CONFIGURATION = new HttpDecoderConfig().setMaxInitialLineLength(8 * 1024)
+		.setMaxHeaderSize(64 * 1024)
+		.setMaxChunkSize(64 * 1024);
+
+	private final Consumer<FramingViolation> onViolation;
+
+	private final StatusLineScanner head = new StatusLineScanner();
+
+	private boolean readingHead = true;
+
+	private boolean violated;
+
+	/** The method of the request whose response is expected. */
+	private @Nullable HttpMethod method;
+
+	/**
+	 * Creates the decoder.
+	 * @param onViolation receives the violations
+	 */
+	StrictResponseDecoder(Consumer<FramingViolation> onViolation) {
+		super(CONFIGURATION);
+		this.onViolation = onViolation;
+	}
+
+	/**
+	 * Expects the response to a request.
+	 * @param requestMethod the method of the request
+	 */
+	void expectResponse(HttpMethod requestMethod) {
+		this.method = requestMethod;
+	}
+
+	/**
+	 * Expects no further bytes, since the response is complete.
+	 * @return whether no bytes follow the response
+	 */
+	boolean endResponse() {
+		this.method = null;
+		if (actualReadableBytes() == 0) {
+			return true;
+		}
+		violated(FramingViolation.BYTES_AFTER_RESPONSE);
+		return false;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+		if (this.method == null && message instanceof ByteBuf bytes && bytes.isReadable()) {
+			violated(FramingViolation.UNEXPECTED_BYTES);
+		}
+		super.channelRead(context, message);
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+		int start = bytes.readerIndex();
+		super.decode(context, bytes, messages);
+		if (this.readingHead) {
+			readHead(bytes, start);
+		}
+		for (Object message : messages) {
+			if (message instanceof LastHttpContent) {
+				this.readingHead = true;
+				this.head.reset();
+			}
+			else if (message instanceof HttpResponse) {
+				this.readingHead = false;
+			}
+		}
+	}
+
+	private void readHead(ByteBuf bytes, int start) {
+		this.head.scan(bytes, start, bytes.readerIndex());
+		if (!this.head.startMatches()) {
+			violated(FramingViolation.NO_STATUS_LINE);
+		}
+		else if (this.head.foundLater()) {
+			violated(FramingViolation.SECOND_STATUS_LINE);
+		}
+	}
+
+	private void violated(FramingViolation violation) {
+		if (!this.violated) {
+			this.violated = true;
+			this.onViolation.accept(violation);
+		}
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		boolean informational = message instanceof HttpResponse response
+				&& response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+		return (!informational && HttpMethod.HEAD.equals(this.method)) || super.isContentAlwaysEmpty(message);
+	}
+
+}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -38,6 +38,10 @@
 	public void responseDiscarded(String requestId, EndpointId endpoint, @Nullable String statedRequestId, int status) {
 	}
 
+	@Override
+	public void framingViolated(InetSocketAddress address, @Nullable String requestId, FramingViolation violation) {
+	}
+
 	@Override
 	public void streamMoveEnded(EndedMove move) {
 	}
--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
@@ -0,0 +1,108 @@
+package org.banyancove.gateway.exchange;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class StrictResponseDecoderTests {
+
+	private static final String RESPONSE = "HTTP/1.1 500 Failed\r\nid: 1\r\ncontent-length: 5\r\n\r\nhello";
+
+	private final List<FramingViolation> violations = new ArrayList<>();
+
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this.violations::add);
+
+	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder);
+
+	@ParameterizedTest
+	@ValueSource(strings = { RESPONSE, "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 204\r\n\r\n",
+			"HTTP/1.1 200 \r\nvia: HTTP/1.1 a, HTTP/1.1 b\r\nset-cookie: a\r\nset-cookie: b\r\ncontent-length: 0\r\n\r\n",
+			"HTTP/1.1 103 Early\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\nx: a\r\n b\r\ncontent-length: 0\r\n\r\n" })
+	void soundResponsesAreNoViolations(String text) {
+		for (int segment : new int[] { 1, 7, text.length() }) {
+			this.decoder.expectResponse(HttpMethod.GET);
+			receive(text, segment);
+			assertThat(this.decoder.endResponse()).isTrue();
+		}
+		assertThat(this.violations).isEmpty();
+	}
+
+	@Test
+	void bytesWithoutRequestAreReported() {
+		receive("H", 1);
+		assertThat(this.violations).containsExactly(FramingViolation.UNEXPECTED_BYTES);
+	}
+
+	@Test
+	void bytesAfterAResponseAreReported() {
+		this.decoder.expectResponse(HttpMethod.GET);
+		this.channel.pipeline().addLast(new EndHandler());
+		receive(RESPONSE + "\r", RESPONSE.length() + 1);
+		assertThat(this.violations).containsExactly(FramingViolation.BYTES_AFTER_RESPONSE);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\ndate: Sat, 05", "HTTP/1.1 200 OK\r\nvia: a\r\n",
+			"HTTP/1.1 200 OK\r", "HTTP/1.1 200 OK\r\nvia" })
+	void headOfTwoResponsesIsReported(String beginning) {
+		for (int segment : new int[] { 1, 7, 1000 }) {
+			EmbeddedChannel connection = new EmbeddedChannel(expecting());
+			receive(connection, beginning + RESPONSE, segment);
+			assertThat(this.violations).containsExactly(FramingViolation.SECOND_STATUS_LINE);
+			this.violations.clear();
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "\r\n", " ", "\0", "HTT", "H", "HTTP/1.1 2", "HTTP/2 200 OK\r\n\r\n", "lo" })
+	void bytesBeforeTheStatusLineAreReported(String beginning) {
+		for (int segment : new int[] { 1, 7, 1000 }) {
+			EmbeddedChannel connection = new EmbeddedChannel(expecting());
+			receive(connection, beginning + RESPONSE, segment);
+			assertThat(this.violations).containsExactly(FramingViolation.NO_STATUS_LINE);
+			this.violations.clear();
+		}
+	}
+
+	private StrictResponseDecoder expecting() {
+		StrictResponseDecoder created = new StrictResponseDecoder(this.violations::add);
+		created.expectResponse(HttpMethod.GET);
+		return created;
+	}
+
+	private void receive(String text, int segment) {
+		receive(this.channel, text, segment);
+	}
+
+	private static void receive(EmbeddedChannel connection, String text, int segment) {
+		for (int i = 0; i < text.length(); i += segment) {
+			String part = text.substring(i, Math.min(text.length(), i + segment));
+			connection.writeInbound(Unpooled.copiedBuffer(part, StandardCharsets.US_ASCII));
+		}
+	}
+
+	/**
+	 * Ends the response when it is complete.
+	 */
+	private final class EndHandler extends SimpleChannelInboundHandler<LastHttpContent> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, LastHttpContent message) {
+			StrictResponseDecoderTests.this.decoder.endResponse();
+		}
+
+	}
+
+}
