--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseEndTests.java
@@ -9,8 +9,6 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -28,12 +26,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import org.banyancove.core.DataCenterName;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.tunnel.ConnectContext;
-import org.banyancove.gateway.tunnel.EndpointConnector;
-import org.banyancove.gateway.tunnel.TunnelPeer;
-import org.banyancove.gateway.tunnel.TunnelServer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -157,19 +151,7 @@
 	}
 
 	private void openTunnelServer() throws Exception {
-		InetAddress loopback = InetAddress.getLoopbackAddress();
-		InetSocketAddress address;
-		try (ServerSocket free = new ServerSocket(0, 1, loopback)) {
-			address = new InetSocketAddress(loopback, free.getLocalPort());
-		}
-		EndpointConnector connector = new EndpointConnector(this.eventLoop, System::nanoTime, NioSocketChannel::new,
-				new SplittableRandom(1));
-		new TunnelServer(this.eventLoops, connector, (from) -> true, (target) -> true, new NoOpRequestLog())
-			.listen(address);
-		DataCenterName dataCenter = new DataCenterName("zone");
-		this.connections.connector()
-			.peers()
-			.update(new TunnelPeer("own", address, dataCenter), List.of(new TunnelPeer("other", address, dataCenter)));
+		LoopbackTunnel.open(this.eventLoops, this.connections);
 		this.partitioned = true;
 	}
 
