Accept a response's head only if it has one status line, at its first byte

Callers got a success where the endpoint had answered with a failure: status and first headers of an extra answer, whose head was cut, with the id, seal and body of the next answer on the connection.

The decoder kept an unfinished head, whenever its bytes were received, and let the next response complete it. An idle connection noticed an unexpected message, but not unexpected bytes. The class of fault: the boundary between two responses was inferred from what could be decoded, not shown.

Bytes received while no response is expected now close the connection, and one whose response is followed by bytes is not used again. Bytes that are received after a request was sent can be early, so their time proves nothing; but a response of a server always brings its whole status line. A head in which another status line begins after the first byte consists of parts of two responses, wherever the first was cut, and a response that doesn't begin with a status line has lost its beginning. Both fail at once as UNREADABLE, which promises nothing about the run, and the connection is closed.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -220,15 +220,18 @@
 
 	private void framingViolated(FramingViolation violation) {
 		this.pool.framingViolated(this, this.call, violation);
+		if (violation != FramingViolation.BYTES_AFTER_RESPONSE) {
+			fail(CallFailure.UNREADABLE);
+		}
 	}
 
 	private void finish(ClientCall current) {
-		this.decoder.endResponse();
+		boolean lastBytes = this.decoder.endResponse();
 		this.call = null;
 		ChannelFuture pendingWrite = this.requestWrite;
 		// A response may precede the end of the request. The server would read the rest
 		// of the request as the start of the next one.
-		if (this.reusable && pendingWrite != null && pendingWrite.isDone() && this.channel.isActive()) {
+		if (lastBytes && this.reusable && pendingWrite != null && pendingWrite.isDone() && this.channel.isActive()) {
 			this.pool.release(this);
 		}
 		else {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StatusLineScanner.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StatusLineScanner.java
@@ -16,15 +16,12 @@
 
 	private int matched;
 
-	private boolean startMatches = true;
-
 	private boolean foundLater;
 
 	/** Begins another sequence. */
 	void reset() {
 		this.position = 0;
 		this.matched = 0;
-		this.startMatches = true;
 		this.foundLater = false;
 	}
 
@@ -41,9 +38,6 @@
 	}
 
 	private void scan(byte value) {
-		if (this.position < PATTERN.length && !matches(value, (int) this.position)) {
-			this.startMatches = false;
-		}
 		this.position++;
 		// Only the first byte of the pattern can begin another match.
 		this.matched = matches(value, this.matched) ? this.matched + 1 : (matches(value, 0) ? 1 : 0);
@@ -58,11 +52,19 @@
 	}
 
 	/**
-	 * Returns whether the sequence begins with a status line, as far as it has been read.
+	 * Returns whether a sequence that goes on with some bytes can begin with a status
+	 * line.
+	 * @param bytes the bytes, which are not consumed
 	 * @return {@code false} if its first bytes are no status line
 	 */
-	boolean startMatches() {
-		return this.startMatches;
+	boolean canFollow(ByteBuf bytes) {
+		int length = (int) Math.min(PATTERN.length - this.position, bytes.readableBytes());
+		for (int i = 0; i < length; i++) {
+			if (!matches(bytes.getByte(bytes.readerIndex() + i), (int) this.position + i)) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	/**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -12,11 +12,12 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decodes the responses of a connection with one request at a time, and reports bytes
- * that are no part of the expected response.
+ * Decodes the responses of a connection with one request at a time, up to the first bytes
+ * that are no part of the expected response. Those and all later ones are discarded.
  * <p>
  * The general decoder keeps an unfinished head, whenever it was received, and lets the
  * next response complete it. Bytes that arrive before a response can't be told from its
@@ -77,11 +78,29 @@
 		if (this.method == null && message instanceof ByteBuf bytes && bytes.isReadable()) {
 			violated(FramingViolation.UNEXPECTED_BYTES);
 		}
-		super.channelRead(context, message);
+		if (this.violated) {
+			ReferenceCountUtil.release(message);
+		}
+		else {
+			super.channelRead(context, message);
+		}
 	}
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+		if (this.readingHead && !this.head.canFollow(bytes)) {
+			violated(FramingViolation.NO_STATUS_LINE);
+		}
+		if (!this.violated) {
+			decodeResponse(context, bytes, messages);
+		}
+		if (this.violated) {
+			messages.clear();
+			bytes.skipBytes(bytes.readableBytes());
+		}
+	}
+
+	private void decodeResponse(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
 		int start = bytes.readerIndex();
 		super.decode(context, bytes, messages);
 		if (this.readingHead) {
@@ -100,10 +119,7 @@
 
 	private void readHead(ByteBuf bytes, int start) {
 		this.head.scan(bytes, start, bytes.readerIndex());
-		if (!this.head.startMatches()) {
-			violated(FramingViolation.NO_STATUS_LINE);
-		}
-		else if (this.head.foundLater()) {
+		if (this.head.foundLater()) {
 			violated(FramingViolation.SECOND_STATUS_LINE);
 		}
 	}
