End a call at once whose response is read as the body of an extra one

A call waited for its timeout, and a caller for its answer, where an extra answer had ended within its body: the discarded answer's length or chunks swallowed the next one.

A response that belongs to no request is discarded up to the end that it states, which is the same inference as with heads: its boundary was not shown. The bytes that are discarded are now scanned too; a status line in them fails the call at once as UNREADABLE. A connection on which a response was discarded is not used again, since the endpoint's next bytes there are in doubt as well.

A discarded answer that is whole and quotes a status line costs the next call on its connection.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -69,6 +69,8 @@
 
 	private boolean ignoringResponse;
 
+	private boolean responseDiscarded;
+
 	private int ignoredBytes;
 
 	private boolean reusable;
@@ -172,7 +174,7 @@
 		this.ignoringResponse = match == ResponseMatch.OTHER || (match != ResponseMatch.OWN && this.calls > 1);
 		if (this.ignoringResponse) {
 			if (!informational) {
-				current.discarded(head);
+				discard(current, head);
 			}
 			if (match == ResponseMatch.UNREADABLE) {
 				fail(CallFailure.UNREADABLE);
@@ -189,6 +191,12 @@
 		this.keepAliveTimeout = parseKeepAliveTimeout(head);
 	}
 
+	private void discard(ClientCall current, HttpResponse head) {
+		current.discarded(head);
+		this.responseDiscarded = true;
+		this.decoder.discardResponse();
+	}
+
 	private void readContent(ClientCall current, HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.ignoringResponse) {
@@ -228,10 +236,7 @@
 	private void finish(ClientCall current) {
 		boolean lastBytes = this.decoder.endResponse();
 		this.call = null;
-		ChannelFuture pendingWrite = this.requestWrite;
-		// A response may precede the end of the request. The server would read the rest
-		// of the request as the start of the next one.
-		if (lastBytes && this.reusable && pendingWrite != null && pendingWrite.isDone() && this.channel.isActive()) {
+		if (lastBytes && isReusable()) {
 			this.pool.release(this);
 		}
 		else {
@@ -240,6 +245,14 @@
 		current.completed();
 	}
 
+	// A response may precede the end of the request. The server would read the rest of
+	// the request as the start of the next one.
+	private boolean isReusable() {
+		ChannelFuture pendingWrite = this.requestWrite;
+		return this.reusable && !this.responseDiscarded && pendingWrite != null && pendingWrite.isDone()
+				&& this.channel.isActive();
+	}
+
 	private static Duration parseKeepAliveTimeout(HttpResponse head) {
 		String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
 		if (value == null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
@@ -15,6 +15,12 @@
 	NO_STATUS_LINE,
 
 	/** The head has two status lines, so that it consists of parts of two responses. */
-	SECOND_STATUS_LINE
+	SECOND_STATUS_LINE,
+
+	/**
+	 * A response that is discarded has a status line in its body, so that it may have
+	 * ended early and the rest is the expected response.
+	 */
+	STATUS_LINE_IN_DISCARDED_BODY
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -34,10 +34,12 @@
 
 	private final Consumer<FramingViolation> onViolation;
 
-	private final StatusLineScanner head = new StatusLineScanner();
+	private final StatusLineScanner scanner = new StatusLineScanner();
 
 	private boolean readingHead = true;
 
+	private boolean discarding;
+
 	private boolean violated;
 
 	/** The method of the request whose response is expected. */
@@ -73,6 +75,15 @@
 		return false;
 	}
 
+	/**
+	 * Discards the response whose head was decoded last, and expects another one. A
+	 * response that belongs to no request may also end early: the expected one would be
+	 * read as the rest of its body.
+	 */
+	void discardResponse() {
+		this.discarding = true;
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
 		if (this.method == null && message instanceof ByteBuf bytes && bytes.isReadable()) {
@@ -88,13 +99,14 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
-		if (this.readingHead && !this.head.canFollow(bytes)) {
+		if (this.readingHead && !this.scanner.canFollow(bytes)) {
 			violated(FramingViolation.NO_STATUS_LINE);
 		}
 		if (!this.violated) {
 			decodeResponse(context, bytes, messages);
 		}
 		if (this.violated) {
+			messages.forEach(ReferenceCountUtil::release);
 			messages.clear();
 			bytes.skipBytes(bytes.readableBytes());
 		}
@@ -103,13 +115,14 @@
 	private void decodeResponse(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
 		int start = bytes.readerIndex();
 		super.decode(context, bytes, messages);
-		if (this.readingHead) {
-			readHead(bytes, start);
+		if (this.readingHead || this.discarding) {
+			scan(bytes, start);
 		}
 		for (Object message : messages) {
 			if (message instanceof LastHttpContent) {
 				this.readingHead = true;
-				this.head.reset();
+				this.discarding = false;
+				this.scanner.reset();
 			}
 			else if (message instanceof HttpResponse) {
 				this.readingHead = false;
@@ -117,10 +130,11 @@
 		}
 	}
 
-	private void readHead(ByteBuf bytes, int start) {
-		this.head.scan(bytes, start, bytes.readerIndex());
-		if (this.head.foundLater()) {
-			violated(FramingViolation.SECOND_STATUS_LINE);
+	private void scan(ByteBuf bytes, int start) {
+		this.scanner.scan(bytes, start, bytes.readerIndex());
+		if (this.scanner.foundLater()) {
+			violated(this.discarding ? FramingViolation.STATUS_LINE_IN_DISCARDED_BODY
+					: FramingViolation.SECOND_STATUS_LINE);
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -54,6 +54,13 @@
 			"HTTP/1.1 200 OK\r\ndate: Sat, 05 Dec\r\nvia: 1.1 a\r\ncontent-length: 0\r\n\r\n",
 			"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nid: PREVIOUS\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
 
+	/** Extra responses whose bodies end early, or have none, as after a HEAD request. */
+	private static final List<String> LONG_EXTRA_RESPONSES = List.of(
+			"HTTP/1.1 200 OK\r\nid: PREVIOUS\r\nseal: s\r\ncontent-length: 5000\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nid: PREVIOUS\r\nseal: s\r\ncontent-length: 5000\r\n\r\npart",
+			"HTTP/1.1 200 OK\r\nid: PREVIOUS\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n1388\r\npart",
+			"HTTP/1.1 200 OK\r\nid: PREVIOUS\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n");
+
 	private static final List<String> RESPONSES = List.of(
 			"HTTP/1.1 500 Failed\r\nid: ID\r\nseal: s\r\ncontent-length: 8\r\n\r\nown body",
 			"HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\ntransfer-encoding: chunked\r\n\r\n8\r\nown body\r\n0\r\n\r\n",
@@ -117,9 +124,41 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a call that waits for its timeout because its response was read as
+	// the rest of an extra one.
+	@ParameterizedTest
+	@CsvSource({ "GET, false", "HEAD, false", "GET, true", "HEAD, true" })
+	void callEndsAtOnceIfItsResponseIsReadAsTheBodyOfAnExtraOne(String method, boolean tunnelled) throws Exception {
+		if (tunnelled) {
+			LoopbackTunnel.open(this.eventLoops, this.connections);
+			this.partitioned = true;
+		}
+		Thread.ofVirtual().start(this::accept);
+		List<String> wrong = new ArrayList<>();
+		int ids = 0;
+		for (String extra : LONG_EXTRA_RESPONSES) {
+			for (String next : RESPONSES) {
+				String id = "a" + ids++;
+				String beginning = extra.replace("PREVIOUS", id);
+				boolean head = method.equals("HEAD");
+				String response = head ? next.substring(0, next.indexOf("\r\n\r\n") + 4) : next;
+				this.exchange = new Exchange(beginning, response, Timing.BEFORE_NEXT_RESPONSE);
+				check(id, "200 whole " + id, beginning, wrong);
+				check(HttpMethod.valueOf(method), "b" + ids++, response.substring(9, 12) + (head ? " " : " own body"),
+						beginning, wrong);
+			}
+		}
+		assertThat(wrong).isEmpty();
+	}
+
 	private void check(String id, String own, String beginning, List<String> wrong) throws Exception {
+		check(HttpMethod.GET, id, own, beginning, wrong);
+	}
+
+	private void check(HttpMethod method, String id, String own, String beginning, List<String> wrong)
+			throws Exception {
 		Response response = new Response(id);
-		ClientCall call = call(response);
+		ClientCall call = call(method, response);
 		String result = response.end.completeOnTimeout("no end", MAXIMUM_WAIT.toMillis(), TimeUnit.MILLISECONDS).get();
 		this.eventLoop.submit(call::cancel).sync();
 		if (!result.equals(own) && !result.equals("UNREADABLE")) {
@@ -127,9 +166,8 @@
 		}
 	}
 
-	private ClientCall call(Response response) throws Exception {
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/",
-				Unpooled.EMPTY_BUFFER);
+	private ClientCall call(HttpMethod method, Response response) throws Exception {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
 		request.headers().set("id", response.id);
 		ConnectContext context = new ConnectContext(new ServiceName("service"), 1, response.id, new NoOpRequestLog());
 		InetSocketAddress address = (InetSocketAddress) this.server.getLocalSocketAddress();
