Make calls about streams in progress on connections of their own

A call that moves or frees a run has no id, so that a late answer without an id to an earlier request on its connection was taken for its answer.

Such a call now uses a new connection that carries no other call before or after it, on which an answer needs no id. It is one connection for each move and each release.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
@@ -13,9 +13,11 @@
  * @param connections the limit of connections to the address
  * @param context what a connection to an endpoint is needed for, or {@code null} for a
  * call to the platform
+ * @param dedicated whether the connection carries no other call, for a call whose
+ * response need not name it
  */
 public record CallOptions(Duration connectTimeout, Duration maximumIdleTime, ConnectionLimit connections,
-		@Nullable ConnectContext context) {
+		@Nullable ConnectContext context, boolean dedicated) {
 
 	/** A pooled connection that has been idle for longer may be dead. */
 	private static final Duration MAXIMUM_IDLE_TIME = Duration.ofSeconds(10);
@@ -31,6 +33,18 @@
 		return (this.context != null) ? this.context.requestId() : null;
 	}
 
+	/**
+	 * Creates the options of a call whose connection may have carried others.
+	 * @param connectTimeout the timeout for establishing a new connection
+	 * @param maximumIdleTime the idle time beyond which a pooled connection is not reused
+	 * @param connections the limit of connections to the address
+	 * @param context what a connection to an endpoint is needed for, or {@code null}
+	 */
+	public CallOptions(Duration connectTimeout, Duration maximumIdleTime, ConnectionLimit connections,
+			@Nullable ConnectContext context) {
+		this(connectTimeout, maximumIdleTime, connections, context, false);
+	}
+
 	/**
 	 * Returns the options of a caller's request.
 	 * @param repeatable whether the request may run more than once
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -53,6 +53,8 @@
 	/** The limit under which the connection was established. */
 	private final ConnectionLimit limit;
 
+	private final boolean dedicated;
+
 	private final long connectedAt;
 
 	private final long expiresAt;
@@ -79,12 +81,13 @@
 
 	private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
 
-	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, ConnectionLimit limit,
+	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, CallOptions options,
 			long connectedAt, long expiresAt) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
-		this.limit = limit;
+		this.limit = options.connections();
+		this.dedicated = options.dedicated();
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
 	}
@@ -101,6 +104,10 @@
 		return this.limit;
 	}
 
+	boolean dedicated() {
+		return this.dedicated;
+	}
+
 	long connectedAt() {
 		return this.connectedAt;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -93,7 +93,7 @@
 	public ClientCall call(InetSocketAddress address, FullHttpRequest request, CallOptions options,
 			ResponseListener listener) {
 		ClientCall call = new ClientCall(request, options.requestId(), listener);
-		ClientConnection pooled = acquireIdle(address, options);
+		ClientConnection pooled = options.dedicated() ? null : acquireIdle(address, options);
 		if (pooled != null) {
 			pooled.send(call);
 		}
@@ -156,8 +156,7 @@
 		channel.closeFuture().addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
 		long connectedAt = this.clock.nanos();
 		long expiresAt = connected.tunnelled() ? connectedAt + TunnelServer.MAXIMUM_AGE.toNanos() : Long.MAX_VALUE;
-		ClientConnection connection = new ClientConnection(this, address, channel, options.connections(), connectedAt,
-				expiresAt);
+		ClientConnection connection = new ClientConnection(this, address, channel, options, connectedAt, expiresAt);
 		channel.pipeline().addLast(new HttpRequestEncoder()).addLast(connection.decoder()).addLast(connection);
 		return connection;
 	}
@@ -177,7 +176,8 @@
 
 	// The other gateways may need connections that are beyond this gateway's part.
 	void release(ClientConnection connection) {
-		if (this.openConnections.getOrDefault(connection.address(), 0) > connection.limit().kept()) {
+		if (connection.dedicated()
+				|| this.openConnections.getOrDefault(connection.address(), 0) > connection.limit().kept()) {
 			connection.close();
 			return;
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -93,7 +93,7 @@
 		CallOptions options = options();
 		ConnectionLimit limit = options.connections();
 		return new CallOptions(options.connectTimeout(), options.maximumIdleTime(),
-				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context());
+				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context(), true);
 	}
 
 	ConnectContext connectContext() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
@@ -55,8 +55,7 @@
 		this.call = startedCall;
 	}
 
-	// The call has no id of its own. An answer that names another request is a late one
-	// of that.
+	// The call has no id of its own, and needs none on a dedicated connection.
 	@Override
 	public ResponseMatch match(HttpResponse head) {
 		String stated = this.headerCodec.readEndpoint(head.headers()).requestId();
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -32,6 +32,7 @@
 import org.banyancove.gateway.tunnel.ConnectContext;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -78,6 +79,8 @@
 
 	private volatile boolean partitioned;
 
+	private boolean dedicated;
+
 	private volatile Exchange exchange = new Exchange("", RESPONSES.getFirst(), Timing.IDLE);
 
 	private static ServerSocket newServerSocket() {
@@ -151,13 +154,27 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a call without an id that takes a late response to the request
+	// before it on its connection for its own.
+	@Test
+	void callThatNeedsNoIdGetsNoResponseToAnEarlierRequest() throws Exception {
+		Thread.ofVirtual().start(this::accept);
+		List<String> wrong = new ArrayList<>();
+		this.exchange = new Exchange("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", RESPONSES.getFirst(),
+				Timing.BEFORE_NEXT_RESPONSE);
+		check("a1", "200 whole a1", "", wrong);
+		this.dedicated = true;
+		check("b2", "500 own body", "", wrong);
+		assertThat(wrong).isEmpty();
+	}
+
 	private void check(String id, String own, String beginning, List<String> wrong) throws Exception {
 		check(HttpMethod.GET, id, own, beginning, wrong);
 	}
 
 	private void check(HttpMethod method, String id, String own, String beginning, List<String> wrong)
 			throws Exception {
-		Response response = new Response(id);
+		Response response = new Response(id, this.dedicated);
 		ClientCall call = call(method, response);
 		String result = response.end.completeOnTimeout("no end", MAXIMUM_WAIT.toMillis(), TimeUnit.MILLISECONDS).get();
 		this.eventLoop.submit(call::cancel).sync();
@@ -171,7 +188,7 @@
 		request.headers().set("id", response.id);
 		ConnectContext context = new ConnectContext(new ServiceName("service"), 1, response.id, new NoOpRequestLog());
 		InetSocketAddress address = (InetSocketAddress) this.server.getLocalSocketAddress();
-		CallOptions options = new CallOptions(TIMEOUT, TIMEOUT, new ConnectionLimit(100, 100), context);
+		CallOptions options = new CallOptions(TIMEOUT, TIMEOUT, new ConnectionLimit(100, 100), context, this.dedicated);
 		return this.eventLoop.submit(() -> this.connections.call(address, request, options, response)).get();
 	}
 
@@ -272,15 +289,18 @@
 
 		private final String id;
 
-		private Response(String id) {
+		private final boolean needsNoId;
+
+		private Response(String id, boolean needsNoId) {
 			this.id = id;
+			this.needsNoId = needsNoId;
 		}
 
 		@Override
 		public ResponseMatch match(HttpResponse head) {
 			String stated = head.headers().get("id");
 			if (stated == null) {
-				return ResponseMatch.UNREADABLE;
+				return this.needsNoId ? ResponseMatch.OWN : ResponseMatch.UNREADABLE;
 			}
 			return stated.equals(this.id) ? ResponseMatch.OWN : ResponseMatch.OTHER;
 		}
