Test what callers get whose response is in doubt

A response whose head has two status lines may be that of a request that ran. The test states for each kind of route what follows: a request that may run once and a stream that can't be resumed get 502 at once and are sent to no other endpoint; the others are sent to another one. The connection is closed.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -59,6 +59,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -409,6 +410,28 @@
 		assertThat(this.requestLog.unreadableLoads).containsExactly("1,0");
 	}
 
+	// Guards against a success made of the head of an extra response and the response to
+	// the request, and against a second run of a request whose response is in doubt.
+	@ParameterizedTest
+	@CsvSource({ "/once/, 502, first", "/again/, 200, second", "/stream/, 502, first", "/resumed/, 200, second" })
+	void requestWhoseResponseIsInDoubtIsRetriedOnlyIfItsRouteAllowsIt(String path, int status, String last)
+			throws Exception {
+		ScriptedEndpoint first = endpoint("a").thenRespond(COMPLETE)
+			.thenRespond("HTTP/1.1 200 OK\r\ndate: Sat, 05" + FAILED);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /again/x HTTP/1.1", "1").status()).isEqualTo(200);
+			first.nextRequest();
+			ScriptedEndpoint second = endpoint("b").thenRespond(STREAM_HEAD + FIRST_EVENT + LAST_EVENT);
+			long sentAt = System.nanoTime();
+			caller.send("POST " + path + "x HTTP/1.1\r\nhost: host\r\nid: 2\r\ncontent-length: 0\r\n\r\n");
+			assertThat(caller.read().status()).isEqualTo(status);
+			assertThat(Duration.ofNanos(System.nanoTime() - sentAt)).isLessThan(Duration.ofSeconds(1));
+			assertThat(second.unreadRequests()).isEqualTo(last.equals("second") ? 1 : 0);
+		}
+		assertThat(first.unreadRequests()).isEqualTo(1);
+		assertThat(first.awaitConnectionEnd()).isEqualTo("closed");
+	}
+
 	// Guards against callers that return too early because the last endpoint that was not
 	// paused turned their request away.
 	@Test
