Forget a discarded response once it has ended

A caller could lose a sound answer that quotes a status line: a discarded response without a body (204, or a length of 0) ends in the step in which its head is decoded, before it is discarded, so that the next response was scanned as the body of the discarded one. A head of two responses was reported there as a status line in a discarded body.

The decoder now tracks the section that it decodes; discarding concerns the section of a body only. Two cases failed before and pass now.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Decodes the responses of a connection with one request at a time, up to the first bytes
@@ -34,20 +33,20 @@
 
 	private final Consumer<FramingViolation> onViolation;
 
+	/** Scans each response from its first byte to its last. */
 	private final StatusLineScanner scanner = new StatusLineScanner();
 
-	private boolean readingHead = true;
+	private Section section = Section.HEAD;
 
-	private boolean discarding;
+	private boolean expectingResponse;
 
-	private boolean violated;
+	private boolean expectingNoBody;
 
-	/** The method of the request whose response is expected. */
-	private @Nullable HttpMethod method;
+	private boolean violated;
 
 	/**
 	 * Creates the decoder.
-	 * @param onViolation receives the violations
+	 * @param onViolation receives the first violation
 	 */
 	StrictResponseDecoder(Consumer<FramingViolation> onViolation) {
 		super(CONFIGURATION);
@@ -56,10 +55,11 @@
 
 	/**
 	 * Expects the response to a request.
-	 * @param requestMethod the method of the request
+	 * @param method the method of the request
 	 */
-	void expectResponse(HttpMethod requestMethod) {
-		this.method = requestMethod;
+	void expectResponse(HttpMethod method) {
+		this.expectingResponse = true;
+		this.expectingNoBody = method.equals(HttpMethod.HEAD);
 	}
 
 	/**
@@ -67,11 +67,11 @@
 	 * @return whether no bytes follow the response
 	 */
 	boolean endResponse() {
-		this.method = null;
+		this.expectingResponse = false;
 		if (actualReadableBytes() == 0) {
 			return true;
 		}
-		violated(FramingViolation.BYTES_AFTER_RESPONSE);
+		report(FramingViolation.BYTES_AFTER_RESPONSE);
 		return false;
 	}
 
@@ -81,13 +81,15 @@
 	 * read as the rest of its body.
 	 */
 	void discardResponse() {
-		this.discarding = true;
+		if (this.section != Section.HEAD) {
+			this.section = Section.DISCARDED_BODY;
+		}
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-		if (this.method == null && message instanceof ByteBuf bytes && bytes.isReadable()) {
-			violated(FramingViolation.UNEXPECTED_BYTES);
+		if (!this.expectingResponse && message instanceof ByteBuf bytes && bytes.isReadable()) {
+			report(FramingViolation.UNEXPECTED_BYTES);
 		}
 		if (this.violated) {
 			ReferenceCountUtil.release(message);
@@ -99,11 +101,14 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
-		if (this.readingHead && !this.scanner.mayBeginWithStatusLine(bytes)) {
-			violated(FramingViolation.NO_STATUS_LINE);
+		if (this.section == Section.HEAD && !this.scanner.mayBeginWithStatusLine(bytes)) {
+			report(FramingViolation.NO_STATUS_LINE);
 		}
 		if (!this.violated) {
-			decodeResponse(context, bytes, messages);
+			int start = bytes.readerIndex();
+			super.decode(context, bytes, messages);
+			scan(bytes, start);
+			messages.forEach(this::enterSection);
 		}
 		if (this.violated) {
 			messages.forEach(ReferenceCountUtil::release);
@@ -112,33 +117,29 @@
 		}
 	}
 
-	private void decodeResponse(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
-		int start = bytes.readerIndex();
-		super.decode(context, bytes, messages);
-		if (this.readingHead || this.discarding) {
-			scan(bytes, start);
-		}
-		for (Object message : messages) {
-			if (message instanceof LastHttpContent) {
-				this.readingHead = true;
-				this.discarding = false;
-				this.scanner.reset();
-			}
-			else if (message instanceof HttpResponse) {
-				this.readingHead = false;
+	private void scan(ByteBuf bytes, int start) {
+		this.scanner.scan(bytes, start, bytes.readerIndex());
+		if (this.scanner.foundAfterStart()) {
+			switch (this.section) {
+				case HEAD -> report(FramingViolation.SECOND_STATUS_LINE);
+				case DISCARDED_BODY -> report(FramingViolation.STATUS_LINE_IN_DISCARDED_BODY);
+				case BODY -> {
+				}
 			}
 		}
 	}
 
-	private void scan(ByteBuf bytes, int start) {
-		this.scanner.scan(bytes, start, bytes.readerIndex());
-		if (this.scanner.foundAfterStart()) {
-			violated(this.discarding ? FramingViolation.STATUS_LINE_IN_DISCARDED_BODY
-					: FramingViolation.SECOND_STATUS_LINE);
+	private void enterSection(Object message) {
+		if (message instanceof HttpResponse) {
+			this.section = Section.BODY;
+		}
+		if (message instanceof LastHttpContent) {
+			this.section = Section.HEAD;
+			this.scanner.reset();
 		}
 	}
 
-	private void violated(FramingViolation violation) {
+	private void report(FramingViolation violation) {
 		if (!this.violated) {
 			this.violated = true;
 			this.onViolation.accept(violation);
@@ -149,7 +150,16 @@
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		boolean informational = message instanceof HttpResponse response
 				&& response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-		return (!informational && HttpMethod.HEAD.equals(this.method)) || super.isContentAlwaysEmpty(message);
+		return (!informational && this.expectingNoBody) || super.isContentAlwaysEmpty(message);
+	}
+
+	/**
+	 * The section of a response that is decoded.
+	 */
+	private enum Section {
+
+		HEAD, BODY, DISCARDED_BODY
+
 	}
 
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
@@ -9,6 +9,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -48,6 +49,19 @@
 		soundResponsesAreNoViolations(text);
 	}
 
+	// Guards against a response that fails because the one that was discarded before had
+	// no body to discard.
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 204 None\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" })
+	void discardedResponseWithoutBodyHasNoEffectOnTheNext(String discarded) {
+		this.channel.pipeline().addLast(new DiscardingHandler());
+		this.decoder.expectResponse(HttpMethod.GET);
+		receive(discarded + "HTTP/1.1 500 Failed\r\ncontent-length: 15\r\n\r\nHTTP/1.1 200 OK", 1000);
+		assertThat(this.violations).isEmpty();
+		receive("HTTP/1.1 200 O" + RESPONSE, 1000);
+		assertThat(this.violations).containsExactly(FramingViolation.SECOND_STATUS_LINE);
+	}
+
 	@Test
 	void bytesWithoutRequestAreReported() {
 		receive("H", 1);
@@ -114,4 +128,18 @@
 
 	}
 
+	/**
+	 * Discards the responses with other statuses than 500.
+	 */
+	private final class DiscardingHandler extends SimpleChannelInboundHandler<HttpResponse> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, HttpResponse message) {
+			if (message.status().code() != 500) {
+				StrictResponseDecoderTests.this.decoder.discardResponse();
+			}
+		}
+
+	}
+
 }
