Reject bodies that have an extra response in them

Callers got a success whose body was that of their own answer with an extra answer behind it, where the own answer ended with its connection, or had ended early within its stated length and was filled up.

The same inference as with heads, now of a body's end. A body that ends with its connection ends where the bytes end, whoever's they are; it may have no status line now. A body of stated length that has a status line and is followed by bytes may have been filled up, and fails too. Bytes alone that follow a whole answer don't spoil it.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -242,6 +242,9 @@
 
 	private void finish(ClientCall current) {
 		boolean lastBytes = this.decoder.endResponse();
+		if (this.call != current) {
+			return;
+		}
 		this.call = null;
 		if (lastBytes && isReusable()) {
 			this.pool.release(this);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
@@ -18,9 +18,9 @@
 	SECOND_STATUS_LINE,
 
 	/**
-	 * A response that is discarded has a status line in its body, so that it may have
-	 * ended early and the rest is the expected response.
+	 * The body of a response has another status line in it, and its end was not stated,
+	 * belongs to a response that is discarded, or is followed by bytes.
 	 */
-	STATUS_LINE_IN_DISCARDED_BODY
+	STATUS_LINE_IN_BODY
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
@@ -38,6 +39,8 @@
 
 	private Section section = Section.HEAD;
 
+	private boolean bodyHadStatusLine;
+
 	private boolean expectingResponse;
 
 	private boolean expectingNoBody;
@@ -63,7 +66,9 @@
 	}
 
 	/**
-	 * Expects no further bytes, since the response is complete.
+	 * Expects no further bytes, since the response is complete. If bytes follow one that
+	 * has a status line in its body, it may have ended early and have been filled up by
+	 * another response, which is reported.
 	 * @return whether no bytes follow the response
 	 */
 	boolean endResponse() {
@@ -71,7 +76,7 @@
 		if (actualReadableBytes() == 0) {
 			return true;
 		}
-		report(FramingViolation.BYTES_AFTER_RESPONSE);
+		report(this.bodyHadStatusLine ? FramingViolation.STATUS_LINE_IN_BODY : FramingViolation.BYTES_AFTER_RESPONSE);
 		return false;
 	}
 
@@ -82,7 +87,7 @@
 	 */
 	void discardResponse() {
 		if (this.section != Section.HEAD) {
-			this.section = Section.DISCARDED_BODY;
+			this.section = Section.UNRELIABLE_BODY;
 		}
 	}
 
@@ -122,16 +127,17 @@
 		if (this.scanner.foundAfterStart()) {
 			switch (this.section) {
 				case HEAD -> report(FramingViolation.SECOND_STATUS_LINE);
-				case DISCARDED_BODY -> report(FramingViolation.STATUS_LINE_IN_DISCARDED_BODY);
-				case BODY -> {
-				}
+				case UNRELIABLE_BODY -> report(FramingViolation.STATUS_LINE_IN_BODY);
+				case BODY -> this.bodyHadStatusLine = true;
 			}
 		}
 	}
 
 	private void enterSection(Object message) {
-		if (message instanceof HttpResponse) {
-			this.section = Section.BODY;
+		if (message instanceof HttpResponse head) {
+			boolean delimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+			this.section = delimited ? Section.BODY : Section.UNRELIABLE_BODY;
+			this.bodyHadStatusLine = false;
 		}
 		if (message instanceof LastHttpContent) {
 			this.section = Section.HEAD;
@@ -158,7 +164,10 @@
 	 */
 	private enum Section {
 
-		HEAD, BODY, DISCARDED_BODY
+		HEAD, BODY,
+
+		/** A body that ends with its connection, or that of a discarded response. */
+		UNRELIABLE_BODY
 
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -154,6 +154,32 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a success whose body has an extra response in it, since its end is
+	// that of the connection or it ended early.
+	@ParameterizedTest
+	@CsvSource({ "connection: close, false", "content-length: 40, false", "connection: close, true",
+			"content-length: 40, true" })
+	void extraResponseIsNoPartOfABody(String framing, boolean tunnelled) throws Exception {
+		if (tunnelled) {
+			LoopbackTunnel.open(this.eventLoops, this.connections);
+			this.partitioned = true;
+		}
+		Thread.ofVirtual().start(this::accept);
+		List<String> wrong = new ArrayList<>();
+		int ids = 0;
+		for (String extra : EXTRA_RESPONSES) {
+			for (int end : List.of(13, 40, extra.length())) {
+				String response = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n" + framing + "\r\n\r\nown part"
+						+ extra.substring(0, end).replace("PREVIOUS", "b" + ids);
+				this.exchange = new Exchange("", response, Timing.BEFORE_NEXT_RESPONSE);
+				if (framing.contains("close") || end > 40) {
+					check("b" + ids++, "UNREADABLE", extra.substring(0, end), wrong);
+				}
+			}
+		}
+		assertThat(wrong).isEmpty();
+	}
+
 	// Guards against a call without an id that takes a late response to the request
 	// before it on its connection for its own.
 	@Test
