Let each test of AtMostOnceTests begin with entries that reach the log

entry-5 is the one that the test before them had paused beyond the timeout of its append: it then refuses claims until its Retry-After is over, as newCallIsNotRunDuringLogOutage states. So the tests began with an entry that was still in the fault of another test.

After each test every entry must now run a booking of its own. All assertions stay as they were.

--- a/banyancove-distribution/src/test/java/org/banyancove/distribution/AtMostOnceTests.java
+++ b/banyancove-distribution/src/test/java/org/banyancove/distribution/AtMostOnceTests.java
@@ -42,6 +42,8 @@
 
 	private static int startedCount;
 
+	private static int probes;
+
 	private final Caller caller = cluster.caller();
 
 	private RunningProcess claimant;
@@ -75,6 +77,7 @@
 		this.caller.injectFault(cluster.platform(),
 				"{\"logOutage\":0,\"logSlowMillis\":0,\"loseAppendAnswers\":0,\"hangAppendAnswers\":0,\"lateAppends\":0}");
 		injectServiceFault("{\"runAndHang\":0,\"runAndClose\":0,\"hang\":0,\"close\":0}");
+		awaitLogReachable();
 		assertThat(cluster.invariantViolations()).isZero();
 		assertThat(cluster.maximumRunsPerKey()).isLessThanOrEqualTo(1);
 	}
@@ -304,6 +307,15 @@
 		});
 	}
 
+	// An entry whose append has timed out, as that of a paused one does, refuses claims
+	// until its Retry-After is over.
+	private void awaitLogReachable() {
+		for (RunningProcess entry : cluster.entries()) {
+			probes++;
+			assertEventuallyRuns("probe-" + probes, entry);
+		}
+	}
+
 	private void injectServiceFault(String faults) {
 		cluster.services().forEach((service) -> this.caller.injectFault(service, faults));
 	}
