Test that a response cut at any byte does not look whole

Nothing showed what callers get if an endpoint stops within a head or body: the trials so far had plain connections and callers of HTTP/1.1 only.

CutResponseTests cuts nine responses (200 with length, chunks and trailer, neither; 204, 304, 500, 503 not run with and without a length, 200 after a 103) at each byte, then ends the connection in order or resets it: direct and tunnelled, callers of HTTP/1.1 and 1.0, GET, HEAD and POST, idempotent and non-idempotent routes, streams, resumable streams.

Each cut is tried with one end by callers of HTTP/1.1 and with the other by callers of HTTP/1.0. Code is unchanged. The channel that is partitioned from some addresses is shared with ExtraResponseTests, whose checks are unchanged.

--- /dev/null
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
@@ -0,0 +1,327 @@
+package org.banyancove.gateway.exchange;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.banyancove.core.DataCenterName;
+import org.banyancove.core.EndpointId;
+import org.banyancove.core.ServiceName;
+import org.banyancove.gateway.configuration.CallerLimits;
+import org.banyancove.gateway.configuration.Configuration;
+import org.banyancove.gateway.configuration.Route;
+import org.banyancove.gateway.configuration.RouteKind;
+import org.banyancove.gateway.configuration.Service;
+import org.banyancove.gateway.configuration.WeightedService;
+import org.banyancove.gateway.duty.DemandEstimator;
+import org.banyancove.gateway.duty.FleetView;
+import org.banyancove.gateway.duty.UsageCounter;
+import org.banyancove.gateway.endpoint.EndpointEntry;
+import org.banyancove.gateway.endpoint.EndpointTable;
+import org.banyancove.gateway.endpoint.FleetAllocation;
+import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.quarantine.RequestQuarantine;
+import org.banyancove.gateway.retry.RetryBudgets;
+import org.banyancove.gateway.retry.RetryLimits;
+import org.banyancove.gateway.rollout.RolloutTable;
+import org.banyancove.gateway.rollout.ServingEndpoints;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that a response cut at any byte does not look whole to the caller, whichever way
+ * its connection ends.
+ */
+class CutResponseTests {
+
+	private static final ServiceName SERVICE = new ServiceName("service");
+
+	private static final DataCenterName DATA_CENTER = new DataCenterName("zone");
+
+	private static final String EVENTS = "id: 1\n\nid: 2\n\n";
+
+	private static final String HEADERS = "id: ID\r\nseal: s\r\ncontent-type: text/event-stream\r\n";
+
+	private static final String WITH_LENGTH = "HTTP/1.1 200 OK\r\n" + HEADERS + "content-length: 14\r\n\r\n" + EVENTS;
+
+	private static final List<String> RESPONSES = List.of(WITH_LENGTH,
+			"HTTP/1.1 200 OK\r\n" + HEADERS
+					+ "transfer-encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\ntrailer: t\r\n\r\n",
+			"HTTP/1.1 200 OK\r\n" + HEADERS + "\r\n" + EVENTS, "HTTP/1.1 204 Done\r\n" + HEADERS + "\r\n",
+			"HTTP/1.1 304 Same\r\n" + HEADERS + "content-length: 14\r\n\r\n",
+			"HTTP/1.1 500 Failed\r\n" + HEADERS + "content-length: 14\r\n\r\n" + EVENTS,
+			"HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\ncontent-length: 14\r\n\r\n" + EVENTS,
+			"HTTP/1.1 503 Full\r\nid: ID\r\nnot-run: 1\r\n\r\n", "HTTP/1.1 103 Early\r\nlink: l\r\n\r\n" + WITH_LENGTH);
+
+	/** Statuses that promise that the request has not run. */
+	private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+	private final MultiThreadIoEventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1,
+			NioIoHandler.newFactory());
+
+	private final EventLoop eventLoop = this.eventLoops.next();
+
+	private final EndpointTable endpoints = new EndpointTable(new FleetAllocation("gateway", () -> List.of("gateway")));
+
+	private final ScriptedEndpoint endpoint = newScriptedEndpoint();
+
+	private final ConnectionPool connections = new ConnectionPool(this.eventLoop, System::nanoTime,
+			() -> new PartitionedChannel((remote) -> this.partitioned && remote.equals(this.endpoint.address())));
+
+	private volatile boolean partitioned;
+
+	private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+	private static ScriptedEndpoint newScriptedEndpoint() {
+		try {
+			return new ScriptedEndpoint();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@BeforeEach
+	void start() throws Exception {
+		RequestDispatcher dispatcher = new RequestDispatcher(this.eventLoop, System::nanoTime, InstantSource.system(),
+				new SplittableRandom(1), new TestHeaderCodec(), this.connections,
+				new ServingEndpoints(this.endpoints, new RolloutTable()), new CurrentEndpoints(),
+				new PlacementRule(DATA_CENTER, () -> 0),
+				new Meters(new UsageCounter(Duration.ofSeconds(5)), new DemandEstimator()), new NoOpRequestLog(),
+				new RetryBudgets(new RetryLimits(1, 100, Duration.ofSeconds(10)), () -> 0.9, System.nanoTime()),
+				new RequestQuarantine(this.endpoints), new LocalStreamOrigins(), new TestMoveCodec());
+		Configuration configuration = new Configuration(1, List.of(route("/once/", RouteKind.NON_IDEMPOTENT, false, 1),
+				route("/again/", RouteKind.IDEMPOTENT, false, 2), route("/stream/", RouteKind.STREAMING, false, 1),
+				route("/resumed/", RouteKind.STREAMING, true, 1)), List.of(new Service(SERVICE, 100, null, null)),
+				List.of(), CallerLimits.DEFAULT);
+		this.eventLoop.submit(() -> {
+			dispatcher.updateFleet(1, FleetView.ALONE, List.of());
+			this.endpoints.configure(configuration);
+			dispatcher.configure(configuration);
+		}).sync();
+		CallerServer server = new CallerServer(this.eventLoops, System::nanoTime, () -> CallerLimits.DEFAULT,
+				dispatcher);
+		this.address = (InetSocketAddress) server
+			.listen(ListeningSocket.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+			.localAddress();
+	}
+
+	private static Route route(String prefix, RouteKind kind, boolean resumable, int attempts) {
+		return new Route(prefix, "host", prefix, kind, resumable, Duration.ofSeconds(20), Duration.ofSeconds(5),
+				Duration.ofSeconds(5), 0, List.of(new WeightedService(SERVICE, 1)), attempts, true);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.endpoint.close();
+		this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
+	}
+
+	// Each length is tried with both ends: with one by callers of HTTP/1.1, with the
+	// other
+	// by callers of HTTP/1.0. Ids have the length of their placeholder.
+	// Guards against a success, or a promise that a request has not run, that rests on a
+	// response cut within its head or body.
+	@ParameterizedTest
+	@CsvSource({ "GET /again/, 1.1, false, 1", "GET /again/, 1.0, false, 2", "GET /again/, 1.1, true, 3",
+			"GET /again/, 1.0, true, 4", "HEAD /again/, 1.1, false, 5", "HEAD /again/, 1.0, false, 6",
+			"HEAD /again/, 1.1, true, 7", "HEAD /again/, 1.0, true, 8", "POST /once/, 1.1, false, 9",
+			"POST /once/, 1.0, false, 10", "POST /once/, 1.1, true, 11", "POST /once/, 1.0, true, 12",
+			"POST /stream/, 1.1, false, 13", "POST /stream/, 1.0, false, 14", "POST /stream/, 1.1, true, 15",
+			"POST /stream/, 1.0, true, 16", "POST /resumed/, 1.1, false, 17", "POST /resumed/, 1.0, false, 18",
+			"POST /resumed/, 1.1, true, 19", "POST /resumed/, 1.0, true, 20" })
+	void cutResponseDoesNotLookWhole(String target, String version, boolean tunnelled, long seed) throws Exception {
+		if (tunnelled) {
+			LoopbackTunnel.open(this.eventLoops, this.connections);
+			this.partitioned = true;
+		}
+		SplittableRandom random = new SplittableRandom(seed);
+		boolean head = target.startsWith("HEAD");
+		List<String> wrong = new ArrayList<>();
+		int cases = 0;
+		for (String response : RESPONSES) {
+			String whole = head ? response.substring(0, headEnd(response)) : response;
+			for (int length = 0; length <= whole.length(); length++) {
+				String id = String.valueOf(10 + cases++ % 90);
+				boolean reset = (length + seed) % 2 == 0;
+				check(new Cut(whole.replace("ID", id), length, reset, head), id, target + cases + " HTTP/" + version,
+						random.nextInt(8) == 0, wrong);
+			}
+		}
+		assertThat(wrong).isEmpty();
+	}
+
+	private void check(Cut cut, String id, String requestLine, boolean delayed, List<String> wrong) throws Exception {
+		this.endpoint.otherwise((connection, requestId) -> cut.send(connection, delayed));
+		EndpointId endpointId = new EndpointId("i-" + requestLine);
+		EndpointEntry entry = new EndpointEntry(endpointId, SERVICE, "v1", this.endpoint.address(), DATA_CENTER, 10,
+				false, false, 1);
+		this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
+		Received received = call(requestLine, id);
+		if (!cut.permits(received)) {
+			wrong.add(received + " for " + cut);
+		}
+		this.eventLoop.submit(() -> this.endpoints.remove(endpointId, System.nanoTime())).sync();
+	}
+
+	private Received call(String requestLine, String id) throws IOException {
+		try (Socket caller = new Socket(this.address.getAddress(), this.address.getPort())) {
+			caller.setSoTimeout(5000);
+			ScriptedEndpoint.write(caller,
+					requestLine + "\r\nhost: host\r\nid: " + id + "\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+			ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+			boolean broken = false;
+			try {
+				caller.getInputStream().transferTo(bytes);
+			}
+			catch (IOException ex) {
+				broken = true;
+			}
+			return new Received(bytes.toString(StandardCharsets.US_ASCII), broken, requestLine.startsWith("HEAD"));
+		}
+	}
+
+	private static int headEnd(String message) {
+		int begin = message.startsWith("HTTP/1.1 103") ? message.indexOf("HTTP/1.1 200") : 0;
+		return message.indexOf("\r\n\r\n", begin) + 4;
+	}
+
+	/**
+	 * A response that ends early.
+	 *
+	 * @param response the response
+	 * @param length the number of bytes that are sent
+	 * @param reset whether the connection is reset after them
+	 * @param head whether the request is a HEAD request
+	 */
+	private record Cut(String response, int length, boolean reset, boolean head) {
+
+		private void send(Socket connection, boolean delayed) throws IOException, InterruptedException {
+			ScriptedEndpoint.write(connection, this.response.substring(0, this.length));
+			if (delayed) {
+				TimeUnit.MILLISECONDS.sleep(2);
+			}
+			if (this.reset) {
+				connection.setSoLinger(true, 0);
+			}
+			connection.close();
+		}
+
+		private int status() {
+			int begin = this.response.lastIndexOf("HTTP/1.1 ") + 9;
+			return Integer.parseInt(this.response.substring(begin, begin + 3));
+		}
+
+		private boolean framed() {
+			return this.response.contains("content-length") || this.response.contains("transfer-encoding");
+		}
+
+		// The end of a response without length and chunks can't be told from a cut.
+		private boolean whole() {
+			if (this.head || status() == 204 || status() == 304) {
+				return this.length >= headEnd(this.response);
+			}
+			return framed() ? this.length == this.response.length()
+					: this.length >= headEnd(this.response) && !this.reset;
+		}
+
+		// A reset may discard bytes that have not been read yet.
+		private boolean permits(Received received) {
+			if (received.whole() && received.status() != 502) {
+				return whole() && received.status() == status() && permitsBody(received.body());
+			}
+			boolean mustFail = this.reset || this.length < this.response.length() || status() == 500;
+			return mustFail && !PROMISES.contains(received.status());
+		}
+
+		private boolean permitsBody(String body) {
+			if (status() != 200 || this.head) {
+				return true;
+			}
+			return body.equals(framed() ? EVENTS : this.response.substring(headEnd(this.response), this.length));
+		}
+
+	}
+
+	/**
+	 * What a caller received up to the end of its connection.
+	 *
+	 * @param text the bytes
+	 * @param broken whether the connection was reset
+	 * @param headRequest whether the request was a HEAD request
+	 */
+	private record Received(String text, boolean broken, boolean headRequest) {
+
+		private int status() {
+			return (this.text.length() > 12) ? Integer.parseInt(this.text.substring(9, 12)) : 0;
+		}
+
+		private String content() {
+			return this.text.substring(headEnd(this.text));
+		}
+
+		private boolean whole() {
+			if (!this.text.contains("\r\n\r\n")) {
+				return false;
+			}
+			String length = ScriptedEndpoint.header(this.text.substring(0, headEnd(this.text)), "content-length");
+			if (this.headRequest || status() == 204 || status() == 304) {
+				return true;
+			}
+			if (!length.isEmpty()) {
+				return content().length() == Integer.parseInt(length);
+			}
+			return chunked() ? this.text.endsWith("\r\n0\r\n\r\n") : !this.broken;
+		}
+
+		private boolean chunked() {
+			return this.text.contains("transfer-encoding: chunked");
+		}
+
+		// Each chunk has one event or two, and no line of an event is a chunk's length.
+		private String body() {
+			return chunked() ? content().replaceAll("(\r\n)?[0-9a-f]+\r\n(\r\n)?", "") : content();
+		}
+
+	}
+
+	/**
+	 * Endpoints that are always current.
+	 */
+	private static final class CurrentEndpoints implements EndpointFreshness {
+
+		@Override
+		public boolean current() {
+			return true;
+		}
+
+		@Override
+		public boolean confirmedSince(long time) {
+			return true;
+		}
+
+		@Override
+		public boolean storeFailing() {
+			return false;
+		}
+
+	}
+
+}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -3,12 +3,10 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,7 +20,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -30,7 +27,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.tunnel.ConnectContext;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -75,7 +71,8 @@
 	private final ServerSocket server = newServerSocket();
 
 	private final ConnectionPool connections = new ConnectionPool(this.eventLoop, System::nanoTime,
-			PartitionedChannel::new);
+			() -> new PartitionedChannel(
+					(remote) -> this.partitioned && remote.equals(this.server.getLocalSocketAddress())));
 
 	private volatile boolean partitioned;
 
@@ -327,20 +324,4 @@
 
 	}
 
-	/**
-	 * A channel that may be partitioned from the server.
-	 */
-	private final class PartitionedChannel extends NioSocketChannel {
-
-		@Override
-		protected boolean doConnect(SocketAddress remote, @Nullable SocketAddress local) throws Exception {
-			if (ExtraResponseTests.this.partitioned
-					&& remote.equals(ExtraResponseTests.this.server.getLocalSocketAddress())) {
-				throw new ConnectException("partitioned from " + remote);
-			}
-			return super.doConnect(remote, local);
-		}
-
-	}
-
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ScriptedEndpoint.java
@@ -30,6 +30,8 @@
 
 	private final Queue<Script> scripts = new ArrayDeque<>();
 
+	private @Nullable Script fallback;
+
 	private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
 
 	private final BlockingQueue<String> connectionEnds = new LinkedBlockingQueue<>();
@@ -43,6 +45,13 @@
 		return new InetSocketAddress(InetAddress.getLoopbackAddress(), this.server.getLocalPort());
 	}
 
+	/** Sets how requests are responded to for which no other script is left. */
+	void otherwise(Script script) {
+		synchronized (this.scripts) {
+			this.fallback = script;
+		}
+	}
+
 	ScriptedEndpoint then(Script script) {
 		synchronized (this.scripts) {
 			this.scripts.add(script);
@@ -130,7 +139,7 @@
 				this.requests.add(request);
 				Script script;
 				synchronized (this.scripts) {
-					script = this.scripts.poll();
+					script = this.scripts.isEmpty() ? this.fallback : this.scripts.poll();
 				}
 				if (script != null) {
 					script.run(connection, header(request, "id"));
