Fail a call at once whose connection switches protocols

A caller waited for its deadline and got 504 where an endpoint had sent a 101 that nobody asked for.

The decoder reads no further response after a 101 and passes on raw bytes, which no handler of the connection takes. The call now fails as UNREADABLE and the connection is closed: no request has an Upgrade header, which is hop-by-hop, so that no 101 is expected.

Evidence: the new test of ExchangeTests, with and without an upgrade header, got 504 after the deadline of 3 s before, and 502 within a second after.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -176,6 +177,11 @@
 	}
 
 	private void readHead(ClientCall current, HttpResponse head) {
+		// No call asks for another protocol, and the decoder reads no response after it.
+		if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+			fail(CallFailure.UNREADABLE);
+			return;
+		}
 		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		ResponseMatch match = informational ? ResponseMatch.OTHER : current.match(head);
 		this.ignoringResponse = match == ResponseMatch.OTHER || (match != ResponseMatch.OWN && this.calls > 1);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -60,6 +60,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -187,6 +188,19 @@
 			.endsWith("\r\n\r\nbody");
 	}
 
+	// Guards against a request that waits for its deadline because its connection was
+	// switched to a protocol that nobody asked for.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "upgrade: other\r\n" })
+	void requestWhoseConnectionSwitchesProtocolsFailsAtOnce(String header) throws Exception {
+		endpoint("a").thenRespond("HTTP/1.1 101 Switching\r\nid: ID\r\n" + header + "\r\n" + COMPLETE);
+		try (Caller caller = new Caller()) {
+			long start = System.nanoTime();
+			assertThat(caller.call("POST /once/x HTTP/1.1\r\ndeadline-ms: 3000", "1").status()).isEqualTo(502);
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(1));
+		}
+	}
+
 	// Guards against a request that is sent to a draining endpoint because the endpoint
 	// started to drain while the connection was being established.
 	@Test
