Count a tunnel whose endpoint sends bytes early as not open

A request through a tunnel whose endpoint had sent bytes before it got an unknown outcome, though it need not have been sent: the bytes were dropped if they came in the segment of the response to the tunnel request, and what followed was read as the response.

Cause: the handshake hands surplus bytes on before it reports success, when only the handler of a connection being established is there.

The gateway that a tunnel leads through lost no early byte in 200 tunnels, which TunnelServerTests now checks.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.tunnel;
 
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -187,7 +188,10 @@
 
 	private static void complete(Promise<ConnectedChannel> result, Future<?> connected, Channel channel,
 			boolean tunnelled) {
-		if (connected.isSuccess()) {
+		if (connected.isSuccess() && !channel.isActive()) {
+			result.tryFailure(new ConnectException("connection closed before a request was sent"));
+		}
+		else if (connected.isSuccess()) {
 			channel.pipeline().remove(ConnectingHandler.class);
 			result.trySuccess(new ConnectedChannel(channel, tunnelled));
 		}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
@@ -38,10 +38,12 @@
 import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
+import org.banyancove.gateway.tunnel.TunnelPeer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -168,6 +170,30 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a request of unknown outcome, or one that waits for its deadline,
+	// because the first bytes of its response were sent before it and lost.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 30, 200 })
+	void requestBehindATunnelWithEarlyBytesHasNotRun(int early) throws Exception {
+		this.partitioned = true;
+		String response = WITH_LENGTH.replace("ID", "1");
+		int sent = Math.min(early, response.length());
+		try (ScriptedEndpoint peer = new ScriptedEndpoint()) {
+			peer.otherwise((connection, id) -> ScriptedEndpoint.write(connection,
+					id.isEmpty() ? "HTTP/1.1 200 OK\r\n\r\n" + response.substring(0, sent) : response.substring(sent)));
+			EndpointEntry entry = new EndpointEntry(new EndpointId("i-1"), SERVICE, "v1", this.endpoint.address(),
+					DATA_CENTER, 10, false, false, 1);
+			this.eventLoop.submit(() -> {
+				this.endpoints.put(entry);
+				this.connections.connector()
+					.peers()
+					.update(new TunnelPeer("own", this.address, DATA_CENTER),
+							List.of(new TunnelPeer("other", peer.address(), DATA_CENTER)));
+			}).sync();
+			assertThat(call("POST /once/x HTTP/1.1\r\ndeadline-ms: 2000", "1").status()).isEqualTo(503);
+		}
+	}
+
 	private void check(Cut cut, String id, String requestLine, boolean delayed, List<String> wrong) throws Exception {
 		this.endpoint.otherwise((connection, requestId) -> cut.send(connection, delayed));
 		EndpointId endpointId = new EndpointId("i-" + requestLine);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
@@ -89,6 +89,19 @@
 		assertThat(tunnel.getInputStream().readAllBytes()).asString().isEqualTo("response");
 	}
 
+	// Guards against a response that lost its first bytes, because the endpoint sent them
+	// before the tunnel was open.
+	@Test
+	void passesOnBytesThatTheEndpointSendsAtOnce() throws Exception {
+		for (int i = 0; i < 200; i++) {
+			try (Socket tunnel = open(target()); Socket accepted = this.endpoint.accept()) {
+				accepted.getOutputStream().write(i);
+				assertThat(readHead(tunnel)).startsWith("HTTP/1.1 200 ");
+				assertThat(tunnel.getInputStream().read()).isEqualTo(i);
+			}
+		}
+	}
+
 	// Guards against a truncated response that looks complete because a reset of the
 	// endpoint became an orderly end.
 	@Test
