Test that a cut response to a call that moves a run is unknown

The calls that move a run rest on the pool alone, without an id. The test cuts their responses (200, 404, 409, 503, with length and chunks) at each byte, ended in order or reset, directly and through a tunnel: each outcome is unknown, and each whole response is read.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -33,11 +34,13 @@
 import org.banyancove.gateway.endpoint.EndpointTable;
 import org.banyancove.gateway.endpoint.FleetAllocation;
 import org.banyancove.gateway.endpoint.PlacementRule;
+import org.banyancove.gateway.migration.SourceAnswer;
 import org.banyancove.gateway.quarantine.RequestQuarantine;
 import org.banyancove.gateway.retry.RetryBudgets;
 import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
+import org.banyancove.gateway.tunnel.ConnectContext;
 import org.banyancove.gateway.tunnel.TunnelPeer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -170,6 +173,49 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a run that counts as stopped, or as not stopped, because the
+	// response
+	// to the call that moves it was cut.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void cutResponseToAMoveIsNoAnswer(boolean tunnelled) throws Exception {
+		if (tunnelled) {
+			LoopbackTunnel.open(this.eventLoops, this.connections);
+			this.partitioned = true;
+		}
+		List<String> wrong = new ArrayList<>();
+		for (int status : List.of(200, 404, 409, 503)) {
+			for (String rest : List.of("content-length: 2\r\n\r\nh1",
+					"transfer-encoding: chunked\r\n\r\n2\r\nh1\r\n0\r\n\r\n")) {
+				String response = "HTTP/1.1 " + status + " Status\r\n" + rest;
+				for (int length = 0; length < response.length(); length++) {
+					SourceAnswer answer = move(new Cut(response, length, length % 2 == 0, false));
+					if (!(answer instanceof SourceAnswer.Unknown)) {
+						wrong.add(answer + " for " + response.substring(0, length));
+					}
+				}
+				assertThat(move(new Cut(response, response.length(), false, false)))
+					.isEqualTo(new TestMoveCodec().readAnswer(status, "h1".getBytes(StandardCharsets.US_ASCII)));
+			}
+		}
+		assertThat(wrong).isEmpty();
+	}
+
+	private SourceAnswer move(Cut cut) throws Exception {
+		this.endpoint.otherwise((connection, id) -> cut.send(connection, false));
+		TestMoveCodec codec = new TestMoveCodec();
+		CompletableFuture<SourceAnswer> answer = new CompletableFuture<>();
+		Duration timeout = Duration.ofSeconds(5);
+		ConnectContext context = new ConnectContext(SERVICE, 1, "1", new NoOpRequestLog());
+		CallOptions options = new CallOptions(timeout, timeout, new ConnectionLimit(100, 100), context, true);
+		this.eventLoop.submit(() -> {
+			MoveCall call = new MoveCall(codec, new TestHeaderCodec(), "1", this.eventLoop, answer::complete);
+			call.started(this.connections.call(this.endpoint.address(),
+					codec.moveRequest(this.endpoint.address(), "1", this.endpoint.address()), options, call));
+		}).sync();
+		return answer.get(5, TimeUnit.SECONDS);
+	}
+
 	// Guards against a request of unknown outcome, or one that waits for its deadline,
 	// because the first bytes of its response were sent before it and lost.
 	@ParameterizedTest
