Await no response while a retry waits for an endpoint

A caller got events of another request's stream, requests were sent to one endpoint more than their route allows, and two endpoints could work on one request at the same time.

The timer of the awaited response ran on after the attempt had ended. While the retry waited (endpoints outdated, or none available), it failed the ended attempt once more, took another retry and placed the request a second time. The two attempts ran at once; the end of the request cancelled one of them, and the events of the other went to the caller's connection, which carried the next request by then.

A placement now ends the timer of the response and any other placement, so that at most one attempt is in flight, and events of a request that has ended are not passed on, but cancel their attempt.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -129,6 +129,9 @@
 		if (this.ended) {
 			return;
 		}
+		// Until the request is sent, no response is awaited, and one placement is enough.
+		cancel(this.responseTimer);
+		cancel(this.placementTimer);
 		// A busy event loop may run this later than planned.
 		if (!remaining().isPositive()) {
 			endWithError(ErrorKind.OUTCOME_UNKNOWN);
@@ -280,6 +283,11 @@
 	}
 
 	void forwardEvents(Attempt attempt, ByteBuf content) {
+		// The caller's connection may carry its next request by now.
+		if (this.ended) {
+			attempt.cancel();
+			return;
+		}
 		byte[] completeEvents;
 		try {
 			completeEvents = this.eventSplitter.read(content);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -538,6 +538,38 @@
 		}
 	}
 
+	// Guards against a request that is sent to two endpoints at once, one more than its
+	// route allows, and a stream that its caller gets as that of the next request, since the
+	// timer of an attempt that has ended ran on.
+	@Test
+	void requestThatWaitsForItsRetryIsSentOnce() throws Exception {
+		Duration latencyTarget = Duration.ofMillis(100);
+		this.configuration = new Configuration(2,
+				List.of(new Route("/resumed/", "host", "/resumed/", RouteKind.STREAMING, true, Duration.ofSeconds(20),
+						latencyTarget, Duration.ofSeconds(5), 0, List.of(new WeightedService(SERVICE, 1)), 2, true)),
+				List.of(new Service(SERVICE, 100, null, null)), List.of(), CallerLimits.DEFAULT);
+		configure(this.dispatcher);
+		endpoint("a").then((connection, id) -> {
+			this.endpointsCurrent = () -> false;
+			ScriptedEndpoint.write(connection, FAILED.replace("ID", id));
+		});
+		try (Caller caller = new Caller()) {
+			caller.send(lines("POST /resumed/x HTTP/1.1", "host: host", "id: 1", "content-length: 0", "", ""));
+			while (this.endpointsCurrent.getAsBoolean()) {
+				TimeUnit.MILLISECONDS.sleep(5);
+			}
+			ScriptedEndpoint second = endpoint("b");
+			ScriptedEndpoint third = endpoint("c");
+			for (ScriptedEndpoint endpoint : List.of(second, third)) {
+				endpoint.thenRespondLate(Duration.ofMillis(300), FAILED);
+			}
+			TimeUnit.MILLISECONDS.sleep(1000);
+			this.endpointsCurrent = () -> true;
+			assertThat(caller.read().status()).isEqualTo(500);
+			assertThat(second.unreadRequests() + third.unreadRequests()).isEqualTo(1);
+		}
+	}
+
 	// Guards against a mismatched response: the endpoint responds twice, and the second
 	// response is pending on the pooled connection when the next request is sent on it.
 	// Its caller must receive the response that carries its own request id.
