Use a new connection for each call of an entry to an endpoint

Callers could get a success where the endpoint had answered with a failure. Whatever an endpoint sent after the next request had left was read as its response: an extra response that was whole, or one cut within its head, which the next response then completed. Streams and copies of KV caches had the same fault; a cache of another request was imported.

The client pools connections, and responses of endpoints name no request. It closes an idle connection on which bytes arrive, but its reading of heads is lenient, and the time of bytes that arrive later proves nothing.

What proves that a response is a request's own is now stated in one class, DedicatedConnectionClient: it is the first response on a connection that has carried no other request. No header has to be echoed, so older peers are not concerned. An endpoint's client after a failure is not needed any more.

--- a/banyancove-entry/src/main/java/org/banyancove/entry/CommandExecutor.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/CommandExecutor.java
@@ -48,10 +48,8 @@
 					fail.attempt(), new AttemptResult.NeverSent("the endpoint is gone")));
 			case EntryCommand.MoveCache move -> this.endpoints.moveCache(move);
 			case EntryCommand.SendToPeer send -> this.peers.send(send.address(), send.message());
-			case EntryCommand.CancelAttempt cancel ->
-				this.endpoints.cancel(cancel.request(), cancel.attempt(), cancel.endpoint());
-			case EntryCommand.CancelStream cancel ->
-				this.endpoints.cancelStream(cancel.request(), cancel.endpoint(), cancel.address());
+			case EntryCommand.CancelAttempt cancel -> this.endpoints.cancel(cancel.request(), cancel.attempt());
+			case EntryCommand.CancelStream cancel -> this.endpoints.cancelStream(cancel.request(), cancel.address());
 			case EntryCommand.RecordSample sample -> this.samples.add(sample.sample());
 			case EntryCommand.ReadProfiles read -> this.log.readProfiles(read.fromOffset());
 			case EntryCommand.StopReadingProfiles _ -> this.log.stopReadingProfiles();
--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -19,13 +18,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.banyancove.core.Body;
-import org.banyancove.core.EndpointId;
 import org.banyancove.core.RequestId;
 import org.banyancove.core.entry.AttemptRequest;
 import org.banyancove.core.entry.AttemptResult;
 import org.banyancove.core.entry.EntryCommand;
 import org.banyancove.core.entry.EntryEvent;
 import org.banyancove.entry.EventSink;
+import org.banyancove.platform.DedicatedConnectionClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,7 +52,7 @@
 
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final EndpointConnections connections;
+	private final DedicatedConnectionClient client;
 
 	private final Duration answerTimeout;
 
@@ -66,7 +65,7 @@
 	 * @param events the tick loop
 	 */
 	public EndpointClient(Duration connectTimeout, Duration answerTimeout, EventSink events) {
-		this.connections = new EndpointConnections(connectTimeout);
+		this.client = new DedicatedConnectionClient(connectTimeout, this.executor);
 		this.answerTimeout = answerTimeout;
 		this.events = events;
 	}
@@ -87,10 +86,8 @@
 	 * recognized by the attempt's number.
 	 * @param request the request
 	 * @param number the attempt's number
-	 * @param endpoint the endpoint, whose next request uses a new connection
 	 */
-	public void cancel(RequestId request, int number, EndpointId endpoint) {
-		this.connections.replace(endpoint);
+	public void cancel(RequestId request, int number) {
 		Future<?> future = this.running.remove(new AttemptKey(request, number));
 		if (future != null) {
 			future.cancel(true);
@@ -100,12 +97,11 @@
 	/**
 	 * Cancels a stream at its engine, without waiting for the response.
 	 * @param request the request
-	 * @param endpoint the endpoint
 	 * @param address the endpoint's address
 	 */
-	public void cancelStream(RequestId request, EndpointId endpoint, String address) {
+	public void cancelStream(RequestId request, String address) {
 		HttpRequest cancelRequest = request(address, "/v1/streams/" + request).DELETE().build();
-		this.connections.client(endpoint).sendAsync(cancelRequest, HttpResponse.BodyHandlers.discarding());
+		this.client.sendAsync(cancelRequest, HttpResponse.BodyHandlers.discarding());
 	}
 
 	/**
@@ -130,17 +126,8 @@
 		});
 	}
 
-	/**
-	 * Releases the resources of an endpoint that no longer exists.
-	 * @param endpoint the endpoint
-	 */
-	public void remove(EndpointId endpoint) {
-		this.connections.remove(endpoint);
-	}
-
 	@Override
 	public void close() {
-		this.connections.close();
 		this.executor.shutdownNow();
 	}
 
@@ -150,9 +137,6 @@
 		if (Thread.currentThread().isInterrupted()) {
 			return;
 		}
-		if (result instanceof AttemptResult.Broken) {
-			this.connections.replace(attempt.endpoint());
-		}
 		this.events.post(new EntryEvent.AttemptEnded(attempt.request(), attempt.number(), result));
 	}
 
@@ -193,8 +177,7 @@
 		boolean expectsContinue = call.atMostOnce() && call.body().length() > 0;
 		request.expectContinue(expectsContinue);
 		try {
-			HttpResponse<byte[]> response = client(attempt).send(request.build(),
-					HttpResponse.BodyHandlers.ofByteArray());
+			HttpResponse<byte[]> response = this.client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
 			String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
 			return new AttemptResult.Answered(response.statusCode(), contentType, Body.copyOf(response.body()));
 		}
@@ -203,7 +186,6 @@
 		}
 		catch (IOException ex) {
 			if (expectsContinue && !body.requested()) {
-				this.connections.replace(attempt.endpoint());
 				return new AttemptResult.NeverSent("no go-ahead from " + attempt.address());
 			}
 			throw ex;
@@ -229,21 +211,20 @@
 	private boolean copyCache(EntryCommand.MoveCache move) throws IOException, InterruptedException {
 		String path = "/v1/kv/" + move.request();
 		HttpRequest exportRequest = request(move.source(), path).timeout(this.answerTimeout).GET().build();
-		HttpClient client = this.connections.client(move.target());
-		HttpResponse<byte[]> cache = client.send(exportRequest, HttpResponse.BodyHandlers.ofByteArray());
+		HttpResponse<byte[]> cache = this.client.send(exportRequest, HttpResponse.BodyHandlers.ofByteArray());
 		if (cache.statusCode() != OK) {
 			return false;
 		}
 		HttpRequest importRequest = request(move.targetAddress(), path).timeout(this.answerTimeout)
 			.PUT(HttpRequest.BodyPublishers.ofByteArray(cache.body()))
 			.build();
-		int status = client.send(importRequest, HttpResponse.BodyHandlers.discarding()).statusCode();
+		int status = this.client.send(importRequest, HttpResponse.BodyHandlers.discarding()).statusCode();
 		return status >= OK && status < MULTIPLE_CHOICES;
 	}
 
 	private AttemptResult stream(Attempt attempt, HttpRequest request, long fromOffset)
 			throws IOException, InterruptedException {
-		HttpResponse<InputStream> response = client(attempt).send(request, HttpResponse.BodyHandlers.ofInputStream());
+		HttpResponse<InputStream> response = this.client.send(request, HttpResponse.BodyHandlers.ofInputStream());
 		try (InputStream input = response.body()) {
 			int status = response.statusCode();
 			if (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE) {
@@ -274,10 +255,6 @@
 			.build();
 	}
 
-	private HttpClient client(Attempt attempt) {
-		return this.connections.client(attempt.endpoint());
-	}
-
 	private static HttpRequest.Builder request(String address, String path) {
 		return HttpRequest.newBuilder(URI.create("http://" + address + path));
 	}
