Use a new connection for each call to the platform

A rejected append counted as appended, so that its records would be lost, and a page of one stream was read as a page of another: responses of the platform name neither request nor stream, and an extra response, or its beginning, that arrived just before the next one was read as that one.

Calls of the platform's clients and orders to engines now use DedicatedConnectionClient, on whose connections nothing precedes a response. The class that replaced a client after a failure is no longer needed; what remains of it, JSON and the timeout over the whole call, is JsonHttpClient. Closing it cancels the calls in progress, as before.

Two tests relied on pooled connections. callAfterATimeoutReusesNoPooledConnection expected one timeout after connections became unresponsive; its successor, callReusesNoConnection, expects none and two new connections, which is stricter. appendWithALostResponseIsSentOnce makes the server stop responding on new connections too; its assertions are unchanged. closeCancelsCallsInProgress is new.

--- a/banyancove-platform/src/main/java/org/banyancove/platform/EngineClient.java
+++ b/banyancove-platform/src/main/java/org/banyancove/platform/EngineClient.java
@@ -28,7 +28,7 @@
 
 	private static final int CONFLICT = 409;
 
-	private final ReconnectingHttpClient client;
+	private final JsonHttpClient client;
 
 	/**
 	 * Creates a client for all engines. Nothing is sent until its first call.
@@ -36,7 +36,7 @@
 	 * @param executor runs the continuations of calls
 	 */
 	public EngineClient(Duration timeout, Executor executor) {
-		this.client = new ReconnectingHttpClient(timeout, executor);
+		this.client = new JsonHttpClient(timeout, executor);
 	}
 
 	/**
@@ -62,7 +62,7 @@
 	}
 
 	/**
-	 * Closes the client without waiting for calls in progress.
+	 * Cancels the calls in progress.
 	 */
 	@Override
 	public void close() {
--- a/banyancove-platform/src/main/java/org/banyancove/platform/LogClient.java
+++ b/banyancove-platform/src/main/java/org/banyancove/platform/LogClient.java
@@ -13,8 +13,8 @@
 /**
  * A client of the platform's append-only log. Thread-safe.
  * <p>
- * The JDK's client retries some requests by itself: a read on a pooled connection that
- * turns out to be closed, and any request whose connection could not be opened, so that
+ * The JDK's client retries some requests by itself: a read whose connection closes
+ * without a response, and any request whose connection could not be opened, so that
  * nothing was sent. It does not retry an append, which is a {@code POST}, unless
  * {@code jdk.httpclient.enableAllMethodRetry} is set. If an intermediary repeats an
  * append nevertheless, the records keep their identifiers, so that readers recognize a
--- a/banyancove-platform/src/main/java/org/banyancove/platform/PlatformConnection.java
+++ b/banyancove-platform/src/main/java/org/banyancove/platform/PlatformConnection.java
@@ -9,14 +9,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The connection to the platform, shared by all its clients. Thread-safe. No pooled
- * connection is reused after a timeout or I/O error.
+ * The access to the platform, shared by all its clients. Thread-safe. Each call uses a
+ * new connection.
  */
 public final class PlatformConnection implements AutoCloseable {
 
 	private final URI base;
 
-	private final ReconnectingHttpClient client;
+	private final JsonHttpClient client;
 
 	/**
 	 * Creates a connection. Nothing is sent until a client's first call.
@@ -29,11 +29,11 @@
 			throw new IllegalArgumentException("base must be an absolute http address: " + base);
 		}
 		this.base = base;
-		this.client = new ReconnectingHttpClient(timeout, executor);
+		this.client = new JsonHttpClient(timeout, executor);
 	}
 
 	/**
-	 * Shuts down the current HTTP client without waiting for calls in progress.
+	 * Cancels the calls in progress.
 	 */
 	@Override
 	public void close() {
--- a/banyancove-platform/src/test/java/org/banyancove/platform/UnresponsiveServer.java
+++ b/banyancove-platform/src/test/java/org/banyancove/platform/UnresponsiveServer.java
@@ -59,6 +59,13 @@
 		this.unresponsiveConnections = this.sockets.size();
 	}
 
+	/**
+	 * Stops responding on all connections, open or new, which still read requests.
+	 */
+	void stopResponding() {
+		this.unresponsiveConnections = Integer.MAX_VALUE;
+	}
+
 	/**
 	 * Sets whether responses end after their headers.
 	 * @param stop whether to omit the response body
