--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -3,12 +3,10 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,7 +20,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -30,7 +27,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.banyancove.core.ServiceName;
 import org.banyancove.gateway.tunnel.ConnectContext;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -75,7 +71,8 @@
 	private final ServerSocket server = newServerSocket();
 
 	private final ConnectionPool connections = new ConnectionPool(this.eventLoop, System::nanoTime,
-			PartitionedChannel::new);
+			() -> new PartitionedChannel(
+					(remote) -> this.partitioned && remote.equals(this.server.getLocalSocketAddress())));
 
 	private volatile boolean partitioned;
 
@@ -154,6 +151,32 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a success whose body has an extra response in it, since its end is
+	// that of the connection or it ended early.
+	@ParameterizedTest
+	@CsvSource({ "connection: close, false", "content-length: 40, false", "connection: close, true",
+			"content-length: 40, true" })
+	void extraResponseIsNoPartOfABody(String framing, boolean tunnelled) throws Exception {
+		if (tunnelled) {
+			LoopbackTunnel.open(this.eventLoops, this.connections);
+			this.partitioned = true;
+		}
+		Thread.ofVirtual().start(this::accept);
+		List<String> wrong = new ArrayList<>();
+		int ids = 0;
+		for (String extra : EXTRA_RESPONSES) {
+			for (int end : List.of(13, 40, extra.length())) {
+				String response = "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n" + framing + "\r\n\r\nown part"
+						+ extra.substring(0, end).replace("PREVIOUS", "b" + ids);
+				this.exchange = new Exchange("", response, Timing.BEFORE_NEXT_RESPONSE);
+				if (framing.contains("close") || end > 40) {
+					check("b" + ids++, "UNREADABLE", extra.substring(0, end), wrong);
+				}
+			}
+		}
+		assertThat(wrong).isEmpty();
+	}
+
 	// Guards against a call without an id that takes a late response to the request
 	// before it on its connection for its own.
 	@Test
@@ -327,20 +350,4 @@
 
 	}
 
-	/**
-	 * A channel that may be partitioned from the server.
-	 */
-	private final class PartitionedChannel extends NioSocketChannel {
-
-		@Override
-		protected boolean doConnect(SocketAddress remote, @Nullable SocketAddress local) throws Exception {
-			if (ExtraResponseTests.this.partitioned
-					&& remote.equals(ExtraResponseTests.this.server.getLocalSocketAddress())) {
-				throw new ConnectException("partitioned from " + remote);
-			}
-			return super.doConnect(remote, local);
-		}
-
-	}
-
 }
