--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/CutResponseTests.java
@@ -139,9 +139,6 @@
 		this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
 	}
 
-	// Each length is tried with both ends: with one by callers of HTTP/1.1, with the
-	// other
-	// by callers of HTTP/1.0. Ids have the length of their placeholder.
 	// Guards against a success, or a promise that a request has not run, that rests on a
 	// response cut within its head or body.
 	@ParameterizedTest
@@ -164,6 +161,7 @@
 		for (String response : RESPONSES) {
 			String whole = head ? response.substring(0, headEnd(response)) : response;
 			for (int length = 0; length <= whole.length(); length++) {
+				// Ids have the length of their placeholder.
 				String id = String.valueOf(10 + cases++ % 90);
 				boolean reset = (length + seed) % 2 == 0;
 				check(new Cut(whole.replace("ID", id), length, reset, head), id, target + cases + " HTTP/" + version,
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -538,10 +538,8 @@
 		}
 	}
 
-	// Guards against a request that is sent to two endpoints at once, one more than its
-	// route allows, and a stream that its caller gets as that of the next request, since
-	// the
-	// timer of an attempt that has ended ran on.
+	// Guards against a request that is sent to two endpoints at once, whose second stream
+	// its caller gets as that of the next request: the timer of an ended attempt ran on.
 	@Test
 	void requestThatWaitsForItsRetryIsSentOnce() throws Exception {
 		Duration latencyTarget = Duration.ofMillis(100);
