Read a stream's events as fast as their caller reads them

Heads, whole bodies and single events were bounded here; the events that wait for their caller were not: valid events without end to a caller that does not read were kept until the deadline.

Cause: a producer without backpressure. The endpoint's connection is now read only while the caller's is below its high watermark. No response timer runs meanwhile, since the endpoint is not to blame, and the pause does not count in its times.

ExchangeTests#eventsAreReadAsFastAsTheirCallerReadsThem: an endpoint of 100 MB of events and a caller that does not read for 2 s.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -50,6 +50,10 @@
 
 	private final boolean continuesRun;
 
+	private @Nullable Long pausedAt;
+
+	private Duration pausedTime = Duration.ZERO;
+
 	private boolean prefillCompleted;
 
 	private int eventCount;
@@ -176,6 +180,29 @@
 		}
 	}
 
+	/** Stops reading the response until {@link #resumeReading()} is called. */
+	void pauseReading() {
+		if (this.pausedAt == null && this.call != null) {
+			this.pausedAt = this.exchange.now();
+			this.call.pauseReading();
+		}
+	}
+
+	/**
+	 * Reads the response again.
+	 * @return {@code false} if reading was not paused, or the attempt has ended
+	 */
+	boolean resumeReading() {
+		Long since = this.pausedAt;
+		if (since == null || this.call == null) {
+			return false;
+		}
+		this.pausedTime = this.pausedTime.plusNanos(this.exchange.now() - since);
+		this.pausedAt = null;
+		this.call.resumeReading();
+		return !this.finished;
+	}
+
 	// The first event shows that the prefill is complete.
 	void eventReceived() {
 		this.eventCount++;
@@ -197,7 +224,7 @@
 			return new AnswerTimes(millis(elapsed()), 0);
 		}
 		double expected = this.endpoint.latency().idleFirstTokenMillis(this.tokensAhead + this.prefillTokens);
-		double streaming = millis(elapsed().minus(first));
+		double streaming = millis(elapsed().minus(first).minus(this.pausedTime));
 		return new AnswerTimes(this.continuesRun ? 1 : millis(first) / expected,
 				streaming / Math.max(1, this.eventCount - 1));
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -193,6 +193,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the caller has read enough of its response for more to be written.
+	 * @return {@code false} while more than the channel's high watermark is not sent
+	 */
+	boolean isWritable() {
+		return this.channel != null && this.channel.isWritable();
+	}
+
 	/**
 	 * Ends a complete streaming response.
 	 */
@@ -311,6 +319,15 @@
 		}
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		InFlightRequest current = this.inFlight;
+		if (current != null && context.channel().isWritable()) {
+			current.callerWritable();
+		}
+		context.fireChannelWritabilityChanged();
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		stopTimer();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -41,6 +41,22 @@
 		}
 	}
 
+	/**
+	 * Stops reading the response, so that the server can't send more than is buffered.
+	 */
+	void pauseReading() {
+		if (!this.ended && this.connection != null) {
+			this.connection.setReading(false);
+		}
+	}
+
+	/** Reads the response again. */
+	void resumeReading() {
+		if (!this.ended && this.connection != null) {
+			this.connection.setReading(true);
+		}
+	}
+
 	/**
 	 * Returns when the connection was established that the request was sent on.
 	 * @return the monotonic time in ns
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -137,6 +137,10 @@
 		this.requestWrite = this.channel.writeAndFlush(newCall.assignTo(this));
 	}
 
+	void setReading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
 	void close() {
 		this.channel.close();
 	}
@@ -252,6 +256,7 @@
 			return;
 		}
 		this.call = null;
+		setReading(true);
 		if (lastBytes && isReusable()) {
 			this.pool.release(this);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/DeferredRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/DeferredRequest.java
@@ -42,4 +42,11 @@
 		}
 	}
 
+	@Override
+	public void callerWritable() {
+		if (this.started != null) {
+			this.started.callerWritable();
+		}
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -307,7 +307,22 @@
 		this.continuation.begin(attempt);
 		startStream(attempt);
 		this.caller.writeContent(completeEvents);
-		startResponseTimer(this.dispatcher.admission().streamTimeout(this.route));
+		if (this.caller.isWritable()) {
+			startResponseTimer(this.dispatcher.admission().streamTimeout(this.route));
+		}
+		else {
+			// Events would accumulate faster than the caller reads them.
+			cancel(this.responseTimer);
+			attempt.pauseReading();
+		}
+	}
+
+	@Override
+	public void callerWritable() {
+		Attempt current = this.currentAttempt;
+		if (!this.ended && current != null && current.resumeReading()) {
+			startResponseTimer(this.dispatcher.admission().streamTimeout(this.route));
+		}
 	}
 
 	private void startStream(Attempt attempt) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/InFlightRequest.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/InFlightRequest.java
@@ -12,4 +12,8 @@
 	/** Called when the caller has closed its connection, to stop the work. */
 	void callerDisconnected();
 
+	/** Called when the caller has read enough of its response for more to be written. */
+	default void callerWritable() {
+	}
+
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
@@ -100,4 +100,11 @@
 		}
 	}
 
+	@Override
+	public void callerWritable() {
+		if (this.started != null) {
+			this.started.callerWritable();
+		}
+	}
+
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -784,6 +785,36 @@
 		assertThat(buffers.tryReserve(1 << 16)).isTrue();
 	}
 
+	// Guards against a gateway that has no memory left because it reads events faster
+	// than
+	// their caller does.
+	@ParameterizedTest
+	@ValueSource(strings = { "/stream/", "/resumed/" })
+	void eventsAreReadAsFastAsTheirCallerReadsThem(String path) throws Exception {
+		int events = 1000;
+		String data = "x".repeat(100_000);
+		AtomicInteger written = new AtomicInteger();
+		ScriptedEndpoint endpoint = endpoint("a").then((connection, id) -> {
+			ScriptedEndpoint.write(connection, STREAM_HEAD.replace("ID", id));
+			for (int i = 1; i <= events; i++) {
+				ScriptedEndpoint.write(connection, chunk("id: " + i + "\ndata: " + data + "\n\n"));
+				written.set(i);
+			}
+			ScriptedEndpoint.write(connection, "0\r\n\r\n");
+		}).thenRespond(COMPLETE);
+		try (Caller caller = new Caller()) {
+			caller.send(lines("POST " + path + " HTTP/1.1", "host: host", "id: 1", "content-length: 0", "", ""));
+			TimeUnit.SECONDS.sleep(2);
+			assertThat(written.get()).isLessThan(events / 2);
+			TestCaller.Response response = caller.read();
+			assertThat(response.complete()).isTrue();
+			assertThat(response.body().lines().filter((line) -> line.startsWith("id: ")).toList())
+				.isEqualTo(IntStream.rangeClosed(1, events).mapToObj((id) -> "id: " + id).toList());
+			assertThat(caller.call("GET /again/x HTTP/1.1", "2").body()).isEqualTo("hello");
+		}
+		assertThat(endpoint.unreadRequests()).isEqualTo(2);
+	}
+
 	// Guards against lost, truncated or duplicate events: the first engine fails within
 	// an event, and the stream is resumed on another engine after the last complete
 	// event, within the same response.
