Reject heads whose headers stray bytes have cut in two

An endpoint's stray blanks and end of line within a header made the library read the first part as a header without a value and the rest as another one, so that the seal, the length or the chunks of an answer counted as absent: the soak saw a sealed 500 that reached its caller without its seal, and a success whose length is absent ends with its connection.

Cause: a line without a colon is taken for a header if blanks follow its name. Each line of a head after the first must now be a header or its continuation; otherwise the answer is unreadable (no_header).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
@@ -17,6 +17,9 @@
 	/** The head has two status lines, so that it consists of parts of two responses. */
 	SECOND_STATUS_LINE,
 
+	/** The head has a line that is no header. */
+	NO_HEADER,
+
 	/**
 	 * The body of a response has another status line in it, and its end was not stated,
 	 * belongs to a response that is discarded, or is followed by bytes.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -24,7 +24,8 @@
  * own by the time at which they arrive, since a server may respond before it has read the
  * request. A head therefore counts as that of one response if its only status line begins
  * at its first byte: a head that consists of two has the second status line somewhere
- * after that.
+ * after that. Each of its other lines must be a header: one that stray bytes have cut in
+ * two would count as absent, such as the length, or as shorter.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
@@ -37,6 +38,8 @@
 	/** Scans each response from its first byte to its last. */
 	private final StatusLineScanner scanner = new StatusLineScanner();
 
+	private final HeaderLineScanner headerLines = new HeaderLineScanner();
+
 	private Section section = Section.HEAD;
 
 	private boolean bodyHadStatusLine;
@@ -124,6 +127,9 @@
 
 	private void scan(ByteBuf bytes, int start) {
 		this.scanner.scan(bytes, start, bytes.readerIndex());
+		if (this.section == Section.HEAD) {
+			this.headerLines.scan(bytes, start, bytes.readerIndex());
+		}
 		if (this.scanner.foundAfterStart()) {
 			switch (this.section) {
 				case HEAD -> report(FramingViolation.SECOND_STATUS_LINE);
@@ -131,6 +137,9 @@
 				case BODY -> this.bodyHadStatusLine = true;
 			}
 		}
+		if (this.headerLines.foundOther()) {
+			report(FramingViolation.NO_HEADER);
+		}
 	}
 
 	private void enterSection(Object message) {
@@ -142,6 +151,7 @@
 		if (message instanceof LastHttpContent) {
 			this.section = Section.HEAD;
 			this.scanner.reset();
+			this.headerLines.reset();
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
@@ -99,6 +99,32 @@
 		}
 	}
 
+	// Guards against a success with a part of its body: stray bytes cut a header in two,
+	// so that the length is another one or none.
+	@ParameterizedTest
+	@ValueSource(strings = { "\n", "\r\n", " \t\r\n", "words\r\n", "0\r\n" })
+	void headerThatStrayBytesCutInTwoIsReported(String stray) {
+		String response = "HTTP/1.1 200 OK\r\ncontent-length: 15\r\nid: 12\r\n\r\nhello, welcome!";
+		List<Integer> unreported = new ArrayList<>();
+		int name = response.indexOf("content-length");
+		for (int cut = name + 1; cut < response.indexOf("15") + 2; cut++) {
+			for (int segment : new int[] { 1, 7, 1000 }) {
+				this.violations.clear();
+				EmbeddedChannel connection = new EmbeddedChannel(expecting());
+				receive(connection, response.substring(0, cut) + stray + response.substring(cut), segment);
+				if (this.violations.isEmpty() && hasOtherLength(connection)) {
+					unreported.add(cut);
+				}
+			}
+		}
+		assertThat(unreported).isEmpty();
+	}
+
+	private static boolean hasOtherLength(EmbeddedChannel connection) {
+		HttpResponse head = connection.readInbound();
+		return head != null && head.decoderResult().isSuccess() && !"15".equals(head.headers().get("content-length"));
+	}
+
 	private StrictResponseDecoder expecting() {
 		StrictResponseDecoder created = new StrictResponseDecoder(this.violations::add);
 		created.expectResponse(HttpMethod.GET);
