Tell in a request's line what preceded its response on the connection

A request ended line with status 200 said nothing about the connection that its answer came from: whether bytes of an earlier answer could precede it. It now has connectionCalls, the requests that were sent on the last attempt's connection up to its own, and discardedResponses.

ExchangeTests sends a second answer before the next one: call 1 with nothing discarded, call 2 with one, then a new connection.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GatewayMetrics.java
@@ -355,6 +355,8 @@
 				.addKeyValue("endpointVersion", request.endpointVersion())
 				.addKeyValue("resumes", abbreviated(request.resumedRequestId()))
 				.addKeyValue("attempts", request.attempts())
+				.addKeyValue("connectionCalls", request.connectionCalls())
+				.addKeyValue("discardedResponses", request.discardedResponses())
 				.addKeyValue("firstByteMs",
 						(request.timeToFirstByte() != null) ? request.timeToFirstByte().toMillis() : null)
 				.addKeyValue("elapsedMs", request.elapsed().toMillis())
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -92,6 +92,14 @@
 		this.call = startedCall;
 	}
 
+	int connectionCalls() {
+		return (this.call != null) ? this.call.connectionCalls() : 0;
+	}
+
+	int discardedResponses() {
+		return (this.call != null) ? this.call.discardedResponses() : 0;
+	}
+
 	Endpoint endpoint() {
 		return this.endpoint;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientCall.java
@@ -19,6 +19,10 @@
 
 	private @Nullable ClientConnection connection;
 
+	private int connectionCalls;
+
+	private int discardedResponses;
+
 	private boolean ended;
 
 	ClientCall(FullHttpRequest request, @Nullable String requestId, ResponseListener listener) {
@@ -69,6 +73,22 @@
 		return this.connection.connectedAt();
 	}
 
+	/**
+	 * Returns the number of calls that were sent on the connection up to this one.
+	 * @return the number, 0 if the request was not sent
+	 */
+	int connectionCalls() {
+		return this.connectionCalls;
+	}
+
+	/**
+	 * Returns the number of responses to other requests that preceded the call's own.
+	 * @return the number
+	 */
+	int discardedResponses() {
+		return this.discardedResponses;
+	}
+
 	HttpMethod method() {
 		return this.request.method();
 	}
@@ -85,8 +105,9 @@
 		return this.listener.maySend(this.request.headers());
 	}
 
-	FullHttpRequest assignTo(ClientConnection assigned) {
+	FullHttpRequest assignTo(ClientConnection assigned, int calls) {
 		this.connection = assigned;
+		this.connectionCalls = calls;
 		return this.request.retain();
 	}
 
@@ -95,6 +116,7 @@
 	}
 
 	void discarded(HttpResponse head) {
+		this.discardedResponses++;
 		this.listener.discarded(head);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -134,7 +134,7 @@
 		this.ignoringResponse = false;
 		this.ignoredBytes = 0;
 		this.decoder.expectResponse(newCall.method());
-		this.requestWrite = this.channel.writeAndFlush(newCall.assignTo(this));
+		this.requestWrite = this.channel.writeAndFlush(newCall.assignTo(this, this.calls));
 	}
 
 	void setReading(boolean reading) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestAccounting.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestAccounting.java
@@ -76,6 +76,7 @@
 		this.dispatcher.requestLog()
 			.ended(new RequestLog.EndedRequest(String.valueOf(this.requestHeaders.requestId()), route(), outcome,
 					status, endpoint, endpointVersion, this.requestHeaders.resumedRequestId(), attempts,
+					(last != null) ? last.connectionCalls() : 0, (last != null) ? last.discardedResponses() : 0,
 					this.timeToFirstByte, elapsed(), this.configurationVersion));
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestLog.java
@@ -188,14 +188,18 @@
 	 * @param endpointVersion its software version when the request was sent
 	 * @param resumedRequestId the request whose stream this one resumed, or {@code null}
 	 * @param attempts the number of attempts
+	 * @param connectionCalls the requests that were sent on the last attempt's connection
+	 * up to its own; 0 if none was
+	 * @param discardedResponses the responses to other requests that preceded the last
+	 * attempt's
 	 * @param timeToFirstByte the time from arrival to the first byte of the response, or
 	 * {@code null}
 	 * @param elapsed the time since arrival
 	 * @param version the configuration version under which the request was accepted
 	 */
 	record EndedRequest(String requestId, String route, String outcome, int status, @Nullable String endpoint,
-			@Nullable String endpointVersion, @Nullable String resumedRequestId, int attempts,
-			@Nullable Duration timeToFirstByte, Duration elapsed, long version) {
+			@Nullable String endpointVersion, @Nullable String resumedRequestId, int attempts, int connectionCalls,
+			int discardedResponses, @Nullable Duration timeToFirstByte, Duration elapsed, long version) {
 	}
 
 	/**
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -584,6 +584,27 @@
 		}
 	}
 
+	// Guards against a wrong success of unknown cause: its line doesn't say whether bytes
+	// of an earlier response could precede its own on the connection.
+	@Test
+	void lineOfARequestTellsWhatPrecededItsResponseOnTheConnection() throws Exception {
+		endpoint("a").thenRespond(COMPLETE)
+			.then((connection, id) -> ScriptedEndpoint.write(connection,
+					COMPLETE.replace("ID", "1") + COMPLETE.replace("ID", id)))
+			.thenRespond(COMPLETE);
+		List<String> preceding = new ArrayList<>();
+		try (Caller caller = new Caller()) {
+			for (String id : List.of("1", "2", "3")) {
+				assertThat(caller.call("POST /once/ HTTP/1.1", id).status()).isEqualTo(200);
+				RequestLog.EndedRequest ended = this.requestLog.endedRequests.poll(5, TimeUnit.SECONDS);
+				preceding.add((ended != null) ? ended.requestId() + ": call " + ended.connectionCalls() + ", "
+						+ ended.discardedResponses() + " discarded" : "no line");
+			}
+		}
+		assertThat(preceding).containsExactly("1: call 1, 0 discarded", "2: call 2, 1 discarded",
+				"3: call 1, 0 discarded");
+	}
+
 	// Guards against a request that waits until its deadline for the answer of an
 	// endpoint
 	// that sent bytes which are no answer, on a connection that was used before.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 
 import org.banyancove.core.EndpointId;
 import org.banyancove.gateway.resumption.KnownOrigin;
@@ -11,12 +13,15 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A log that keeps the unreadable load headers and ignores everything else.
+ * A log that keeps the unreadable load headers and the ended requests, and ignores
+ * everything else.
  */
 class NoOpRequestLog implements RequestLog {
 
 	final List<String> unreadableLoads = new CopyOnWriteArrayList<>();
 
+	final BlockingQueue<EndedRequest> endedRequests = new LinkedBlockingQueue<>();
+
 	@Override
 	public void connectionClosedUnread() {
 		// Not used.
@@ -48,6 +53,7 @@
 
 	@Override
 	public void ended(EndedRequest request) {
+		this.endedRequests.add(request);
 	}
 
 	@Override
