Bound what an entry reads from an endpoint

Callers of an entry whose endpoint sent bytes without end got no answer before their deadline, and the entry kept what was sent: plain answers, failures of engines and KV caches that are moved were read whole, a line of a stream had no bound, and events were read until the deadline. The head of a response has the bounds of the JDK's client.

Plain answers and failures end at 8 MiB, as at the gateway, streams at 32 MiB with lines of 1 Mi characters, KV caches at 64 MiB. Responses without a reader (cancelled streams, imports) end at 8 MiB too. An event with an id that is no number ended the attempt without a result; now the attempt is broken.

--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
@@ -34,6 +34,15 @@
  */
 public final class EndpointClient implements AutoCloseable {
 
+	/** Maximum size of the body of an answer that is kept whole, in bytes. */
+	static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
+
+	/** Maximum size of one attempt's stream of events, in bytes. */
+	static final int MAXIMUM_STREAM_BYTES = 32 << 20;
+
+	/** Maximum size of a KV cache that is moved, in bytes. */
+	static final int MAXIMUM_CACHE_BYTES = 64 << 20;
+
 	private static final Logger logger = LoggerFactory.getLogger(EndpointClient.class);
 
 	private static final int OK = 200;
@@ -101,7 +110,7 @@
 	 */
 	public void cancelStream(RequestId request, String address) {
 		HttpRequest cancelRequest = request(address, "/v1/streams/" + request).DELETE().build();
-		this.client.sendAsync(cancelRequest, HttpResponse.BodyHandlers.discarding());
+		this.client.sendAsync(cancelRequest, limited(HttpResponse.BodyHandlers.discarding(), MAXIMUM_RESPONSE_BYTES));
 	}
 
 	/**
@@ -177,7 +186,8 @@
 		boolean expectsContinue = call.atMostOnce() && call.body().length() > 0;
 		request.expectContinue(expectsContinue);
 		try {
-			HttpResponse<byte[]> response = this.client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+			HttpResponse<byte[]> response = this.client.send(request.build(),
+					limited(HttpResponse.BodyHandlers.ofByteArray(), MAXIMUM_RESPONSE_BYTES));
 			String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
 			return new AttemptResult.Answered(response.statusCode(), contentType, Body.copyOf(response.body()));
 		}
@@ -211,20 +221,26 @@
 	private boolean copyCache(EntryCommand.MoveCache move) throws IOException, InterruptedException {
 		String path = "/v1/kv/" + move.request();
 		HttpRequest exportRequest = request(move.source(), path).timeout(this.answerTimeout).GET().build();
-		HttpResponse<byte[]> cache = this.client.send(exportRequest, HttpResponse.BodyHandlers.ofByteArray());
+		HttpResponse<byte[]> cache = this.client.send(exportRequest,
+				limited(HttpResponse.BodyHandlers.ofByteArray(), MAXIMUM_CACHE_BYTES));
 		if (cache.statusCode() != OK) {
 			return false;
 		}
 		HttpRequest importRequest = request(move.targetAddress(), path).timeout(this.answerTimeout)
 			.PUT(HttpRequest.BodyPublishers.ofByteArray(cache.body()))
 			.build();
-		int status = this.client.send(importRequest, HttpResponse.BodyHandlers.discarding()).statusCode();
+		int status = this.client
+			.send(importRequest, limited(HttpResponse.BodyHandlers.discarding(), MAXIMUM_RESPONSE_BYTES))
+			.statusCode();
 		return status >= OK && status < MULTIPLE_CHOICES;
 	}
 
 	private AttemptResult stream(Attempt attempt, HttpRequest request, long fromOffset)
 			throws IOException, InterruptedException {
-		HttpResponse<InputStream> response = this.client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+		HttpResponse<InputStream> response = this.client.send(request,
+				(head) -> limited(HttpResponse.BodyHandlers.ofInputStream(),
+						(head.statusCode() == OK) ? MAXIMUM_STREAM_BYTES : MAXIMUM_RESPONSE_BYTES)
+					.apply(head));
 		try (InputStream input = response.body()) {
 			int status = response.statusCode();
 			if (status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE) {
@@ -255,6 +271,10 @@
 			.build();
 	}
 
+	private static <T> HttpResponse.BodyHandler<T> limited(HttpResponse.BodyHandler<T> handler, int maximumBytes) {
+		return HttpResponse.BodyHandlers.limiting(handler, maximumBytes);
+	}
+
 	private static HttpRequest.Builder request(String address, String path) {
 		return HttpRequest.newBuilder(URI.create("http://" + address + path));
 	}
--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EngineStreamReader.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EngineStreamReader.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.io.Reader;
 import java.nio.charset.StandardCharsets;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,6 +17,9 @@
  */
 final class EngineStreamReader {
 
+	/** Maximum length of one line of a stream, in characters. */
+	static final int MAXIMUM_LINE_CHARACTERS = 1 << 20;
+
 	private static final String ID_PREFIX = "id:";
 
 	private static final String DATA_PREFIX = "data:";
@@ -46,9 +50,9 @@
 	 */
 	AttemptResult read(InputStream input, PieceListener pieces) throws IOException {
 		BufferedReader reader = new BufferedReader(new InputStreamReader(input, StandardCharsets.UTF_8));
-		for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+		for (String line = readLine(reader); line != null; line = readLine(reader)) {
 			if (line.startsWith(ID_PREFIX)) {
-				this.lastEventId = Long.parseLong(line.substring(ID_PREFIX.length()).strip());
+				this.lastEventId = parseId(line.substring(ID_PREFIX.length()).strip());
 			}
 			else if (line.startsWith(DATA_PREFIX)) {
 				String data = line.substring(DATA_PREFIX.length()).strip();
@@ -61,6 +65,30 @@
 		return new AttemptResult.Broken("the stream stopped at token " + this.offset + " without an end");
 	}
 
+	// Returns the next line, which ends at a line feed, or null at the end of the stream.
+	private static @Nullable String readLine(Reader reader) throws IOException {
+		StringBuilder line = new StringBuilder();
+		for (int next = reader.read(); next >= 0; next = reader.read()) {
+			if (next == '\n') {
+				return line.toString();
+			}
+			if (line.length() == MAXIMUM_LINE_CHARACTERS) {
+				throw new IOException("a line of the stream has more than " + MAXIMUM_LINE_CHARACTERS + " characters");
+			}
+			line.append((char) next);
+		}
+		return line.isEmpty() ? null : line.toString();
+	}
+
+	private static long parseId(String text) throws IOException {
+		try {
+			return Long.parseLong(text);
+		}
+		catch (NumberFormatException ex) {
+			throw new IOException("the id of an event is not an offset", ex);
+		}
+	}
+
 	private void handleEvent(JsonNode data, PieceListener pieces) {
 		JsonNode choice = data.path("choices").path(0);
 		String text = choice.path("delta").path("content").asText("");
