Close a peer's connection for silence only after reading what has arrived

Messages to an entry were lost, without a sign to their sender, when the receiver's thread was held up for the silence timeout: the timeout was due before the thread had read what its peers had sent meanwhile, so that it closed their connections with the messages unread. PeerTransportTests lost its first messages so beside load.

The timeout consists of two halves now. The first one only notes the silence; between both the thread reads.

The other part of these failures is the tests' own: the sender's thread waited longer than the silence timeout of 400 ms between opening the connection and its first write, while the classes of the first message were loaded. The receiver then closes rightly, and a message written to a connection that its peer has closed is lost, as PeerLink says.

--- a/banyancove-transport/src/main/java/org/banyancove/transport/ConnectionHandler.java
+++ b/banyancove-transport/src/main/java/org/banyancove/transport/ConnectionHandler.java
@@ -23,7 +23,8 @@
  * open but carries no data: the peer appears dead although new connections to it succeed.
  * The end that opened the connection therefore sends a keep-alive at an interval, the
  * other end answers it, and an end that receives nothing for the silence timeout closes
- * the connection, so that the next message opens a new one.
+ * the connection, so that the next message opens a new one. The timeout consists of two
+ * halves, each counted only after the thread has read what had arrived before.
  */
 final class ConnectionHandler extends ChannelDuplexHandler {
 
@@ -85,7 +86,12 @@
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof IdleStateEvent) {
+		if (event instanceof IdleStateEvent idle) {
+			// The timeout may be due because this thread was held up. It reads what has
+			// arrived before the next half of the silence timeout can end.
+			if (idle.isFirst()) {
+				return;
+			}
 			this.counters.countTimedOut();
 			logger.warn("Closing connection to {} after the silence timeout", context.channel().remoteAddress());
 			context.close();
--- a/banyancove-transport/src/main/java/org/banyancove/transport/PeerTransport.java
+++ b/banyancove-transport/src/main/java/org/banyancove/transport/PeerTransport.java
@@ -168,8 +168,8 @@
 			protected void initChannel(Channel channel) {
 				PeerTransport.this.channels.add(channel);
 				channel.pipeline()
-					.addLast(new IdleStateHandler(PeerTransport.this.settings.silenceTimeout().toMillis(), 0, 0,
-							TimeUnit.MILLISECONDS))
+					.addLast(new IdleStateHandler(PeerTransport.this.settings.silenceTimeout().toNanos() / 2, 0, 0,
+							TimeUnit.NANOSECONDS))
 					.addLast(new LengthFieldBasedFrameDecoder(PeerTransport.this.settings.maximumFrameBytes(), 0,
 							LENGTH_BYTES, 0, LENGTH_BYTES))
 					.addLast(new LengthFieldPrepender(LENGTH_BYTES))
