Refuse responses that state several request ids or seals

Callers could get a response of which it wasn't known whose it was: the first of two request ids in one head counted, so that a head with the request's id and another one was taken for the request's own, or not, by their order.

Cause: HttpHeaders.get returns the first of several values, and a seal counted however often it was stated. Now a head with different ids or different seals is unreadable and fails its call at once, also on a new connection and for calls that move a run. The same id or seal stated twice still passes.

ExchangeTests#responseWithContradictoryHeadersFailsItsRequestAtOnce.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -260,6 +260,9 @@
 	@Override
 	public ResponseMatch match(HttpResponse response) {
 		EndpointHeaders headers = this.exchange.headerCodec().readEndpoint(response.headers());
+		if (headers.contradictory()) {
+			return ResponseMatch.CONTRADICTORY;
+		}
 		String stated = headers.requestId();
 		if (stated == null) {
 			return headers.sealed() ? ResponseMatch.UNIDENTIFIED : ResponseMatch.UNREADABLE;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -188,12 +188,16 @@
 		}
 		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		ResponseMatch match = informational ? ResponseMatch.OTHER : current.match(head);
-		this.ignoringResponse = match == ResponseMatch.OTHER || (match != ResponseMatch.OWN && this.calls > 1);
+		this.ignoringResponse = switch (match) {
+			case OWN -> false;
+			case OTHER, CONTRADICTORY -> true;
+			case UNIDENTIFIED, UNREADABLE -> this.calls > 1;
+		};
 		if (this.ignoringResponse) {
 			if (!informational) {
 				discard(current, head);
 			}
-			if (match == ResponseMatch.UNREADABLE) {
+			if (match == ResponseMatch.UNREADABLE || match == ResponseMatch.CONTRADICTORY) {
 				fail(CallFailure.UNREADABLE);
 			}
 			else {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/MoveCall.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.banyancove.gateway.migration.MigrationRule;
 import org.banyancove.gateway.migration.SourceAnswer;
+import org.banyancove.gateway.shared.EndpointHeaders;
 import org.banyancove.gateway.shared.HeaderCodec;
 import org.banyancove.gateway.shared.StreamMoveCodec;
 import org.jspecify.annotations.Nullable;
@@ -58,7 +59,11 @@
 	// The call has no id of its own, and needs none on a dedicated connection.
 	@Override
 	public ResponseMatch match(HttpResponse head) {
-		String stated = this.headerCodec.readEndpoint(head.headers()).requestId();
+		EndpointHeaders headers = this.headerCodec.readEndpoint(head.headers());
+		if (headers.contradictory()) {
+			return ResponseMatch.CONTRADICTORY;
+		}
+		String stated = headers.requestId();
 		return (stated == null || stated.equals(this.requestId)) ? ResponseMatch.OWN : ResponseMatch.OTHER;
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseMatch.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseMatch.java
@@ -21,6 +21,9 @@
 	UNREADABLE,
 
 	/** It names another call. */
-	OTHER
+	OTHER,
+
+	/** It names several calls, or has several seals, and can't be any call's response. */
+	CONTRADICTORY
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/shared/EndpointHeaders.java
@@ -9,6 +9,8 @@
  * The response metadata that an endpoint sends in headers.
  *
  * @param requestId the id of the request, or {@code null} if it is not stated
+ * @param contradictory whether the response states several request ids or seals, of which
+ * at most one is its own
  * @param sealed whether the response has the seal that shows that the endpoint itself
  * produced it
  * @param notRun whether the endpoint states that the request was not run
@@ -23,7 +25,7 @@
  * @param toleratedRejections the rejections in a second, for want of room, beyond which
  * the endpoint may fail, or {@code null} if it is not stated
  */
-public record EndpointHeaders(@Nullable String requestId, boolean sealed, boolean notRun, @Nullable LoadReport load,
-		@Nullable String unreadableLoad, @Nullable Double rateLimit, @Nullable Duration retryAfter, boolean leaving,
-		@Nullable Double toleratedRejections) {
+public record EndpointHeaders(@Nullable String requestId, boolean contradictory, boolean sealed, boolean notRun,
+		@Nullable LoadReport load, @Nullable String unreadableLoad, @Nullable Double rateLimit,
+		@Nullable Duration retryAfter, boolean leaving, @Nullable Double toleratedRejections) {
 }
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -598,6 +598,24 @@
 		}
 	}
 
+	// Guards against a success of which it is not known whose it is, because it states
+	// the
+	// id of its request and another one, or two seals.
+	@ParameterizedTest
+	@CsvSource({ "id: 1, id: 2", "id: 2, id: 1", "seal: s, seal: t" })
+	void responseWithContradictoryHeadersFailsItsRequestAtOnce(String first, String second) throws Exception {
+		String own = "HTTP/1.1 200 OK\r\nid: 1\r\nseal: s\r\ncontent-length: 5\r\n";
+		String response = own.replace(first.contains("id") ? "id: 1" : "seal: s", first + "\r\n" + second);
+		endpoint("a").thenRespond(response + "\r\nwrong")
+			.thenRespond(COMPLETE.replace("seal: s", "seal: s\r\nseal: s"));
+		try (Caller caller = new Caller()) {
+			long startedAt = System.nanoTime();
+			assertThat(caller.call("POST /once/ HTTP/1.1", "1").status()).isEqualTo(502);
+			assertThat(Duration.ofNanos(System.nanoTime() - startedAt)).isLessThan(Duration.ofMillis(500));
+			assertThat(caller.call("POST /once/ HTTP/1.1", "3").body()).isEqualTo("hello");
+		}
+	}
+
 	// Guards against running a request twice: the endpoint reads the request and resets
 	// the connection. It may have run the request, so that the request is not retried,
 	// and the caller is not told that it was not run.
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestHeaderCodec.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -91,8 +92,10 @@
 
 	@Override
 	public EndpointHeaders readEndpoint(HttpHeaders headers) {
-		return new EndpointHeaders(headers.get("id"), headers.contains("seal"), headers.contains("not-run"),
-				load(headers.get("load")), (load(headers.get("load")) != null) ? null : headers.get("load"),
+		return new EndpointHeaders(headers.get("id"),
+				Set.copyOf(headers.getAll("id")).size() > 1 || Set.copyOf(headers.getAll("seal")).size() > 1,
+				headers.contains("seal"), headers.contains("not-run"), load(headers.get("load")),
+				(load(headers.get("load")) != null) ? null : headers.get("load"),
 				headers.contains("rate-limit") ? Double.valueOf(headers.get("rate-limit")) : null,
 				headers.contains("retry-after") ? Duration.ofSeconds(Long.parseLong(headers.get("retry-after"))) : null,
 				headers.contains("leaving"),
