Send a further attempt at an address on a connection of its own

Callers could get the events of two runs in one whole stream. An attempt's id is its caller's, so that a late second response to an earlier attempt passes as that of the next one if both share a connection. Two cases reach that:

- a stream is moved to an endpoint that rejected the request before;
- a stream goes on at the last endpoint of its version, which rejected an attempt of it in between.

Plain retries can't: Exchange.triedEndpoints excludes the endpoints that were sent the request, and is cleared only if no attempt was sent.

Change: EndpointRequestFactory keeps the addresses that it made options for. A further attempt at one of them gets a dedicated connection, which takes the place of an idle one if the limit of connections is reached.

StreamMigrationTests#lateResponseOfTheDestinationToAnEarlierAttemptIsNoPartOfTheStream and ExchangeTests#lateResponseToAnEarlierAttemptIsNotMatchedToTheNextOne. Before: both red; the callers got a whole stream with an event of the late response ("data: late" for event 2; event 3 for event 2). After: both green.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallOptions.java
@@ -14,7 +14,7 @@
  * @param context what a connection to an endpoint is needed for, or {@code null} for a
  * call to the platform
  * @param dedicated whether the connection carries no other call, for a call whose
- * response need not name it
+ * response need not tell it from others
  */
 public record CallOptions(Duration connectTimeout, Duration maximumIdleTime, ConnectionLimit connections,
 		@Nullable ConnectContext context, boolean dedicated) {
@@ -48,15 +48,16 @@
 	/**
 	 * Returns the options of a caller's request.
 	 * @param repeatable whether the request may run more than once
+	 * @param dedicated whether the connection carries no other call
 	 * @param connectTimeout the timeout for establishing a new connection
 	 * @param connections the limit of connections to the address
 	 * @param context what the connection is needed for
 	 * @return the options
 	 */
-	static CallOptions forRequest(boolean repeatable, Duration connectTimeout, ConnectionLimit connections,
-			ConnectContext context) {
+	static CallOptions forRequest(boolean repeatable, boolean dedicated, Duration connectTimeout,
+			ConnectionLimit connections, ConnectContext context) {
 		return new CallOptions(connectTimeout, repeatable ? MAXIMUM_IDLE_TIME : MAXIMUM_IDLE_TIME_NON_REPEATABLE,
-				connections, context);
+				connections, context, dedicated);
 	}
 
 }
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -97,7 +97,7 @@
 		if (pooled != null) {
 			pooled.send(call);
 		}
-		else if (this.openConnections.getOrDefault(address, 0) >= options.connections().open()) {
+		else if (isFull(address, options)) {
 			this.eventLoop.execute(() -> call.failed(CallFailure.NO_FREE_CONNECTION));
 		}
 		else {
@@ -106,6 +106,17 @@
 		return call;
 	}
 
+	// A dedicated connection takes the place of an idle one.
+	private boolean isFull(InetSocketAddress address, CallOptions options) {
+		int maximum = options.connections().open();
+		Deque<ClientConnection> idle = this.idleConnections.get(address);
+		if (options.dedicated() && idle != null && !idle.isEmpty()
+				&& this.openConnections.getOrDefault(address, 0) >= maximum) {
+			idle.getLast().close();
+		}
+		return this.openConnections.getOrDefault(address, 0) >= maximum;
+	}
+
 	/**
 	 * Closes the idle connections to an address that may have been reassigned.
 	 * @param address the address
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -1,6 +1,9 @@
 package org.banyancove.gateway.exchange;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -29,6 +32,8 @@
 
 	private final RoutingDecision.Accepted accepted;
 
+	private final Set<InetSocketAddress> usedAddresses = new HashSet<>();
+
 	EndpointRequestFactory(RequestDispatcher dispatcher, CallerRequest request, String requestId,
 			RoutingDecision.Accepted accepted) {
 		this.dispatcher = dispatcher;
@@ -78,8 +83,18 @@
 		return Math.clamp((accountPriority != null) ? accountPriority : this.accepted.route().priority(), 0, 9);
 	}
 
-	CallOptions options() {
-		return CallOptions.forRequest(this.accepted.route().repeatable(),
+	/**
+	 * Returns the connection options of the next attempt. A late response to an earlier
+	 * attempt states the same request id, so that attempts must not share a connection.
+	 * @param address the address of the attempt's endpoint
+	 * @return the options, with a dedicated connection for a further attempt at an address
+	 */
+	CallOptions options(InetSocketAddress address) {
+		return options(!this.usedAddresses.add(address));
+	}
+
+	private CallOptions options(boolean dedicated) {
+		return CallOptions.forRequest(this.accepted.route().repeatable(), dedicated,
 				this.dispatcher.admission().connectTimeout(this.accepted.route()),
 				this.dispatcher.connectionLimit(this.accepted.service()), connectContext());
 	}
@@ -90,10 +105,10 @@
 	 * @return the options
 	 */
 	CallOptions moveOptions() {
-		CallOptions options = options();
+		CallOptions options = options(true);
 		ConnectionLimit limit = options.connections();
 		return new CallOptions(options.connectTimeout(), options.maximumIdleTime(),
-				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context(), true);
+				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context(), options.dedicated());
 	}
 
 	ConnectContext connectContext() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.exchange;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -245,15 +246,16 @@
 	}
 
 	private Attempt send(Placement placement, @Nullable StoppedRun run) {
+		InetSocketAddress address = placement.endpoint().entry().address();
 		this.triedEndpoints.add(placement.endpoint().id());
 		Attempt newAttempt = new Attempt(this, placement, this.retries.attempts(), now(),
 				this.dispatcher.responseBuffers(), run != null);
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
 		newAttempt.callStarted(this.dispatcher.connections()
-			.call(placement.endpoint().entry().address(),
+			.call(address,
 					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
-					this.endpointRequests.options(), newAttempt));
+					this.endpointRequests.options(address), newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 		return newAttempt;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.SocketException;
 import java.nio.channels.ServerSocketChannel;
@@ -17,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 
@@ -1101,6 +1103,36 @@
 		assertThat(last.unreadRequests()).isEqualTo(2);
 	}
 
+	// Guards against a success of another attempt: at the last endpoint of a stream's
+	// version, a late second response to the attempt before has the request's id as well.
+	@Test
+	void lateResponseToAnEarlierAttemptIsNotMatchedToTheNextOne() throws Exception {
+		this.configuration = new Configuration(2, List.of(route("/resumed/", RouteKind.STREAMING, true, 3)),
+				List.of(new Service(SERVICE, 100, null, null)), List.of(), CallerLimits.DEFAULT);
+		configure(this.dispatcher);
+		AtomicReference<Socket> rejecting = new AtomicReference<>();
+		ScriptedEndpoint last = endpoint("a");
+		for (int i = 0; i < 3; i++) {
+			last.thenRespond(STREAM_HEAD + FIRST_EVENT + LAST_EVENT);
+		}
+		last.thenReset(STREAM_HEAD + FIRST_EVENT).then((connection, id) -> {
+			rejecting.set(connection);
+			ScriptedEndpoint.write(connection, NOT_RUN.replace("503 Full", "429 Busy").replace("ID", id));
+		}).then((connection, id) -> {
+			String late = connection.equals(rejecting.get()) ? STREAM_HEAD + chunk("id: 3\n\n") + "0\r\n\r\n" : "";
+			ScriptedEndpoint.write(connection, (late + STREAM_HEAD + LAST_EVENT).replace("ID", id));
+		});
+		try (Caller caller = new Caller()) {
+			// Requests without failures earn the retries.
+			for (int id = 7; id < 10; id++) {
+				assertThat(caller.call("POST /resumed/x HTTP/1.1", "" + id).complete()).isTrue();
+			}
+			TestCaller.Response response = caller.call("POST /resumed/x HTTP/1.1", "1");
+			assertThat(response.body()).isEqualTo("id: 1\n\nid: 2\n\n");
+			assertThat(response.complete()).isTrue();
+		}
+	}
+
 	// Guards against a stream that its caller takes up again and that goes on at another
 	// version.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StreamMigrationTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StreamMigrationTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -336,6 +337,37 @@
 		assertCountedOnce();
 	}
 
+	// Guards against a stream of the events of two runs: a late second response to the
+	// attempt that the destination rejected before has the id of the request as well.
+	@Test
+	void lateResponseOfTheDestinationToAnEarlierAttemptIsNoPartOfTheStream() throws Exception {
+		ScriptedEndpoint source = new ScriptedEndpoint();
+		this.scriptedEndpoints.add(source);
+		source.then((connection, id) -> {
+			beginStream(connection, id);
+			this.asked.await();
+			connection.close();
+		}).then(answering(answer(200, "h-1")));
+		AtomicReference<Socket> rejecting = new AtomicReference<>();
+		endpoint("b").then((connection, id) -> {
+			rejecting.set(connection);
+			EndpointEntry entry = new EndpointEntry(new EndpointId("a"), SERVICE, "v1", source.address(), DATA_CENTER,
+					10, false, true, 1);
+			this.eventLoop.submit(() -> this.endpoints.put(entry)).sync();
+			ScriptedEndpoint.write(connection, NOT_RUN.replace("503 Full", "429 Busy").replace("ID", id));
+		}).then((connection, id) -> {
+			String late = connection.equals(rejecting.get()) ? answerOf("late", chunk("id: 2\ndata: late\n\n") + END)
+					: "";
+			ScriptedEndpoint.write(connection, (late + answerOf("other", REST + END)).replace("ID", id));
+		});
+		try (TestCaller caller = begin("/resumed/", source)) {
+			leave("a", source, Duration.ofMillis(700));
+			TestCaller.Response response = caller.read();
+			assertThat(response.body()).isEqualTo(COMPLETE_BODY);
+			assertThat(response.complete()).isTrue();
+		}
+	}
+
 	// Guards against a change of deployments that do not call for moves.
 	@ParameterizedTest
 	@CsvSource({ "false, true", "true, false" })
