Send no request through a tunnel that may end before it

Callers of a gateway that reaches endpoints only through another one had requests cut when that other gateway was told to stop: its tunnels were used for new requests until they were two seconds old, whatever the time that a request may take. With a grace period of 3 s and a timeout of 2.5 s, plain requests sent 0.9 and 1.5 s after the signal got 504, and a stream broke off after three of its events.

Cause: one constant, the greatest age of a tunnel, stood for the time that a request takes, as the two seconds before the end once did for callers.

Change: a gateway that is stopping accepts no tunnel, so a tunnel lasts for at least the grace period from when it was asked for, and its user knows that period, which is the same in a fleet. A pooled tunnel is used for a request only if the request's timeout or deadline ends before that; otherwise a new tunnel replaces it, which a stopping peer refuses, so another one serves.

The other way, a message of the stopping gateway to its peers, costs no further tunnels, but datagrams are lost or cross a request, an older process would not read it, and a request could still be cut. This way needs no message, so older and newer processes work together. It costs three round trips more for requests whose timeout is near to the grace period or longer; those longer than it can still be cut, as at the gateway itself.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/Gateway.java
@@ -218,6 +218,7 @@
 		this.callerServer = new CallerServer(eventLoops, this.clock, this::callerLimits, this.requestDispatcher);
 		this.eventLoops = eventLoops;
 		connections.setFramingListener(this.metrics);
+		connections.setTunnelLifetime(GracefulShutdown.servingTime(settings.shutdownTimeout()));
 		this.tunnelPeers = connections.connector().peers();
 		this.tunnelServer = new TunnelServer(eventLoops, connections.connector(), this.fleetExchange::isGateway,
 				this.endpoints::isListed, this.metrics);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -50,6 +50,16 @@
 		this.requestDispatcher = requestDispatcher;
 	}
 
+	/**
+	 * Returns the time for which requests are served from the termination signal on.
+	 * @param shutdownTimeout the time from the signal to the forced termination
+	 * @return the time
+	 */
+	static Duration servingTime(Duration shutdownTimeout) {
+		Duration time = shutdownTimeout.minus(RESPONSE_FLUSH_TIME);
+		return time.isNegative() ? Duration.ZERO : time;
+	}
+
 	/**
 	 * Runs the shutdown. Returns when no connection remains or the time is up.
 	 * @param shutdownTimeout the time from the termination signal to the forced
@@ -58,7 +68,7 @@
 	 */
 	void run(Duration shutdownTimeout) throws InterruptedException {
 		long startedAt = this.clock.nanos();
-		long endsAt = startedAt + Math.max(0, shutdownTimeout.minus(RESPONSE_FLUSH_TIME).toNanos());
+		long endsAt = startedAt + servingTime(shutdownTimeout).toNanos();
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopping");
 		this.eventLoop.execute(() -> begin(endsAt));
 		sleepUntil(Math.min(startedAt + ROUTED_AWAY_AFTER.toNanos(), endsAt));
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -60,6 +60,9 @@
 
 	private final long expiresAt;
 
+	/** Until when the connection is certain to last, unless it is disrupted. */
+	private final long endsAt;
+
 	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this::framingViolated);
 
 	private @Nullable ClientCall call;
@@ -83,7 +86,7 @@
 	private Duration keepAliveTimeout = DEFAULT_KEEP_ALIVE;
 
 	ClientConnection(ConnectionPool pool, InetSocketAddress address, Channel channel, CallOptions options,
-			long connectedAt, long expiresAt) {
+			long connectedAt, long expiresAt, long endsAt) {
 		this.pool = pool;
 		this.address = address;
 		this.channel = channel;
@@ -91,6 +94,7 @@
 		this.dedicated = options.dedicated();
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
+		this.endsAt = endsAt;
 	}
 
 	InetSocketAddress address() {
@@ -123,6 +127,10 @@
 				&& idle < this.keepAliveTimeout.toNanos();
 	}
 
+	boolean lastsUntil(long time) {
+		return time <= this.endsAt;
+	}
+
 	boolean isIdleSince(@Nullable Long time) {
 		return time != null && this.idleSince <= time;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -1,9 +1,11 @@
 package org.banyancove.gateway.exchange;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 
@@ -41,6 +43,12 @@
 
 	private final Map<InetSocketAddress, Integer> openConnections = new HashMap<>();
 
+	/**
+	 * The shortest time for which a gateway that accepted a tunnel keeps it open, or
+	 * {@code null} if that is unknown.
+	 */
+	private @Nullable Duration tunnelLifetime;
+
 	private FramingListener framingListener = (address, requestId, violation) -> {
 	};
 
@@ -73,6 +81,16 @@
 		this.framingListener = listener;
 	}
 
+	/**
+	 * Sets the time for which tunnels are certain to last: from the signal to stop to the
+	 * end of a process. The gateways of a fleet have the same, and one that is stopping
+	 * accepts no tunnel.
+	 * @param lifetime the time from the opening of a tunnel
+	 */
+	public void setTunnelLifetime(Duration lifetime) {
+		this.tunnelLifetime = lifetime;
+	}
+
 	/**
 	 * Returns the connector that establishes the connections.
 	 * @return the connector
@@ -121,19 +139,33 @@
 		Deque<ClientConnection> connections = this.idleConnections.get(address);
 		ConnectContext context = options.context();
 		Long silentSince = (connections != null && context != null) ? this.connector.silentSince(context) : null;
-		while (connections != null && !connections.isEmpty()) {
-			ClientConnection newest = connections.pop();
-			if (newest.isUsable(this.clock.nanos(), options.maximumIdleTime().toNanos())
-					&& !newest.isIdleSince(silentSince)) {
+		ClientConnection unsuited = null;
+		for (ClientConnection newest : (connections != null) ? List.copyOf(connections) : List.<ClientConnection>of()) {
+			boolean usable = newest.isUsable(this.clock.nanos(), options.maximumIdleTime().toNanos())
+					&& !newest.isIdleSince(silentSince);
+			if (usable && newest.lastsUntil(this.clock.nanos() + options.maximumDuration().toNanos())) {
+				removeIdle(newest);
 				return newest;
 			}
-			newest.close();
+			if (usable) {
+				unsuited = newest;
+			}
+			else {
+				removeIdle(newest);
+				newest.close();
+			}
+		}
+		if (unsuited != null) {
+			// The tunnel that is opened instead takes its place.
+			removeIdle(unsuited);
+			unsuited.close();
 		}
 		return null;
 	}
 
 	private void connect(InetSocketAddress address, CallOptions options, ClientCall call) {
 		this.openConnections.merge(address, 1, Integer::sum);
+		long startedAt = this.clock.nanos();
 		connected(address, options).addListener((Future<ConnectedChannel> future) -> {
 			if (!future.isSuccess()) {
 				this.openConnections.merge(address, -1, Integer::sum);
@@ -141,7 +173,7 @@
 						: CallFailure.CONNECT_REFUSED);
 				return;
 			}
-			use(newConnection(address, future.getNow(), options), call);
+			use(newConnection(address, future.getNow(), options, startedAt), call);
 		});
 	}
 
@@ -151,12 +183,18 @@
 				: this.connector.connectDirectly(address, options.connectTimeout());
 	}
 
-	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected, CallOptions options) {
+	private ClientConnection newConnection(InetSocketAddress address, ConnectedChannel connected, CallOptions options,
+			long startedAt) {
 		Channel channel = connected.channel();
 		channel.closeFuture().addListener((future) -> this.openConnections.merge(address, -1, Integer::sum));
 		long connectedAt = this.clock.nanos();
 		long expiresAt = connected.tunnelled() ? connectedAt + TunnelServer.MAXIMUM_AGE.toNanos() : Long.MAX_VALUE;
-		ClientConnection connection = new ClientConnection(this, address, channel, options, connectedAt, expiresAt);
+		Duration lifetime = connected.tunnelled() ? this.tunnelLifetime : null;
+		// The peer may have accepted the tunnel at once, and been told to stop right
+		// after.
+		long endsAt = (lifetime != null) ? startedAt + lifetime.toNanos() : Long.MAX_VALUE;
+		ClientConnection connection = new ClientConnection(this, address, channel, options, connectedAt, expiresAt,
+				endsAt);
 		channel.pipeline().addLast(new HttpRequestEncoder()).addLast(connection.decoder()).addLast(connection);
 		return connection;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -78,10 +78,15 @@
 		return Math.clamp((accountPriority != null) ? accountPriority : this.accepted.route().priority(), 0, 9);
 	}
 
-	CallOptions options() {
+	/**
+	 * Returns the options of a call that runs the request.
+	 * @param maximumDuration the time within which it ends
+	 * @return the options
+	 */
+	CallOptions options(Duration maximumDuration) {
 		return CallOptions.forRequest(this.accepted.route().repeatable(),
 				this.dispatcher.admission().connectTimeout(this.accepted.route()),
-				this.dispatcher.connectionLimit(this.accepted.service()), connectContext());
+				this.dispatcher.connectionLimit(this.accepted.service()), connectContext(), maximumDuration);
 	}
 
 	/**
@@ -90,7 +95,7 @@
 	 * @return the options
 	 */
 	CallOptions moveOptions() {
-		CallOptions options = options();
+		CallOptions options = options(Duration.ZERO);
 		ConnectionLimit limit = options.connections();
 		return new CallOptions(options.connectTimeout(), options.maximumIdleTime(),
 				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context(), true);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -253,7 +253,7 @@
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(placement.endpoint().entry().address(),
 					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
-					this.endpointRequests.options(), newAttempt));
+					this.endpointRequests.options(remaining().plus(RESPONSE_GRACE)), newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 		return newAttempt;
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/StubEndpoint.java
@@ -28,7 +28,7 @@
 
 	private final Map<String, Integer> runs;
 
-	private final Duration responseTime;
+	private volatile Duration responseTime;
 
 	private final AtomicInteger openConnections = new AtomicInteger();
 
@@ -41,6 +41,11 @@
 		Thread.ofVirtual().start(this::accept);
 	}
 
+	/** Sets the time that requests take which arrive from now on. */
+	void setResponseTime(Duration time) {
+		this.responseTime = time;
+	}
+
 	static Map<String, Integer> newRuns() {
 		return new ConcurrentHashMap<>();
 	}
