--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -87,16 +87,17 @@
 	 * Returns the connection options of the next attempt. A late response to an earlier
 	 * attempt states the same request id, so that attempts must not share a connection.
 	 * @param address the address of the attempt's endpoint
+	 * @param maximumDuration the time within which the attempt ends
 	 * @return the options, with a dedicated connection for a further attempt at an address
 	 */
-	CallOptions options(InetSocketAddress address) {
-		return options(!this.usedAddresses.add(address));
+	CallOptions options(InetSocketAddress address, Duration maximumDuration) {
+		return options(!this.usedAddresses.add(address), maximumDuration);
 	}
 
-	private CallOptions options(boolean dedicated) {
+	private CallOptions options(boolean dedicated, Duration maximumDuration) {
 		return CallOptions.forRequest(this.accepted.route().repeatable(), dedicated,
 				this.dispatcher.admission().connectTimeout(this.accepted.route()),
-				this.dispatcher.connectionLimit(this.accepted.service()), connectContext());
+				this.dispatcher.connectionLimit(this.accepted.service()), connectContext(), maximumDuration);
 	}
 
 	/**
@@ -105,7 +106,7 @@
 	 * @return the options
 	 */
 	CallOptions moveOptions() {
-		CallOptions options = options(true);
+		CallOptions options = options(true, Duration.ZERO);
 		ConnectionLimit limit = options.connections();
 		return new CallOptions(options.connectTimeout(), options.maximumIdleTime(),
 				new ConnectionLimit(2 * limit.open(), limit.kept()), options.context(), options.dedicated());
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -255,7 +255,7 @@
 		newAttempt.callStarted(this.dispatcher.connections()
 			.call(address,
 					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
-					this.endpointRequests.options(address), newAttempt));
+					this.endpointRequests.options(address, remaining().plus(RESPONSE_GRACE)), newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 		return newAttempt;
 	}
