Start pipelined requests as fast as their responses are read

A caller that sends requests and does not read the responses had all of them started at once (16), and their responses accumulated. Also, a request that was not sent to its end was never ended if an earlier one ended meanwhile, and kept its connection and body for ever.

Cause: the next request was started whatever waited for the caller, and the end of a request replaced the timer of the one that was being read by the idle timer, which leaves such a connection open.

The next request now starts when the caller's channel is writable. Meanwhile the idle timer runs, which closes the connection. The timer of a request that is read is not replaced. A rejection is not written ahead of the responses of requests that wait.

ExchangeTests, red before: requestsStartOnlyAsFastAsTheirCallerReadsTheResponses (all 16 were started), callerThatDoesNotReadItsResponsesIsDisconnected (both were started), requestThatIsNotSentToItsEndAfterAnEarlierOneIsRejected (nothing in 30 s, with an idle timeout of 1 s). All green after, and pipelinedRequestsAreAnsweredInOrder.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -133,12 +133,13 @@
 		}
 	}
 
-	// Starts the next request unless one is in progress.
+	// Starts the next request unless one is in progress or the caller has not read the
+	// responses before it, which would accumulate.
 	private void startNext() {
 		if (this.inFlight != null || this.closing) {
 			return;
 		}
-		CallerRequest request = this.pipelinedRequests.poll();
+		CallerRequest request = isWritable() ? this.pipelinedRequests.poll() : null;
 		if (request == null) {
 			startIdleTimer();
 			return;
@@ -290,12 +291,12 @@
 	}
 
 	// Rejects a request that cannot be read further, and closes the connection. While an
-	// earlier request is in progress, the connection is closed without a response.
+	// earlier request has no response yet, the connection is closed without one.
 	private void reject(ErrorKind kind) {
 		stopTimer();
 		this.requestHead = null;
 		Channel openChannel = this.channel;
-		if (openChannel == null || this.inFlight != null) {
+		if (openChannel == null || this.inFlight != null || !this.pipelinedRequests.isEmpty()) {
 			close();
 			return;
 		}
@@ -307,8 +308,17 @@
 		this.server.rejectedBeforeRead(kind);
 	}
 
+	// While a request is read, its own timer runs.
 	private void startIdleTimer() {
-		startTimer(this.server.limits().idleTimeout(), this::closeIfIdle);
+		if (this.requestHead == null) {
+			startTimer(this.server.limits().idleTimeout(), this::closeIdle);
+		}
+	}
+
+	private void closeIdle() {
+		if (this.inFlight == null) {
+			close();
+		}
 	}
 
 	private void startTimer(Duration delay, Runnable action) {
@@ -335,8 +345,13 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		InFlightRequest current = this.inFlight;
-		if (current != null && context.channel().isWritable()) {
-			current.callerWritable();
+		if (context.channel().isWritable()) {
+			if (current != null) {
+				current.callerWritable();
+			}
+			else {
+				startNext();
+			}
 		}
 		context.fireChannelWritabilityChanged();
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -111,6 +111,9 @@
 
 	private volatile boolean storeFailing;
 
+	private volatile CallerLimits limits = new CallerLimits(4096, 10_000, Duration.ofSeconds(3),
+			Duration.ofSeconds(15));
+
 	private final NoOpRequestLog requestLog = new NoOpRequestLog();
 
 	private final RequestDispatcher dispatcher = newDispatcher();
@@ -136,8 +139,7 @@
 	}
 
 	private CallerServer newServer(RequestDispatcher servedDispatcher) {
-		return new CallerServer(this.eventLoops, System::nanoTime,
-				() -> new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(15)), servedDispatcher);
+		return new CallerServer(this.eventLoops, System::nanoTime, () -> this.limits, servedDispatcher);
 	}
 
 	@BeforeEach
@@ -946,6 +948,70 @@
 		}
 	}
 
+	// Guards against a gateway that has no memory left because a caller sends requests
+	// and
+	// does not read their responses.
+	@Test
+	void requestsStartOnlyAsFastAsTheirCallerReadsTheResponses() throws Exception {
+		int length = 2_000_000;
+		ScriptedEndpoint endpoint = endpoint("a");
+		endpoint.otherwise((connection, id) -> ScriptedEndpoint.write(connection, "HTTP/1.1 200 OK\r\nid: " + id
+				+ "\r\nseal: s\r\ncontent-length: " + length + "\r\n\r\n" + id.repeat(length)));
+		String ids = "abcdefghijklmnop";
+		try (Caller caller = new Caller(serverAddress(), 4096)) {
+			ids.chars().forEach((id) -> sendPipelined(caller, (char) id));
+			TimeUnit.SECONDS.sleep(2);
+			assertThat(endpoint.unreadRequests()).isBetween(1, 6);
+			for (int i = 0; i < ids.length(); i++) {
+				assertThat(caller.read().body()).hasSize(length).startsWith(ids.substring(i, i + 1));
+			}
+		}
+	}
+
+	// Guards against memory that a caller holds for ever who does not read the responses
+	// to its pipelined requests.
+	@Test
+	void callerThatDoesNotReadItsResponsesIsDisconnected() throws Exception {
+		this.limits = new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(1));
+		int length = 7_000_000;
+		ScriptedEndpoint endpoint = endpoint("a");
+		endpoint.otherwise((connection, id) -> ScriptedEndpoint.write(connection, "HTTP/1.1 200 OK\r\nid: " + id
+				+ "\r\nseal: s\r\ncontent-length: " + length + "\r\n\r\n" + id.repeat(length)));
+		try (Caller caller = new Caller(serverAddress(), 4096)) {
+			sendPipelined(caller, 'a');
+			sendPipelined(caller, 'b');
+			TimeUnit.SECONDS.sleep(3);
+			assertThat(caller.readToEnd().length()).isLessThan(length);
+		}
+		assertThat(endpoint.unreadRequests()).isEqualTo(1);
+	}
+
+	// Guards against a connection that is kept for ever because the end of an earlier
+	// request
+	// stopped the timer of the one that is being read.
+	@Test
+	void requestThatIsNotSentToItsEndAfterAnEarlierOneIsRejected() throws Exception {
+		this.limits = new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(1));
+		endpoint("a").thenRespondLate(Duration.ofMillis(300), COMPLETE);
+		try (Caller caller = new Caller()) {
+			sendPipelined(caller, 'a');
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: b\r\ncontent-length: 9\r\n\r\n");
+			assertThat(caller.read().body()).isEqualTo("hello");
+			long start = System.nanoTime();
+			assertThat(caller.read().status()).isEqualTo(408);
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(2));
+		}
+	}
+
+	private static void sendPipelined(Caller caller, char id) {
+		try {
+			caller.send("POST /once/ HTTP/1.1\r\nhost: host\r\nid: " + id + "\r\ncontent-length: 0\r\n\r\n");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Test
 	void requestWithoutAnAvailableEndpointIsRejectedAsNotRun() throws Exception {
 		try (Caller caller = new Caller()) {
