Format merged code

Merging attempts on dedicated connections with tunnels that last as long as their request left lines that the formatter wraps otherwise. No logic changes.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -88,7 +88,8 @@
 	 * attempt states the same request id, so that attempts must not share a connection.
 	 * @param address the address of the attempt's endpoint
 	 * @param maximumDuration the time within which the attempt ends
-	 * @return the options, with a dedicated connection for a further attempt at an address
+	 * @return the options, with a dedicated connection for a further attempt at an
+	 * address
 	 */
 	CallOptions options(InetSocketAddress address, Duration maximumDuration) {
 		return options(!this.usedAddresses.add(address), maximumDuration);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
@@ -42,8 +42,7 @@
 			case STATUS_LINE, VALUE -> this.part;
 			case LINE_START -> (read == '\r') ? Part.LINE_START : isSpace(read) ? Part.VALUE : name(read);
 			case NAME -> (read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : name(read);
-			case AFTER_NAME ->
-				(read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : other();
+			case AFTER_NAME -> (read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : other();
 		};
 	}
 
