Give up an answer that grows beyond a bound

Callers of an engine that sends valid tokens without end waited for their deadline, and the entry kept all tokens, since it keeps an answer for callers that reconnect: what an attempt may send has a bound, but each broken connection is replaced as long as tokens arrive.

An answer ends as answer_incomplete beyond 8 Mi characters or 524,288 tokens, and the stream is cancelled at its engine.

Evidence: StreamSystemTests, answerWithoutEndIsGivenUp and answerOfTooManyTokensIsGivenUp.

--- a/banyancove-core/src/main/java/org/banyancove/core/stream/StreamSystem.java
+++ b/banyancove-core/src/main/java/org/banyancove/core/stream/StreamSystem.java
@@ -8,6 +8,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.core.Invariant;
 import org.banyancove.core.RequestId;
+import org.banyancove.core.answer.AnswerBuffer;
 import org.banyancove.core.answer.EndOfAnswer;
 import org.banyancove.core.answer.EndResult;
 import org.banyancove.core.answer.Piece;
@@ -24,6 +25,12 @@
  */
 public final class StreamSystem {
 
+	/** Maximum size of an answer, in characters. */
+	static final long MAXIMUM_ANSWER_CHARACTERS = 8 << 20;
+
+	/** Maximum size of an answer, in tokens. */
+	static final long MAXIMUM_ANSWER_TOKENS = 1 << 19;
+
 	private final StreamTable table;
 
 	private final InstantSource clock;
@@ -171,6 +178,9 @@
 			if (stream.answer.end() != null) {
 				finish(stream);
 			}
+			else if (isTooLarge(stream.answer)) {
+				giveUp(stream, ErrorKind.ANSWER_INCOMPLETE);
+			}
 			else if (stream.target == null) {
 				scheduleStallTimeout(stream);
 			}
@@ -473,6 +483,12 @@
 		finish(stream);
 	}
 
+	// An engine that sends tokens without end would fill the memory until the deadline,
+	// whatever its connections are.
+	private static boolean isTooLarge(AnswerBuffer answer) {
+		return answer.characters() > MAXIMUM_ANSWER_CHARACTERS || answer.nextOffset() > MAXIMUM_ANSWER_TOKENS;
+	}
+
 	private void finish(StreamEntity stream) {
 		EndOfAnswer end = stream.answer.end();
 		Invariant.check(end != null, "answer of %s finished without an end", stream.held().request());
--- a/banyancove-core/src/test/java/org/banyancove/core/stream/StreamSystemTests.java
+++ b/banyancove-core/src/test/java/org/banyancove/core/stream/StreamSystemTests.java
@@ -200,6 +200,36 @@
 		assertThat(this.table.find(REQUEST)).isNull();
 	}
 
+	/*
+	 * Guards against an engine whose tokens have no end: the answer is kept for callers
+	 * that reconnect, and would fill the memory before the deadline ends it.
+	 */
+	@Test
+	void answerWithoutEndIsGivenUp() {
+		String text = "x".repeat(1 << 20);
+		start();
+		int tokens = 0;
+		while (tokens < 20
+				&& this.system.piece(REQUEST, new Piece(1, tokens, tokens + 1, text)) instanceof PieceResult.Accepted) {
+			tokens++;
+		}
+		assertThat(tokens).isEqualTo(9);
+		assertThat(this.commands).contains(new StreamCommand.Close(REQUEST, 1, FIRST, true),
+				new StreamCommand.End(REQUEST, 9, new EndOfAnswer.Failed(ErrorKind.ANSWER_INCOMPLETE, RETRY_AFTER)));
+	}
+
+	@Test
+	void answerOfTooManyTokensIsGivenUp() {
+		start();
+		int tokens = 0;
+		while (tokens < StreamSystem.MAXIMUM_ANSWER_TOKENS * 2 && this.system.piece(REQUEST,
+				new Piece(1, tokens, tokens + 1024, "x")) instanceof PieceResult.Accepted) {
+			tokens += 1024;
+		}
+		assertThat(tokens).isEqualTo(StreamSystem.MAXIMUM_ANSWER_TOKENS + 1024);
+		assertThat(this.commands).last().isInstanceOf(StreamCommand.End.class);
+	}
+
 	private void start() {
 		this.system.start(held(), FIRST, 100, 0);
 	}
