Bound the reads of load reports and cache events

An engine whose response to a poll has no end filled the entry's memory, or, if it sent nothing more, kept a connection of each poll: the JDK's timeout covers the head of a response only, and the next poll didn't wait for it.

An engine has one read of each kind in progress, which ends at 4 MiB or at its timeout, head and body together.

--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EngineLoadPoller.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EngineLoadPoller.java
@@ -8,9 +8,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -24,10 +26,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Polls the load reports and cache events of engines.
+ * Polls the load reports and cache events of engines. An engine has at most one read of
+ * each in progress, whose timeout covers the complete response.
  */
 public final class EngineLoadPoller {
 
+	/** Maximum size of one response, in bytes. */
+	static final int MAXIMUM_RESPONSE_BYTES = 4 << 20;
+
 	private static final Logger logger = LoggerFactory.getLogger(EngineLoadPoller.class);
 
 	private static final int OK = 200;
@@ -76,16 +82,24 @@
 	}
 
 	private void poll(Engine engine) {
-		get(engine, "/v1/load", (node) -> this.events.post(new EntryEvent.LoadReported(engine.id, parseReport(node))));
-		get(engine, "/v1/cache-events?after=" + engine.lastCacheEventSequence, (node) -> postCacheEvents(engine, node));
+		get(engine, engine.readsLoad, "/v1/load",
+				(node) -> this.events.post(new EntryEvent.LoadReported(engine.id, parseReport(node))));
+		get(engine, engine.readsCacheEvents, "/v1/cache-events?after=" + engine.lastCacheEventSequence,
+				(node) -> postCacheEvents(engine, node));
 	}
 
-	private void get(Engine engine, String path, NodeReader reader) {
-		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + engine.address + path))
-			.timeout(this.timeout)
-			.GET()
-			.build();
-		this.client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete((response, failure) -> {
+	private void get(Engine engine, AtomicBoolean inProgress, String path, NodeReader reader) {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + engine.address + path)).GET().build();
+		if (!inProgress.compareAndSet(false, true)) {
+			return;
+		}
+		CompletableFuture<HttpResponse<String>> exchange = this.client.sendAsync(request,
+				HttpResponse.BodyHandlers.limiting(HttpResponse.BodyHandlers.ofString(), MAXIMUM_RESPONSE_BYTES));
+		exchange.copy().orTimeout(this.timeout.toMillis(), TimeUnit.MILLISECONDS).whenComplete((response, failure) -> {
+			inProgress.set(false);
+			if (failure != null) {
+				exchange.cancel(true);
+			}
 			if (failure != null || response.statusCode() != OK) {
 				logger.debug("Failed to read {} from endpoint {}", path, engine.id, failure);
 				return;
@@ -135,6 +149,10 @@
 
 		private final String address;
 
+		private final AtomicBoolean readsLoad = new AtomicBoolean();
+
+		private final AtomicBoolean readsCacheEvents = new AtomicBoolean();
+
 		private volatile long lastCacheEventSequence = -1;
 
 		Engine(EndpointId id, String address) {
