Bound the platform's responses

A response of the platform or of an engine's orders without an end was kept until the call's timeout, for seconds at the speed of the network, and an entry's status that banyancove-operate prints without any bound.

Calls end at 64 MiB: a page of 1,000 records with bodies of 8 KiB is some 11 MB. A status ends at 32 MiB; of this there is no test.

--- a/banyancove-operate/src/main/java/org/banyancove/operate/OperateProgram.java
+++ b/banyancove-operate/src/main/java/org/banyancove/operate/OperateProgram.java
@@ -43,6 +43,8 @@
  */
 public final class OperateProgram extends CommandLineProgram<OperateSettings> {
 
+	private static final int MAXIMUM_STATUS_BYTES = 32 << 20;
+
 	private static final String STATUS_PATH = "/status";
 
 	private final SettingsReader reader = new SettingsReader();
@@ -228,7 +230,8 @@
 	private ExitCode status(URI entry, Duration timeout) throws InterruptedException {
 		try (HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()) {
 			HttpRequest request = HttpRequest.newBuilder(entry.resolve(STATUS_PATH)).timeout(timeout).build();
-			HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+			HttpResponse<String> response = client.send(request,
+					HttpResponse.BodyHandlers.limiting(HttpResponse.BodyHandlers.ofString(), MAXIMUM_STATUS_BYTES));
 			output().println(response.body());
 			return (response.statusCode() == 200) ? ExitCode.SUCCESS : ExitCode.FAILURE;
 		}
--- a/banyancove-platform/src/main/java/org/banyancove/platform/JsonHttpClient.java
+++ b/banyancove-platform/src/main/java/org/banyancove/platform/JsonHttpClient.java
@@ -22,6 +22,9 @@
  */
 final class JsonHttpClient implements AutoCloseable {
 
+	/** Maximum size of a response's body, in bytes. */
+	static final int MAXIMUM_RESPONSE_BYTES = 64 << 20;
+
 	private final Duration timeout;
 
 	private final DedicatedConnectionClient client;
@@ -57,7 +60,7 @@
 			.method(method, publisher)
 			.build();
 		CompletableFuture<HttpResponse<String>> exchange = this.client.sendAsync(request,
-				HttpResponse.BodyHandlers.ofString());
+				HttpResponse.BodyHandlers.limiting(HttpResponse.BodyHandlers.ofString(), MAXIMUM_RESPONSE_BYTES));
 		long number = this.lastNumber.incrementAndGet();
 		this.exchanges.put(number, exchange);
 		long timeoutMillis = wait.plus(this.timeout).toMillis();
