Move a KV cache only if its end is stated

A KV cache without a length or chunks whose connection ended early was sent to the target engine as a whole one.

An export without Content-Length or Transfer-Encoding is not imported; the target computes the prompt again.

Evidence: ExtraResponseTests, kvCacheIsMovedOnlyIfItsEndIsStated: imported before, not imported after; one with a length is imported before and after.

--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpHeaders;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -223,7 +224,7 @@
 		HttpRequest exportRequest = request(move.source(), path).timeout(this.answerTimeout).GET().build();
 		HttpResponse<byte[]> cache = this.client.send(exportRequest,
 				limited(HttpResponse.BodyHandlers.ofByteArray(), MAXIMUM_CACHE_BYTES));
-		if (cache.statusCode() != OK) {
+		if (cache.statusCode() != OK || !statesItsEnd(cache.headers())) {
 			return false;
 		}
 		HttpRequest importRequest = request(move.targetAddress(), path).timeout(this.answerTimeout)
@@ -235,6 +236,11 @@
 		return status >= OK && status < MULTIPLE_CHOICES;
 	}
 
+	// A body that ends with its connection may be incomplete.
+	private static boolean statesItsEnd(HttpHeaders headers) {
+		return headers.firstValue("Content-Length").isPresent() || headers.firstValue("Transfer-Encoding").isPresent();
+	}
+
 	private AttemptResult stream(Attempt attempt, HttpRequest request, long fromOffset)
 			throws IOException, InterruptedException {
 		HttpResponse<InputStream> response = this.client.send(request,
--- a/banyancove-entry/src/test/java/org/banyancove/entry/endpoint/ExtraResponseTests.java
+++ b/banyancove-entry/src/test/java/org/banyancove/entry/endpoint/ExtraResponseTests.java
@@ -129,6 +129,19 @@
 		}
 	}
 
+	// Guards against the import of a KV cache whose connection ended early: without a
+	// length or chunks its end can't be told from its interruption.
+	@ParameterizedTest
+	@CsvSource({ "'', false", "'content-length: 3', true" })
+	void kvCacheIsMovedOnlyIfItsEndIsStated(String header, boolean imported) throws Exception {
+		String own = "HTTP/1.1 200 OK\r\n" + header + (header.isEmpty() ? "" : "\r\n") + "\r\nown";
+		this.server.play(new Script("", "", own, Timing.END_OF_CONNECTION));
+		try (ExtraResponseServer target = new ExtraResponseServer()) {
+			target.play(new Script("", "", FIRST_RESPONSE, Timing.IDLE));
+			assertThat(move("next", target)).extracting("imported").isEqualTo(imported);
+		}
+	}
+
 	private static String stream(String token) {
 		String events = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"" + token
 				+ "\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
