--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExtraResponseTests.java
@@ -31,6 +31,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -191,6 +192,22 @@
 		assertThat(wrong).isEmpty();
 	}
 
+	// Guards against a body whose end is not certain, since its head states no length or
+	// several.
+	@ParameterizedTest
+	@ValueSource(strings = { "content-length: 8\r\ncontent-length: 9", "content-length: 8\r\ncontent-length: 8",
+			"content-length: 8, 9", "content-length: +8", "content-length: -8",
+			"content-length: 8\r\ntransfer-encoding: chunked", "transfer-encoding: chunked\r\ncontent-length: 8" })
+	void headThatDoesNotStateOneLengthIsUnreadable(String framing) throws Exception {
+		Thread.ofVirtual().start(this::accept);
+		List<String> wrong = new ArrayList<>();
+		this.exchange = new Exchange("",
+				"HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\n" + framing + "\r\n\r\n8\r\nown body\r\n0\r\n\r\n",
+				Timing.BEFORE_NEXT_RESPONSE);
+		check("b1", "UNREADABLE", "", wrong);
+		assertThat(wrong).isEmpty();
+	}
+
 	private void check(String id, String own, String beginning, List<String> wrong) throws Exception {
 		check(HttpMethod.GET, id, own, beginning, wrong);
 	}
