Refuse bodies that a late response fills up

Callers could get a body whose end was that of another response: one that was cut while its connection stayed open was filled up by the next bytes, and one without a length could end with up to 12 bytes of another response.

Cause: a status line in a body of stated length counted only if it was whole and bytes followed the body, and in one without length only if it was whole.

Now a body is unreadable if

- what is received 1 ms or more after the bytes before it begins with a status line, or is the beginning of one (5 bytes or more) up to the body's end;
- a status line begins in it and ends in the bytes behind it;
- it has no length and ends with 5 bytes or more of a status line.

Quotations of status lines elsewhere pass, also in bodies that pause. A late response that is read together with the bytes before it and fits the body exactly still can't be told from a quotation.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -60,7 +60,7 @@
 
 	private final long expiresAt;
 
-	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this::framingViolated);
+	private final StrictResponseDecoder decoder;
 
 	private @Nullable ClientCall call;
 
@@ -91,6 +91,7 @@
 		this.dedicated = options.dedicated();
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
+		this.decoder = new StrictResponseDecoder(this::framingViolated, pool.clock());
 	}
 
 	InetSocketAddress address() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -73,6 +73,10 @@
 		this.framingListener = listener;
 	}
 
+	MonotonicClock clock() {
+		return this.clock;
+	}
+
 	/**
 	 * Returns the connector that establishes the connections.
 	 * @return the connector
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StatusLineScanner.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StatusLineScanner.java
@@ -21,12 +21,15 @@
 
 	private int matched;
 
+	private boolean foundAtStart;
+
 	private boolean foundAfterStart;
 
 	/** Begins another sequence. */
 	void reset() {
 		this.position = 0;
 		this.matched = 0;
+		this.foundAtStart = false;
 		this.foundAfterStart = false;
 	}
 
@@ -57,6 +60,7 @@
 		this.position++;
 		this.matched = matches(value, this.matched) ? this.matched + 1 : (value == FIRST_BYTE) ? 1 : 0;
 		if (this.matched == PATTERN.length) {
+			this.foundAtStart |= this.position == PATTERN.length;
 			this.foundAfterStart |= this.position > PATTERN.length;
 			this.matched = 0;
 		}
@@ -86,6 +90,48 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the last bytes of the sequence and those that follow it begin a
+	 * status line.
+	 * @param following the bytes, which are not consumed
+	 * @return {@code true} if a status line may extend over the end of the sequence
+	 */
+	boolean extendsOver(ByteBuf following) {
+		int length = Math.min(PATTERN.length - this.matched, following.readableBytes());
+		for (int i = 0; i < length; i++) {
+			if (!matches(following.getByte(following.readerIndex() + i), this.matched + i)) {
+				return false;
+			}
+		}
+		return this.matched > 0 && length > 0;
+	}
+
+	/**
+	 * Returns whether the sequence ends with the beginning of a status line.
+	 * @param minimum the least number of bytes
+	 * @return {@code false} if the beginning is shorter or missing
+	 */
+	boolean endsWithBeginning(int minimum) {
+		return this.matched >= minimum;
+	}
+
+	/**
+	 * Returns whether the sequence is the beginning of a status line.
+	 * @param minimum the least number of bytes
+	 * @return {@code false} if it is shorter or has other bytes
+	 */
+	boolean isBeginning(int minimum) {
+		return this.position >= minimum && this.matched == this.position;
+	}
+
+	/**
+	 * Returns whether the sequence begins with a status line.
+	 * @return whether its first bytes are a status line
+	 */
+	boolean foundAtStart() {
+		return this.foundAtStart;
+	}
+
 	/**
 	 * Returns whether a status line begins after the first byte.
 	 * @return whether the sequence has such a status line
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.banyancove.gateway.exchange;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.banyancove.gateway.shared.MonotonicClock;
 
 /**
  * Decodes the responses of a connection with one request at a time, up to the first bytes
@@ -25,6 +27,10 @@
  * request. A head therefore counts as that of one response if its only status line begins
  * at its first byte: a head that consists of two has the second status line somewhere
  * after that.
+ * <p>
+ * A body of stated length that ends early is filled up by the next bytes on the
+ * connection. A body may quote a status line, but a quotation hardly ever begins what is
+ * received after a pause, as a late response does.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
@@ -32,11 +38,26 @@
 		.setMaxHeaderSize(64 * 1024)
 		.setMaxChunkSize(64 * 1024);
 
+	/** Segments of one write are received within less. */
+	private static final Duration PAUSE = Duration.ofMillis(1);
+
+	/** The length of {@code HTTP/}. */
+	private static final int MINIMUM_BEGINNING = 5;
+
 	private final Consumer<FramingViolation> onViolation;
 
+	private final MonotonicClock clock;
+
 	/** Scans each response from its first byte to its last. */
 	private final StatusLineScanner scanner = new StatusLineScanner();
 
+	/** Scans the part of a body that was received after its latest pause. */
+	private final StatusLineScanner resumedBody = new StatusLineScanner();
+
+	private boolean bodyPaused;
+
+	private long receivedAt;
+
 	private Section section = Section.HEAD;
 
 	private boolean bodyHadStatusLine;
@@ -50,10 +71,12 @@
 	/**
 	 * Creates the decoder.
 	 * @param onViolation receives the first violation
+	 * @param clock the monotonic clock
 	 */
-	StrictResponseDecoder(Consumer<FramingViolation> onViolation) {
+	StrictResponseDecoder(Consumer<FramingViolation> onViolation, MonotonicClock clock) {
 		super(CONFIGURATION);
 		this.onViolation = onViolation;
+		this.clock = clock;
 	}
 
 	/**
@@ -96,6 +119,7 @@
 		if (!this.expectingResponse && message instanceof ByteBuf bytes && bytes.isReadable()) {
 			report(FramingViolation.UNEXPECTED_BYTES);
 		}
+		recordPause();
 		if (this.violated) {
 			ReferenceCountUtil.release(message);
 		}
@@ -104,6 +128,16 @@
 		}
 	}
 
+	private void recordPause() {
+		long now = this.clock.nanos();
+		if (this.section != Section.HEAD && now - this.receivedAt >= PAUSE.toNanos()
+				&& !(this.bodyPaused && this.resumedBody.isBeginning(1))) {
+			this.bodyPaused = true;
+			this.resumedBody.reset();
+		}
+		this.receivedAt = now;
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
 		if (this.section == Section.HEAD && !this.scanner.mayBeginWithStatusLine(bytes)) {
@@ -113,6 +147,9 @@
 			int start = bytes.readerIndex();
 			super.decode(context, bytes, messages);
 			scan(bytes, start);
+			if (messages.stream().anyMatch(LastHttpContent.class::isInstance)) {
+				endBody(bytes);
+			}
 			messages.forEach(this::enterSection);
 		}
 		if (this.violated) {
@@ -122,6 +159,16 @@
 		}
 	}
 
+	@Override
+	protected void decodeLast(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+		super.decodeLast(context, bytes, messages);
+		if (this.section == Section.UNRELIABLE_BODY && this.scanner.endsWithBeginning(MINIMUM_BEGINNING)) {
+			report(FramingViolation.STATUS_LINE_IN_BODY);
+			messages.forEach(ReferenceCountUtil::release);
+			messages.clear();
+		}
+	}
+
 	private void scan(ByteBuf bytes, int start) {
 		this.scanner.scan(bytes, start, bytes.readerIndex());
 		if (this.scanner.foundAfterStart()) {
@@ -131,6 +178,28 @@
 				case BODY -> this.bodyHadStatusLine = true;
 			}
 		}
+		if (this.section != Section.HEAD) {
+			scanBody(bytes, start);
+		}
+	}
+
+	private void scanBody(ByteBuf bytes, int start) {
+		if (this.bodyPaused) {
+			this.resumedBody.scan(bytes, start, bytes.readerIndex());
+			if (this.resumedBody.foundAtStart()) {
+				report(FramingViolation.STATUS_LINE_IN_BODY);
+			}
+		}
+	}
+
+	// The rest of a body may be too short for the whole status line of another response.
+	private void endBody(ByteBuf following) {
+		if (this.section == Section.BODY) {
+			this.bodyHadStatusLine |= this.scanner.extendsOver(following);
+		}
+		if (this.bodyPaused && this.resumedBody.isBeginning(MINIMUM_BEGINNING)) {
+			report(FramingViolation.STATUS_LINE_IN_BODY);
+		}
 	}
 
 	private void enterSection(Object message) {
@@ -138,6 +207,7 @@
 			boolean delimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
 			this.section = delimited ? Section.BODY : Section.UNRELIABLE_BODY;
 			this.bodyHadStatusLine = false;
+			this.bodyPaused = false;
 		}
 		if (message instanceof LastHttpContent) {
 			this.section = Section.HEAD;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
@@ -1,6 +1,7 @@
 package org.banyancove.gateway.exchange;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -21,9 +22,11 @@
 
 	private static final String RESPONSE = "HTTP/1.1 500 Failed\r\nid: 1\r\ncontent-length: 5\r\n\r\nhello";
 
+	private long now;
+
 	private final List<FramingViolation> violations = new ArrayList<>();
 
-	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this.violations::add);
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this.violations::add, () -> this.now);
 
 	private final EmbeddedChannel channel = new EmbeddedChannel(this.decoder);
 
@@ -49,6 +52,61 @@
 		soundResponsesAreNoViolations(text);
 	}
 
+	// Guards against a body that ended early and was filled up by a late response, of
+	// which not even the status line need fit into the body.
+	@ParameterizedTest
+	@ValueSource(ints = { 5, 12, 13, 30, 70 })
+	void lateResponseThatFillsUpABodyIsReported(int missing) {
+		String extra = "HTTP/1.1 200 OK\r\nid: 2\r\ncontent-length: 40\r\n\r\n" + "x".repeat(40);
+		for (String received : List.of("", "part")) {
+			int length = received.length() + missing;
+			EmbeddedChannel connection = new EmbeddedChannel(expecting());
+			receive(connection, "HTTP/1.1 200 OK\r\ncontent-length: " + length + "\r\n\r\n" + received, 1000);
+			this.now += Duration.ofMillis(2).toNanos();
+			receive(connection, extra.substring(0, missing), 1000);
+			assertThat(this.violations).containsExactly(FramingViolation.STATUS_LINE_IN_BODY);
+			this.violations.clear();
+		}
+	}
+
+	// Guards against the same if the late response is received together with the body's
+	// last bytes, and its status line begins in the body and ends behind it.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 4, 12 })
+	void statusLineThatExtendsOverTheEndOfABodyIsReported(int missing) {
+		this.decoder.expectResponse(HttpMethod.GET);
+		this.channel.pipeline().addLast(new EndHandler());
+		receive("HTTP/1.1 200 OK\r\ncontent-length: " + (4 + missing) + "\r\n\r\npart" + RESPONSE, 1000);
+		assertThat(this.violations).containsExactly(FramingViolation.STATUS_LINE_IN_BODY);
+	}
+
+	// Guards against the beginning of a late response at the end of a body without length.
+	@ParameterizedTest
+	@ValueSource(ints = { 5, 12 })
+	void beginningOfAResponseAtTheEndOfABodyWithoutLengthIsReported(int length) {
+		this.decoder.expectResponse(HttpMethod.GET);
+		receive("HTTP/1.0 200 OK\r\n\r\npart" + RESPONSE.substring(0, length), 1000);
+		this.channel.finishAndReleaseAll();
+		assertThat(this.violations).containsExactly(FramingViolation.STATUS_LINE_IN_BODY);
+	}
+
+	// Guards against sound bodies that pause, also before a letter that begins status
+	// lines, and quote a status line elsewhere.
+	@ParameterizedTest
+	@ValueSource(strings = { "part|HTTP or HTTP/1.1 200 OK|HTT", "part|\"HTTP/1.1 200 OK\r\n\"", "|H|TTP/2" })
+	void soundBodiesWithPausesAreNoViolations(String parts) {
+		String body = parts.replace("|", "");
+		StrictResponseDecoder expecting = expecting();
+		EmbeddedChannel connection = new EmbeddedChannel(expecting);
+		receive(connection, "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n", 1000);
+		for (String part : parts.split("\\|")) {
+			receive(connection, part, 1000);
+			this.now += Duration.ofMillis(2).toNanos();
+		}
+		assertThat(expecting.endResponse()).isTrue();
+		assertThat(this.violations).isEmpty();
+	}
+
 	// Guards against a response that fails because the one that was discarded before had
 	// no body to discard.
 	@ParameterizedTest
@@ -100,7 +158,7 @@
 	}
 
 	private StrictResponseDecoder expecting() {
-		StrictResponseDecoder created = new StrictResponseDecoder(this.violations::add);
+		StrictResponseDecoder created = new StrictResponseDecoder(this.violations::add, () -> this.now);
 		created.expectResponse(HttpMethod.GET);
 		return created;
 	}
