--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -63,7 +63,7 @@
 	/** Until when the connection is certain to last, unless it is disrupted. */
 	private final long endsAt;
 
-	private final StrictResponseDecoder decoder = new StrictResponseDecoder(this::framingViolated);
+	private final StrictResponseDecoder decoder;
 
 	private @Nullable ClientCall call;
 
@@ -95,6 +95,7 @@
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
 		this.endsAt = endsAt;
+		this.decoder = new StrictResponseDecoder(this::framingViolated, pool.clock());
 	}
 
 	InetSocketAddress address() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -81,6 +81,10 @@
 		this.framingListener = listener;
 	}
 
+	MonotonicClock clock() {
+		return this.clock;
+	}
+
 	/**
 	 * Sets the time for which tunnels are certain to last: from the signal to stop to the
 	 * end of a process. The gateways of a fleet have the same, and one that is stopping
