Let the gateway that opened a tunnel close it when it is idle

An answer through a gateway that was shutting down was cut if its endpoint paused within it for 2.5 s (10 s at other times): the gateway that the tunnel led through took the pause for the end of the answer.

Cause: that gateway sees bytes and can't tell an idle tunnel from an answer that pauses.

Change: the gateway that opened a tunnel closes it when it is two seconds old and has no request, and states so in its CONNECT request (closed-by: opener). Its peer then closes such a tunnel for no lack of data.

Evidence: keepsATunnelWhoseOpenerClosesItWhenIdle (connection reset before) and idleTunnelsAreClosedByTheGatewayThatOpenedThem (a tunnel still open after 2.3 s before), both red with the main sources before, green now.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -123,10 +123,14 @@
 
 	boolean isUsable(long now, long maximumIdleNanos) {
 		long idle = now - this.idleSince;
-		return this.channel.isActive() && now < this.expiresAt && idle <= maximumIdleNanos
+		return this.channel.isActive() && !isExpired(now) && idle <= maximumIdleNanos
 				&& idle < this.keepAliveTimeout.toNanos();
 	}
 
+	boolean isExpired(long now) {
+		return now >= this.expiresAt;
+	}
+
 	boolean lastsUntil(long time) {
 		return time <= this.endsAt;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
@@ -196,6 +197,10 @@
 		ClientConnection connection = new ClientConnection(this, address, channel, options, connectedAt, expiresAt,
 				endsAt);
 		channel.pipeline().addLast(new HttpRequestEncoder()).addLast(connection.decoder()).addLast(connection);
+		if (connected.tunnelled()) {
+			this.eventLoop.schedule(() -> closeIfIdle(connection), TunnelServer.MAXIMUM_AGE.toNanos(),
+					TimeUnit.NANOSECONDS);
+		}
 		return connection;
 	}
 
@@ -214,7 +219,7 @@
 
 	// The other gateways may need connections that are beyond this gateway's part.
 	void release(ClientConnection connection) {
-		if (connection.dedicated()
+		if (connection.dedicated() || connection.isExpired(this.clock.nanos())
 				|| this.openConnections.getOrDefault(connection.address(), 0) > connection.limit().kept()) {
 			connection.close();
 			return;
@@ -227,6 +232,16 @@
 		this.framingListener.framingViolated(connection.address(), (call != null) ? call.requestId() : null, violation);
 	}
 
+	// A gateway cannot tell an idle tunnel that leads through it from one whose response
+	// pauses.
+	private void closeIfIdle(ClientConnection tunnel) {
+		Deque<ClientConnection> connections = this.idleConnections.get(tunnel.address());
+		if (connections != null && connections.contains(tunnel)) {
+			removeIdle(tunnel);
+			tunnel.close();
+		}
+	}
+
 	void removeIdle(ClientConnection connection) {
 		Deque<ClientConnection> connections = this.idleConnections.get(connection.address());
 		if (connections != null) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -36,6 +36,15 @@
 	/** The header of a tunnel request that names the request that needs the tunnel. */
 	static final String REQUEST_ID_HEADER = "request-id";
 
+	/**
+	 * The header of a tunnel request that states which side closes the tunnel when it is
+	 * idle.
+	 */
+	static final String CLOSED_BY_HEADER = "closed-by";
+
+	/** The value of that header for the gateway that opened the tunnel. */
+	static final String CLOSED_BY_OPENER = "opener";
+
 	/**
 	 * TCP keep-alive probes, with the interval and count below, detect a dead peer after
 	 * 3 s. No TCP_USER_TIMEOUT is set, which would decide instead of the count.
@@ -146,7 +155,8 @@
 	 */
 	Future<ConnectedChannel> openTunnel(InetSocketAddress address, TunnelPeer peer, Duration timeout,
 			String requestId) {
-		HttpHeaders headers = new DefaultHttpHeaders().set(REQUEST_ID_HEADER, requestId);
+		HttpHeaders headers = new DefaultHttpHeaders().set(REQUEST_ID_HEADER, requestId)
+			.set(CLOSED_BY_HEADER, CLOSED_BY_OPENER);
 		HttpProxyHandler handshake = new HttpProxyHandler(peer.address(), headers);
 		handshake.setConnectTimeoutMillis(timeout.toMillis());
 		Promise<ConnectedChannel> result = this.eventLoop.newPromise();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/Tunnel.java
@@ -17,13 +17,16 @@
 
 	private final EndpointConnector connector;
 
+	private final boolean closedByOpener;
+
 	private long lastDataAt;
 
 	private boolean requestInProgress;
 
-	Tunnel(Channel gatewaySide, Channel endpointSide, EndpointConnector connector) {
+	Tunnel(Channel gatewaySide, Channel endpointSide, EndpointConnector connector, boolean closedByOpener) {
 		this.gatewaySide = gatewaySide;
 		this.connector = connector;
+		this.closedByOpener = closedByOpener;
 		this.lastDataAt = connector.now();
 		// A response may be delimited by the end of its connection: only the endpoint's
 		// end is passed on as one, any other, also of the process, resets the tunnel.
@@ -52,10 +55,11 @@
 		this.lastDataAt = this.connector.now();
 	}
 
-	// A request without a response is left to the gateway that sent it, which knows its
-	// deadline.
+	// A request in progress is left to the gateway that sent it, which knows its deadline
+	// and, unlike this side, also where its response ends. An earlier version of it does
+	// not close its idle tunnels.
 	void closeIfIdle(Duration maximumIdleTime, long now) {
-		if (!this.requestInProgress && now - this.lastDataAt > maximumIdleTime.toNanos()) {
+		if (!this.closedByOpener && !this.requestInProgress && now - this.lastDataAt > maximumIdleTime.toNanos()) {
 			this.gatewaySide.close();
 		}
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelRequestHandler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelRequestHandler.java
@@ -85,7 +85,7 @@
 			.addListener((Future<Void> written) -> {
 				gatewaySide.pipeline().remove(HttpServerCodec.class);
 				gatewaySide.pipeline().remove(this);
-				this.server.opened(gatewaySide, endpointSide);
+				this.server.opened(gatewaySide, endpointSide, isClosedByOpener(request));
 				gatewaySide.config().setAutoRead(true);
 			});
 	}
@@ -99,6 +99,11 @@
 		context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
 	}
 
+	// Earlier versions leave it to this side.
+	private static boolean isClosedByOpener(HttpRequest request) {
+		return EndpointConnector.CLOSED_BY_OPENER.equals(request.headers().get(EndpointConnector.CLOSED_BY_HEADER));
+	}
+
 	private static String requestId(HttpRequest request) {
 		return request.headers().get(EndpointConnector.REQUEST_ID_HEADER, "");
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -150,8 +150,8 @@
 		}
 	}
 
-	void opened(Channel gatewaySide, Channel endpointSide) {
-		Tunnel tunnel = new Tunnel(gatewaySide, endpointSide, this.connector);
+	void opened(Channel gatewaySide, Channel endpointSide, boolean closedByOpener) {
+		Tunnel tunnel = new Tunnel(gatewaySide, endpointSide, this.connector, closedByOpener);
 		this.tunnels.add(tunnel);
 		gatewaySide.closeFuture().addListener((future) -> this.tunnels.remove(tunnel));
 	}
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TunnelShutdownTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/TunnelShutdownTests.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -56,6 +57,20 @@
 		}
 	}
 
+	// Guards against tunnels that stay open without a request, and so keep the gateways
+	// that they lead through from ending.
+	@Test
+	void idleTunnelsAreClosedByTheGatewayThatOpenedThem() throws Exception {
+		try (GatewayFleet fleet = newFleet()) {
+			GatewayFleet.Node partitioned = fleet.nodes().getFirst();
+			partitioned.partition().begin(Partition.Kind.RESET);
+			awaitServed(partitioned);
+			TimeUnit.MILLISECONDS.sleep(2300);
+			fleet.endpoint(0).countOpenConnections();
+			assertThat(fleet.endpoint(0).mostOpenConnections()).isZero();
+		}
+	}
+
 	private static GatewayFleet newFleet() throws Exception {
 		GatewayFleet fleet = new GatewayFleet(GATEWAYS, 1, Duration.ofMillis(10));
 		fleet.setShutdownTimeout(SHUTDOWN);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/TunnelServerTests.java
@@ -199,6 +199,22 @@
 		assertThatThrownBy(() -> tunnel.getInputStream().readAllBytes()).isInstanceOf(SocketException.class);
 	}
 
+	// Guards against a response that is cut off because its endpoint paused within it
+	// while the gateway that the tunnel leads through was shutting down.
+	@Test
+	void keepsATunnelWhoseOpenerClosesItWhenIdle() throws Exception {
+		Socket tunnel = open(target(), "closed-by: opener\r\n");
+		readHead(tunnel);
+		Socket accepted = this.endpoint.accept();
+		accepted.getOutputStream().write("resp".getBytes(StandardCharsets.US_ASCII));
+		assertThat(tunnel.getInputStream().readNBytes(4)).asString().isEqualTo("resp");
+		this.eventLoops.next().submit(this.server::stop).sync();
+		TimeUnit.NANOSECONDS.sleep(TunnelServer.MAXIMUM_AGE.plusMillis(600).toNanos());
+		this.eventLoops.next().submit(this.server::closeIdle).sync();
+		accepted.getOutputStream().write("onse".getBytes(StandardCharsets.US_ASCII));
+		assertThat(tunnel.getInputStream().readNBytes(4)).asString().isEqualTo("onse");
+	}
+
 	// Guards against an endpoint that goes on working on a request after its caller left.
 	@Test
 	void passesOnAResetOfTheGateway() throws Exception {
@@ -251,12 +267,16 @@
 	}
 
 	private Socket open(String target) throws IOException {
+		return open(target, "");
+	}
+
+	private Socket open(String target, String headers) throws IOException {
 		Socket socket = new Socket();
 		this.sockets.add(socket);
 		socket.connect(this.address);
 		socket.setSoTimeout((int) Duration.ofSeconds(5).toMillis());
 		socket.getOutputStream()
-			.write(("CONNECT " + target + " HTTP/1.1\r\nhost: " + target + "\r\n\r\n")
+			.write(("CONNECT " + target + " HTTP/1.1\r\nhost: " + target + "\r\n" + headers + "\r\n")
 				.getBytes(StandardCharsets.US_ASCII));
 		return socket;
 	}
