Read an event in small pieces once

An endpoint that writes an event in pieces of a byte, each a chunk of its own, took the processor and gigabytes of short-lived memory of a gateway, and so the time of all its other callers.

Cause: each piece had the whole partial event (up to 128 KB) searched for its end and copied again.

The splitter now continues its search after the bytes that it has seen, and copies events only when one is complete.

SseEventSplitterTests#eventInPiecesOfAByteTakesNoMoreThanItsLength: 60,000 pieces of a byte.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/SseEventSplitter.java
@@ -22,10 +22,15 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	private static final byte[] NO_EVENTS = {};
+
 	private byte[] buffer = new byte[512];
 
 	private int length;
 
+	/** The bytes of the partial event that contain no event's end. */
+	private int scanned;
+
 	private int forwardedEvents;
 
 	private @Nullable String lastEventId;
@@ -65,6 +70,7 @@
 	/** Discards the partial event of an engine that failed. */
 	void discardPartialEvent() {
 		this.length = 0;
+		this.scanned = 0;
 	}
 
 	/**
@@ -87,10 +93,16 @@
 	}
 
 	private byte[] extractComplete() {
+		// Up to two bytes before may belong to the end of an event.
+		int firstEnd = findEventEnd(Math.max(0, this.scanned - 2));
+		if (firstEnd < 0) {
+			this.scanned = this.length;
+			return NO_EVENTS;
+		}
 		byte[] complete = new byte[this.length];
 		int count = 0;
 		int start = 0;
-		for (int end = findEventEnd(start); end > 0; end = findEventEnd(start)) {
+		for (int end = firstEnd; end > 0; end = findEventEnd(start)) {
 			if (isNew(start, end)) {
 				this.forwardedEvents++;
 				System.arraycopy(this.buffer, start, complete, count, end - start);
@@ -100,6 +112,7 @@
 		}
 		System.arraycopy(this.buffer, start, this.buffer, 0, this.length - start);
 		this.length -= start;
+		this.scanned = this.length;
 		return Arrays.copyOf(complete, count);
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/SseEventSplitterTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/SseEventSplitterTests.java
@@ -1,7 +1,9 @@
 package org.banyancove.gateway.exchange;
 
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import org.junit.jupiter.api.Test;
 
@@ -49,6 +51,21 @@
 		assertThatIllegalStateException().isThrownBy(() -> read("y")).withMessageContaining("131072");
 	}
 
+	// Guards against an endpoint that takes all processor time and memory with an event
+	// in
+	// pieces of a byte.
+	@Test
+	void eventInPiecesOfAByteTakesNoMoreThanItsLength() {
+		com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+		ByteBuf piece = Unpooled.wrappedBuffer(new byte[] { 'x' });
+		long before = threads.getCurrentThreadAllocatedBytes();
+		for (int i = 0; i < 60_000; i++) {
+			this.splitter.read(piece);
+		}
+		assertThat(threads.getCurrentThreadAllocatedBytes() - before).isLessThan(20L << 20);
+		assertThat(read("\n\n")).hasSize(60_002);
+	}
+
 	private String read(String text) {
 		return new String(this.splitter.read(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)),
 				StandardCharsets.US_ASCII);
