Bound the memory that all callers' requests take together

Many callers that sent large bodies at once took all the heap: each body was bounded (maxBodyBytes), and 16 of a connection, but nothing bounded them together.

The requests of a connection that are read, wait or are in progress take 16 KB, and beyond that a part of 24 MB which all connections share, with the objects of their heads. A request for which there is none gets 503, with Retry-After; the rest of its body is discarded before the connection is closed, since a reset could overtake the response. ResponseBuffers is BodyMemory now, which both use.

ExchangeTests#requestsOfManyCallersTakeABoundedPartOfTheMemory: 12 callers that send 3.9 of 4 MB. Before: none of them got 503 (red).

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Attempt.java
@@ -32,7 +32,7 @@
 
 	private final Exchange exchange;
 
-	private final ResponseBuffers buffers;
+	private final BodyMemory buffers;
 
 	private final Endpoint endpoint;
 
@@ -72,8 +72,7 @@
 
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
-	Attempt(Exchange exchange, Placement placement, int number, long sentAt, ResponseBuffers buffers,
-			boolean continuesRun) {
+	Attempt(Exchange exchange, Placement placement, int number, long sentAt, BodyMemory buffers, boolean continuesRun) {
 		this.exchange = exchange;
 		this.buffers = buffers;
 		this.endpoint = placement.endpoint();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseBuffers.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/BodyMemory.java
@@ -1,10 +1,10 @@
 package org.banyancove.gateway.exchange;
 
 /**
- * The memory that all buffered responses of a gateway take together. Confined to the
- * event loop thread.
+ * The memory that all buffered responses of a gateway take together, or all requests.
+ * Confined to the event loop thread.
  */
-final class ResponseBuffers {
+final class BodyMemory {
 
 	private static final int MAXIMUM_BYTES = 24 << 20;
 
@@ -13,7 +13,7 @@
 	/**
 	 * Reserves memory.
 	 * @param bytes the number of bytes
-	 * @return {@code false} if the responses take too much memory
+	 * @return {@code false} if they take too much memory
 	 */
 	boolean tryReserve(int bytes) {
 		if (bytes > MAXIMUM_BYTES - this.reserved) {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -41,6 +41,9 @@
 	/** The connection of a caller that pipelines more requests is closed. */
 	private static final int MAXIMUM_PIPELINED = 16;
 
+	/** Time after which requests that take much memory may have ended. */
+	private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
 	private final CallerServer server;
 
 	private final Queue<CallerRequest> pipelinedRequests = new ArrayDeque<>();
@@ -51,6 +54,10 @@
 
 	private ByteBuf requestBody = Unpooled.EMPTY_BUFFER;
 
+	private final CallerMemory memory;
+
+	private int inFlightBytes;
+
 	private @Nullable InFlightRequest inFlight;
 
 	private boolean keepAliveRequested;
@@ -61,10 +68,13 @@
 
 	private boolean closing;
 
+	private boolean discardingBody;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
 		this.server = server;
+		this.memory = new CallerMemory(server.requestMemory());
 	}
 
 	@Override
@@ -77,6 +87,9 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
 		if (this.closing) {
+			if (this.discardingBody && message instanceof LastHttpContent) {
+				close();
+			}
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -102,6 +115,10 @@
 			reject(ErrorKind.BODY_TOO_LARGE);
 			return;
 		}
+		if (!this.memory.tryTake(CallerMemory.sizeOf(request))) {
+			rejectForMemory();
+			return;
+		}
 		startTimer(this.server.limits().idleTimeout(), () -> reject(ErrorKind.REQUEST_TOO_SLOW));
 	}
 
@@ -113,7 +130,11 @@
 		}
 		if (added > 0) {
 			if (this.requestBody.capacity() == 0) {
-				this.requestBody = Unpooled.buffer(Math.max(added, 256));
+				this.requestBody = Unpooled.buffer(0);
+			}
+			if (!this.memory.tryEnlarge(this.requestBody, added, this.server.limits().maxBodyBytes())) {
+				rejectForMemory();
+				return;
 			}
 			this.requestBody.writeBytes(content.content());
 		}
@@ -144,6 +165,7 @@
 			startIdleTimer();
 			return;
 		}
+		this.inFlightBytes = CallerMemory.sizeOf(request);
 		this.keepAliveRequested = HttpUtil.isKeepAlive(request.head());
 		this.chunksUnderstood = request.head().protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0;
 		this.inFlight = InFlightRequest.NO_OP;
@@ -267,6 +289,8 @@
 
 	private void finish(ChannelFuture writeFuture, boolean keepAlive) {
 		this.inFlight = null;
+		this.memory.giveBack(this.inFlightBytes);
+		this.inFlightBytes = 0;
 		this.streaming = false;
 		if (!keepAlive) {
 			this.closing = true;
@@ -290,6 +314,14 @@
 		}
 	}
 
+	// The connection is closed once the caller has sent the rest of the body, since a
+	// reset
+	// could overtake the response.
+	private void rejectForMemory() {
+		this.discardingBody = true;
+		reject(ErrorKind.OVERLOADED);
+	}
+
 	// Rejects a request that cannot be read further, and closes the connection. While an
 	// earlier request has no response yet, the connection is closed without one.
 	private void reject(ErrorKind kind) {
@@ -301,10 +333,18 @@
 			return;
 		}
 		this.closing = true;
-		FullHttpResponse response = ErrorResponse.of(kind, null);
+		this.requestBody = Unpooled.EMPTY_BUFFER;
+		this.memory.giveBackAll();
+		FullHttpResponse response = ErrorResponse.of(kind, this.discardingBody ? RETRY_AFTER : null);
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setConnection(response, false);
-		openChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		ChannelFuture written = openChannel.writeAndFlush(response);
+		if (this.discardingBody) {
+			startTimer(this.server.limits().idleTimeout(), this::close);
+		}
+		else {
+			written.addListener(ChannelFutureListener.CLOSE);
+		}
 		this.server.rejectedBeforeRead(kind);
 	}
 
@@ -362,6 +402,7 @@
 		this.closing = true;
 		this.channel = null;
 		this.pipelinedRequests.clear();
+		this.memory.giveBackAll();
 		InFlightRequest current = this.inFlight;
 		this.inFlight = null;
 		this.server.closed(this);
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -44,6 +44,8 @@
 
 	private final Set<CallerConnection> connections = new HashSet<>();
 
+	private final BodyMemory requestMemory = new BodyMemory();
+
 	private boolean stopping;
 
 	/**
@@ -116,6 +118,10 @@
 		List.copyOf(this.connections).forEach(CallerConnection::rejectUnread);
 	}
 
+	BodyMemory requestMemory() {
+		return this.requestMemory;
+	}
+
 	boolean stopping() {
 		return this.stopping;
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -84,7 +84,7 @@
 
 	private final StreamMigrations migrations;
 
-	private final ResponseBuffers responseBuffers = new ResponseBuffers();
+	private final BodyMemory responseBuffers = new BodyMemory();
 
 	private final ConnectionAllowance connectionAllowance = new ConnectionAllowance();
 
@@ -402,7 +402,7 @@
 		return this.placement;
 	}
 
-	ResponseBuffers responseBuffers() {
+	BodyMemory responseBuffers() {
 		return this.responseBuffers;
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -777,7 +777,7 @@
 	// bodies without end at once.
 	@Test
 	void bodiesWithoutEndTakeABoundedPartOfTheMemory() {
-		ResponseBuffers buffers = new ResponseBuffers();
+		BodyMemory buffers = new BodyMemory();
 		int granted = 0;
 		for (int i = 0; i < 100 * 64; i++) {
 			granted += buffers.tryReserve(1 << 16) ? 1 << 16 : 0;
@@ -1012,6 +1012,37 @@
 		}
 	}
 
+	// Guards against a gateway that has no memory left because many callers send large
+	// bodies at once.
+	@Test
+	void requestsOfManyCallersTakeABoundedPartOfTheMemory() throws Exception {
+		this.limits = new CallerLimits(4096, 4_000_000, Duration.ofSeconds(3), Duration.ofSeconds(4));
+		endpoint("a").otherwise((connection, id) -> ScriptedEndpoint.write(connection, COMPLETE.replace("ID", id)));
+		String head = "POST /once/ HTTP/1.1\r\nhost: host\r\nid: a\r\ncontent-length: 4000000\r\n\r\n";
+		String body = "x".repeat(4_000_000);
+		List<Caller> callers = new ArrayList<>();
+		for (int i = 0; i < 12; i++) {
+			Caller caller = new Caller();
+			callers.add(caller);
+			caller.send(head + body.substring(0, 3_900_000));
+		}
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("POST /once/x HTTP/1.1", "b").status()).isEqualTo(200);
+		}
+		List<Integer> statuses = new ArrayList<>();
+		for (Caller caller : callers) {
+			statuses.add(caller.read().status());
+			caller.close();
+		}
+		assertThat(statuses).contains(408).filteredOn((status) -> status == 503).hasSizeBetween(6, 11);
+		try (Caller caller = new Caller()) {
+			for (int i = 0; i < 20; i++) {
+				caller.send(head + body);
+				assertThat(caller.read().status()).isEqualTo(200);
+			}
+		}
+	}
+
 	@Test
 	void requestWithoutAnAvailableEndpointIsRejectedAsNotRun() throws Exception {
 		try (Caller caller = new Caller()) {
