--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
@@ -47,7 +47,8 @@
 	}
 
 	private Part name(char read) {
-		boolean letterOrDigit = read >= 'a' && read <= 'z' || read >= 'A' && read <= 'Z' || read >= '0' && read <= '9';
+		boolean letterOrDigit = (read >= 'a' && read <= 'z') || (read >= 'A' && read <= 'Z')
+				|| (read >= '0' && read <= '9');
 		return (letterOrDigit || NAME_SYMBOLS.indexOf(read) >= 0) ? Part.NAME : other();
 	}
 
