Count heads and bytes in ResponseBoundaryTests

The server waits for the bytes that were received by a counter instead of a shared text; comment rewrapped, one line formatted.

--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseBoundaryTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ResponseBoundaryTests.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -84,9 +85,8 @@
 		this.eventLoops.shutdownGracefully(0, 5, TimeUnit.SECONDS).sync();
 	}
 
-	// Guards against a response that consists of parts of two, and against sound
-	// responses
-	// that are refused.
+	// Guards against responses that consist of parts of two, and against sound ones that
+	// are refused.
 	@ParameterizedTest
 	@CsvSource({ "false, 1", "false, 2", "true, 3", "true, 4" })
 	void callGetsItsOwnResponseOrNone(boolean tunnelled, long seed) throws Exception {
@@ -280,7 +280,10 @@
 
 		private final CompletableFuture<String> end = new CompletableFuture<>();
 
-		private final StringBuffer text = new StringBuffer();
+		private final StringBuilder text = new StringBuilder();
+
+		/** The number of heads and of bytes of bodies. */
+		private final AtomicInteger received = new AtomicInteger();
 
 		private final String id;
 
@@ -298,8 +301,8 @@
 		private void awaitBody(String sent) throws InterruptedException {
 			int headEnd = sent.lastIndexOf("\r\n\r\n");
 			long expected = (headEnd < 0) ? 0
-					: sent.substring(headEnd).chars().filter((value) -> value >= 'x' && value <= 'z').count();
-			for (int i = 0; i < 50 && this.text.length() < expected + 4; i++) {
+					: 1 + sent.substring(headEnd).chars().filter((value) -> value >= 'x' && value <= 'z').count();
+			for (int i = 0; i < 50 && this.received.get() < expected; i++) {
 				TimeUnit.MILLISECONDS.sleep(1);
 			}
 		}
@@ -316,11 +319,13 @@
 		@Override
 		public void head(HttpResponse head) {
 			this.text.append(head.status().code()).append(' ');
+			this.received.incrementAndGet();
 		}
 
 		@Override
 		public void content(ByteBuf content) {
 			this.text.append(content.toString(StandardCharsets.US_ASCII));
+			this.received.addAndGet(content.readableBytes());
 		}
 
 		@Override
