--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndpointRequestFactory.java
@@ -87,7 +87,8 @@
 	 * Returns the connection options of the next attempt. A late response to an earlier
 	 * attempt states the same request id, so that attempts must not share a connection.
 	 * @param address the address of the attempt's endpoint
-	 * @return the options, with a dedicated connection for a further attempt at an address
+	 * @return the options, with a dedicated connection for a further attempt at an
+	 * address
 	 */
 	CallOptions options(InetSocketAddress address) {
 		return options(!this.usedAddresses.add(address));
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/Exchange.java
@@ -253,8 +253,7 @@
 		this.currentAttempt = newAttempt;
 		this.continuation.attemptSent();
 		newAttempt.callStarted(this.dispatcher.connections()
-			.call(address,
-					this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
+			.call(address, this.endpointRequests.create(placement, remaining(), this.eventSplitter.lastEventId(), run),
 					this.endpointRequests.options(address), newAttempt));
 		startResponseTimer(this.dispatcher.admission().responseTimeout(this.route));
 		return newAttempt;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/StrictResponseDecoderTests.java
@@ -80,7 +80,8 @@
 		assertThat(this.violations).containsExactly(FramingViolation.STATUS_LINE_IN_BODY);
 	}
 
-	// Guards against the beginning of a late response at the end of a body without length.
+	// Guards against the beginning of a late response at the end of a body without
+	// length.
 	@ParameterizedTest
 	@ValueSource(ints = { 5, 12 })
 	void beginningOfAResponseAtTheEndOfABodyWithoutLengthIsReported(int length) {
