Answer what a process that ends has read, and let answers arrive

Callers of a gateway that shuts down didn't get the answer, or the time to retry, in six cases at its end: a resumed stream whose origin was still sought; requests read behind one in progress on the same connection, during the shutdown and at its end; a request half read, which got 503 without a time to retry; an answer that the caller was receiving when its next request crossed the close; a large answer whose connection was closed as idle.

Cause: the dispatcher didn't know of searches; the answer to the first of several requests closed their connection; a closed socket answers bytes with a reset, which drops what the caller hasn't received; a connection counted as idle before its answer was written.

Evidence: ProcessEndTests, with the main sources before 6 of 6 red: no answer within 30 s to the resumed stream, no time to retry, the connection closed behind the first of three requests and no second answer at the end, connection reset, 2,809,856 of 6,000,000 bytes; green now. ExchangeTests, CutResponseTests, StreamMigrationTests, CrowdedGatewayTests, GracefulShutdownTests, ResponseEndTests, ConnectionAdmissionTests and TunnelServerTests pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -10,7 +10,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -61,6 +60,8 @@
 
 	private boolean closing;
 
+	private @Nullable ChannelFuture lastResponse;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
@@ -173,7 +174,7 @@
 			onWritten.run();
 			return;
 		}
-		boolean keepAlive = this.keepAliveRequested && !this.server.stopping();
+		boolean keepAlive = keepsAlive();
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setConnection(response, keepAlive);
 		ChannelFuture written = openChannel.writeAndFlush(response);
@@ -188,8 +189,8 @@
 	void beginStream(HttpResponse start) {
 		this.streaming = true;
 		HttpUtil.setTransferEncodingChunked(start, this.chunksUnderstood);
-		this.keepAliveRequested &= this.chunksUnderstood;
-		setConnection(start, this.keepAliveRequested && !this.server.stopping());
+		this.keepAliveRequested = this.chunksUnderstood && keepsAlive();
+		setConnection(start, this.keepAliveRequested);
 		if (this.channel != null) {
 			setResetOnClose(this.channel, true);
 			this.channel.write(start);
@@ -221,11 +222,15 @@
 		Channel openChannel = this.channel;
 		if (openChannel != null) {
 			setResetOnClose(openChannel, false);
-			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT),
-					this.keepAliveRequested && !this.server.stopping());
+			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepsAlive());
 		}
 	}
 
+	// During a shutdown, requests that were read are still answered.
+	private boolean keepsAlive() {
+		return this.keepAliveRequested && (!this.server.stopping() || !this.pipelinedRequests.isEmpty());
+	}
+
 	/**
 	 * Aborts an incomplete response by closing the connection, so that the caller can
 	 * detect the truncation.
@@ -250,8 +255,11 @@
 	 * Closes the connection if it has no request in progress.
 	 */
 	void closeIfIdle() {
-		if (this.inFlight == null && this.requestHead == null && this.pipelinedRequests.isEmpty()) {
-			close();
+		boolean written = this.lastResponse == null || this.lastResponse.isDone();
+		if (this.inFlight == null && this.requestHead == null && this.pipelinedRequests.isEmpty() && written
+				&& !this.closing && this.channel != null) {
+			this.closing = true;
+			LingeringClose.close(this.channel);
 		}
 	}
 
@@ -267,9 +275,10 @@
 	private void finish(ChannelFuture writeFuture, boolean keepAlive) {
 		this.inFlight = null;
 		this.streaming = false;
+		this.lastResponse = writeFuture;
 		if (!keepAlive) {
 			this.closing = true;
-			writeFuture.addListener(ChannelFutureListener.CLOSE);
+			writeFuture.addListener(LingeringClose.WHEN_WRITTEN);
 			return;
 		}
 		startNext();
@@ -300,10 +309,11 @@
 			return;
 		}
 		this.closing = true;
-		FullHttpResponse response = ErrorResponse.of(kind, null);
+		FullHttpResponse response = ErrorResponse.of(kind,
+				(kind == ErrorKind.STOPPING) ? RequestRouter.RETRY_AFTER : null);
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setConnection(response, false);
-		openChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		openChannel.writeAndFlush(response).addListener(LingeringClose.WHEN_WRITTEN);
 		this.server.rejectedBeforeRead(kind);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -102,6 +102,8 @@
 
 	private final Set<Exchange> inProgress = new LinkedHashSet<>();
 
+	private final Set<StreamResumption> searches = new LinkedHashSet<>();
+
 	/** When the process ends, or {@code null} if it is not shutting down. */
 	private @Nullable Long processEndsAt;
 
@@ -229,6 +231,7 @@
 	/** Answers all requests that are in progress, since the process ends. */
 	public void endRequests() {
 		startDeferred();
+		List.copyOf(this.searches).forEach(StreamResumption::processEnds);
 		List.copyOf(this.inProgress).forEach(Exchange::processEnds);
 	}
 
@@ -337,6 +340,14 @@
 		this.requestLog.connectionClosedUnread();
 	}
 
+	void searchBegins(StreamResumption search) {
+		this.searches.add(search);
+	}
+
+	void searchEnds(StreamResumption search) {
+		this.searches.remove(search);
+	}
+
 	void ended(Exchange exchange) {
 		this.inProgress.remove(exchange);
 	}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestRouter.java
@@ -19,7 +19,7 @@
 	/**
 	 * The retry delay until a configuration has been read, or another gateway takes over.
 	 */
-	private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+	static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
 	private final @Nullable Configuration configuration;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StreamResumption.java
@@ -37,7 +37,8 @@
 
 	private @Nullable InFlightRequest started;
 
-	private boolean callerLeft;
+	/** Whether the search no longer matters. */
+	private boolean ended;
 
 	StreamResumption(RequestDispatcher dispatcher, CallerConnection caller, CallerRequest request,
 			CallerHeaders requestHeaders) {
@@ -66,14 +67,16 @@
 		}
 		AccountName account = (accepted.account() != null) ? accepted.account().name() : null;
 		StreamKey stream = this.request.streamKey((resumed != null) ? resumed : "", account);
+		this.dispatcher.searchBegins(this);
 		this.dispatcher.streamOrigins().find(stream, accepted.route(), this::found);
 	}
 
 	// The configuration may have changed during the search.
 	private void found(@Nullable KnownOrigin origin) {
-		if (this.callerLeft) {
+		if (this.ended) {
 			return;
 		}
+		end();
 		this.dispatcher.requestLog()
 			.streamOriginSearched(this.requestHeaders.requestId(), this.requestHeaders.resumedRequestId(), origin,
 					Duration.ofNanos(this.dispatcher.clock().nanos() - this.request.arrivedAt()));
@@ -88,13 +91,24 @@
 		}
 	}
 
+	/** Answers a request whose search has not ended at the end of the process. */
+	void processEnds() {
+		end();
+		reject(ErrorKind.STOPPING, RequestRouter.RETRY_AFTER);
+	}
+
+	private void end() {
+		this.ended = true;
+		this.dispatcher.searchEnds(this);
+	}
+
 	private void reject(ErrorKind kind, @Nullable Duration retryAfter) {
 		this.dispatcher.reject(this.caller, this.requestHeaders, kind, retryAfter);
 	}
 
 	@Override
 	public void callerDisconnected() {
-		this.callerLeft = true;
+		end();
 		if (this.started != null) {
 			this.started.callerDisconnected();
 		}
