--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -10,7 +10,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -70,6 +69,8 @@
 
 	private boolean discardingBody;
 
+	private @Nullable ChannelFuture lastResponse;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
@@ -196,7 +197,7 @@
 			onWritten.run();
 			return;
 		}
-		boolean keepAlive = this.keepAliveRequested && !this.server.stopping();
+		boolean keepAlive = keepsAlive();
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setConnection(response, keepAlive);
 		ChannelFuture written = openChannel.writeAndFlush(response);
@@ -211,8 +212,8 @@
 	void beginStream(HttpResponse start) {
 		this.streaming = true;
 		HttpUtil.setTransferEncodingChunked(start, this.chunksUnderstood);
-		this.keepAliveRequested &= this.chunksUnderstood;
-		setConnection(start, this.keepAliveRequested && !this.server.stopping());
+		this.keepAliveRequested = this.chunksUnderstood && keepsAlive();
+		setConnection(start, this.keepAliveRequested);
 		if (this.channel != null) {
 			setResetOnClose(this.channel, true);
 			this.channel.write(start);
@@ -244,11 +245,15 @@
 		Channel openChannel = this.channel;
 		if (openChannel != null) {
 			setResetOnClose(openChannel, false);
-			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT),
-					this.keepAliveRequested && !this.server.stopping());
+			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepsAlive());
 		}
 	}
 
+	// During a shutdown, requests that were read are still answered.
+	private boolean keepsAlive() {
+		return this.keepAliveRequested && (!this.server.stopping() || !this.pipelinedRequests.isEmpty());
+	}
+
 	/**
 	 * Aborts an incomplete response by closing the connection, so that the caller can
 	 * detect the truncation.
@@ -273,8 +278,11 @@
 	 * Closes the connection if it has no request in progress.
 	 */
 	void closeIfIdle() {
-		if (this.inFlight == null && this.requestHead == null && this.pipelinedRequests.isEmpty()) {
-			close();
+		boolean written = this.lastResponse == null || this.lastResponse.isDone();
+		if (this.inFlight == null && this.requestHead == null && this.pipelinedRequests.isEmpty() && written
+				&& !this.closing && this.channel != null) {
+			this.closing = true;
+			LingeringClose.close(this.channel);
 		}
 	}
 
@@ -292,9 +300,10 @@
 		this.memory.giveBack(this.inFlightBytes);
 		this.inFlightBytes = 0;
 		this.streaming = false;
+		this.lastResponse = writeFuture;
 		if (!keepAlive) {
 			this.closing = true;
-			writeFuture.addListener(ChannelFutureListener.CLOSE);
+			writeFuture.addListener(LingeringClose.WHEN_WRITTEN);
 			return;
 		}
 		startNext();
@@ -335,7 +344,7 @@
 		this.closing = true;
 		this.requestBody = Unpooled.EMPTY_BUFFER;
 		this.memory.giveBackAll();
-		FullHttpResponse response = ErrorResponse.of(kind, this.discardingBody ? RETRY_AFTER : null);
+		FullHttpResponse response = ErrorResponse.of(kind, retryAfter(kind));
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		setConnection(response, false);
 		ChannelFuture written = openChannel.writeAndFlush(response);
@@ -343,11 +352,19 @@
 			startTimer(this.server.limits().idleTimeout(), this::close);
 		}
 		else {
-			written.addListener(ChannelFutureListener.CLOSE);
+			written.addListener(LingeringClose.WHEN_WRITTEN);
 		}
 		this.server.rejectedBeforeRead(kind);
 	}
 
+	private static @Nullable Duration retryAfter(ErrorKind kind) {
+		return switch (kind) {
+			case OVERLOADED -> RETRY_AFTER;
+			case STOPPING -> RequestRouter.RETRY_AFTER;
+			default -> null;
+		};
+	}
+
 	// While a request is read, its own timer runs.
 	private void startIdleTimer() {
 		if (this.requestHead == null) {
