Write the events that are read at once as one

Endpoints that write many tiny events, each a chunk of its own, to callers that do not read: all events of what was read at once (up to 64 KB) were kept as messages of their own, each with some hundred bytes, and each was flushed.

They are written as one now, in the turn of the event loop in which they are read, and so are those that wait while the caller's connection takes no more. What was read before a stream is broken off is still written.

By reading; no test was red before for the memory of tiny events.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -41,6 +41,8 @@
 	/** The connection of a caller that pipelines more requests is closed. */
 	private static final int MAXIMUM_PIPELINED = 16;
 
+	private static final int MAXIMUM_UNWRITTEN_BYTES = 16 << 10;
+
 	/** Time after which requests that take much memory may have ended. */
 	private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
@@ -58,6 +60,8 @@
 
 	private int inFlightBytes;
 
+	private ByteBuf unwrittenContent = Unpooled.EMPTY_BUFFER;
+
 	private @Nullable InFlightRequest inFlight;
 
 	private boolean keepAliveRequested;
@@ -224,8 +228,39 @@
 	 * @param content the bytes
 	 */
 	void writeContent(byte[] content) {
-		if (this.channel != null) {
-			this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+		Channel openChannel = this.channel;
+		if (openChannel == null) {
+			return;
+		}
+		if (this.unwrittenContent.capacity() == 0) {
+			this.unwrittenContent = Unpooled.buffer(content.length);
+			openChannel.eventLoop().execute(this::writeIfWritable);
+		}
+		this.unwrittenContent.writeBytes(content);
+	}
+
+	// Many small chunks take far more memory and time than their bytes: what is read at
+	// once, and while the caller's connection takes no more, is written as one.
+	private void writeIfWritable() {
+		Channel openChannel = this.channel;
+		if (openChannel == null || !openChannel.isWritable()) {
+			return;
+		}
+		writeUnwrittenContent(openChannel);
+		InFlightRequest current = this.inFlight;
+		if (current == null) {
+			startNext();
+		}
+		else if (isWritable()) {
+			current.callerWritable();
+		}
+	}
+
+	private void writeUnwrittenContent(Channel openChannel) {
+		ByteBuf content = this.unwrittenContent;
+		this.unwrittenContent = Unpooled.EMPTY_BUFFER;
+		if (content.isReadable()) {
+			openChannel.writeAndFlush(new DefaultHttpContent(content));
 		}
 	}
 
@@ -234,7 +269,8 @@
 	 * @return {@code false} while more than the channel's high watermark is not sent
 	 */
 	boolean isWritable() {
-		return this.channel != null && this.channel.isWritable();
+		return this.channel != null && this.channel.isWritable()
+				&& this.unwrittenContent.readableBytes() < MAXIMUM_UNWRITTEN_BYTES;
 	}
 
 	/**
@@ -244,6 +280,7 @@
 		Channel openChannel = this.channel;
 		if (openChannel != null) {
 			setResetOnClose(openChannel, false);
+			writeUnwrittenContent(openChannel);
 			finish(openChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT),
 					this.keepAliveRequested && !this.server.stopping());
 		}
@@ -254,6 +291,9 @@
 	 * detect the truncation.
 	 */
 	void abort() {
+		if (this.channel != null) {
+			writeUnwrittenContent(this.channel);
+		}
 		close();
 	}
 
@@ -384,15 +424,7 @@
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
-		InFlightRequest current = this.inFlight;
-		if (context.channel().isWritable()) {
-			if (current != null) {
-				current.callerWritable();
-			}
-			else {
-				startNext();
-			}
-		}
+		writeIfWritable();
 		context.fireChannelWritabilityChanged();
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.banyancove.core.error.ErrorKind;
@@ -32,6 +33,9 @@
 
 	private static final Logger log = LoggerFactory.getLogger(CallerServer.class);
 
+	/** The bytes that wait for a caller before no more are read for it. */
+	private static final WriteBufferWaterMark UNREAD_BYTES = new WriteBufferWaterMark(8 << 10, 16 << 10);
+
 	private final EventLoopGroup eventLoops;
 
 	private final MonotonicClock clock;
@@ -77,6 +81,7 @@
 			.option(ChannelOption.RECVBUF_ALLOCATOR,
 					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ListeningSocket.BACKLOG))
 			.childOption(ChannelOption.AUTO_READ, false)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_BYTES)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<Channel>() {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -49,6 +50,9 @@
 	/** The options of all connections between gateways and to endpoints. */
 	static final Map<ChannelOption<Object>, Object> CONNECTION_OPTIONS = connectionOptions();
 
+	/** The bytes that are read before a connection is found to be too fast. */
+	private static final int MAXIMUM_READ_BYTES = 16 << 10;
+
 	private final EventLoop eventLoop;
 
 	private final MonotonicClock clock;
@@ -206,6 +210,8 @@
 			.channelFactory(this.channelFactory)
 			.resolver(NoopAddressResolverGroup.INSTANCE)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Math.toIntExact(timeout.toMillis()))
+			.option(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(64, MAXIMUM_READ_BYTES / 4, MAXIMUM_READ_BYTES))
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel channel) {
