Mend a warning in HeaderLineScanner and format it

The gateway's build with all checks failed at its compilation with one warning, not shown; the mixed && and || are the likely one. StrictResponseDecoderTests is green by a plain compilation; the build with all checks has not run since.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
@@ -42,13 +42,12 @@
 			case STATUS_LINE, VALUE -> this.part;
 			case LINE_START -> (read == '\r') ? Part.LINE_START : isSpace(read) ? Part.VALUE : name(read);
 			case NAME -> (read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : name(read);
-			case AFTER_NAME ->
-				(read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : other();
+			case AFTER_NAME -> (read == ':') ? Part.VALUE : (isSpace(read) || read == '\r') ? Part.AFTER_NAME : other();
 		};
 	}
 
 	private Part name(char read) {
-		boolean letterOrDigit = read >= 'a' && read <= 'z' || read >= 'A' && read <= 'Z' || read >= '0' && read <= '9';
+		boolean letterOrDigit = read < 0x80 && Character.isLetterOrDigit(read);
 		return (letterOrDigit || NAME_SYMBOLS.indexOf(read) >= 0) ? Part.NAME : other();
 	}
 
