Close callers' connections by the progress of their responses

Two faults of the bound on what callers do not read, found by the review. A caller that asked for the close of its connection and did not read kept its response's memory for ever: three of them with 8 MB each took all that buffered responses may take, and further large responses got 502. And a caller that read a large response slowly was cut by the idle timer in the middle of it.

Cause: the timer started when the response was queued, took no account of what the caller read, and did not run once the connection was to be closed. It now runs for every response that is not sent yet, and starts again as long as some of it is sent.

ExchangeTests, both red before and green after: callerThatReadsALargeResponseSlowlyGetsItWhole, responseThatItsCallerDoesNotReadEndsWithItsConnection.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -75,6 +76,9 @@
 
 	private @Nullable ChannelFuture lastResponse;
 
+	/** The bytes of responses that were not sent when the idle timer was started. */
+	private long unsentBytes;
+
 	private @Nullable ScheduledFuture<?> timer;
 
 	CallerConnection(CallerServer server) {
@@ -344,6 +348,7 @@
 		if (!keepAlive) {
 			this.closing = true;
 			writeFuture.addListener(LingeringClose.WHEN_WRITTEN);
+			startIdleTimer();
 			return;
 		}
 		startNext();
@@ -408,16 +413,26 @@
 	// While a request is read, its own timer runs.
 	private void startIdleTimer() {
 		if (this.requestHead == null) {
+			this.unsentBytes = unsentBytes();
 			startTimer(this.server.limits().idleTimeout(), this::closeIdle);
 		}
 	}
 
+	// A caller that goes on reading a large response is not idle.
 	private void closeIdle() {
-		if (this.inFlight == null) {
+		if (unsentBytes() < this.unsentBytes) {
+			startIdleTimer();
+		}
+		else if (this.inFlight == null) {
 			close();
 		}
 	}
 
+	private long unsentBytes() {
+		ChannelOutboundBuffer buffer = (this.channel != null) ? this.channel.unsafe().outboundBuffer() : null;
+		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+	}
+
 	private void startTimer(Duration delay, Runnable action) {
 		stopTimer();
 		if (this.channel != null) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ExchangeTests.java
@@ -1009,6 +1009,50 @@
 		}
 	}
 
+	// Guards against a large response that is cut although its caller goes on reading it.
+	@Test
+	void callerThatReadsALargeResponseSlowlyGetsItWhole() throws Exception {
+		this.limits = new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(1));
+		int length = 8_000_000;
+		endpoint("a").thenRespond(large(length));
+		try (Caller caller = new Caller(serverAddress(), 4096)) {
+			sendPipelined(caller, 'a');
+			int read = 0;
+			for (int i = 0; i < 7; i++) {
+				read += caller.readBytes(1_000_000);
+				TimeUnit.MILLISECONDS.sleep(500);
+			}
+			assertThat(read + caller.readBytes(length - read)).isEqualTo(length);
+		}
+	}
+
+	// Guards against memory that is never given back because the caller that asked for
+	// the close of its connection does not read the response.
+	@Test
+	void responseThatItsCallerDoesNotReadEndsWithItsConnection() throws Exception {
+		this.limits = new CallerLimits(4096, 10_000, Duration.ofSeconds(3), Duration.ofSeconds(1));
+		ScriptedEndpoint endpoint = endpoint("a");
+		endpoint.otherwise((connection, id) -> ScriptedEndpoint.write(connection, large(8_000_000).replace("ID", id)));
+		List<Caller> callers = new ArrayList<>();
+		for (int i = 0; i < 3; i++) {
+			Caller caller = new Caller(serverAddress(), 4096);
+			callers.add(caller);
+			caller.send(lines("GET /once/x HTTP/1.1", "host: host", "id: " + i, "connection: close", "", ""));
+			endpoint.nextRequest();
+		}
+		TimeUnit.SECONDS.sleep(4);
+		try (Caller caller = new Caller()) {
+			assertThat(caller.call("GET /once/x HTTP/1.1", "9").status()).isEqualTo(200);
+		}
+		for (Caller caller : callers) {
+			caller.close();
+		}
+	}
+
+	private static String large(int length) {
+		return "HTTP/1.1 200 OK\r\nid: ID\r\nseal: s\r\ncontent-length: " + length + "\r\n\r\n" + "x".repeat(length);
+	}
+
 	// Guards against memory that a caller holds for ever who does not read the responses
 	// to its pipelined requests.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestCaller.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestCaller.java
@@ -57,6 +57,11 @@
 		}
 	}
 
+	/** Reads some bytes, or fewer at the end of the connection. */
+	int readBytes(int length) throws IOException {
+		return this.connection.getInputStream().readNBytes(length).length;
+	}
+
 	String readToEnd() throws IOException {
 		return new String(this.connection.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
 	}
