--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -33,6 +34,12 @@
 
 	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
+	private final AtomicInteger failures = new AtomicInteger();
+
+	private volatile double failingShare;
+
+	private volatile List<Integer> failureStatuses = List.of();
+
 	Engine(Platform platform, CaseRecord record, String id, String service, long workMillis) throws IOException {
 		this.id = id;
 		this.service = service;
@@ -59,6 +66,24 @@
 		}
 	}
 
+	/**
+	 * Makes a share of the requests fail after they have run.
+	 * @param share the share, 0 for none
+	 * @param statuses the statuses of the failures, which take turns
+	 */
+	void fail(double share, List<Integer> statuses) {
+		this.failureStatuses = statuses;
+		this.failingShare = share;
+	}
+
+	String id() {
+		return this.id;
+	}
+
+	int runs() {
+		return this.begun.size();
+	}
+
 	boolean hasBegun(String requestId) {
 		return this.begun.contains(requestId);
 	}
@@ -111,9 +136,15 @@
 		finally {
 			this.running.decrementAndGet();
 		}
+		boolean fails = Math.random() < this.failingShare;
+		String status = fails ? this.failureStatuses.get(this.failures.getAndIncrement() % this.failureStatuses.size())
+				+ " Failed" : "200 OK";
+		if (fails) {
+			this.record.add("failed", requestId, status + " at " + this.id);
+		}
 		byte[] body = ("answer to " + requestId + "\n").getBytes(StandardCharsets.ISO_8859_1);
 		HttpWire.write(output,
-				"HTTP/1.1 200 OK\nContent-Type: text/plain\nX-Banyancove-Attempt-Id: " + requestId
+				"HTTP/1.1 " + status + "\nContent-Type: text/plain\nX-Banyancove-Attempt-Id: " + requestId
 						+ "\nX-Banyancove-Response-Seal: " + this.id + "." + requestId
 						+ "\nX-Banyancove-Instance-Load: " + load + ",0,64\nKeep-Alive: timeout=5\nContent-Length: "
 						+ body.length + "\n",
