--- a/review/standins-2/GatewayProcess.java
+++ b/review/standins-2/GatewayProcess.java
@@ -46,6 +46,7 @@
 		this.ports = freePorts(this.host, 3);
 		this.settings = folder.resolve(this.name + ".json");
 		this.log = folder.resolve(this.name + ".log").toFile();
+		Runtime.getRuntime().addShutdownHook(new Thread(this::close));
 		Files.writeString(this.settings, """
 				{"nodeName": "%s", "role": "gateway", "machineClass": "edge", "serves": ["edge"], "ip": "%s",
 				"zone": "a", "region": "r", "portRange": [%d, %d], "seeds": [], "bootstrap": true,
@@ -58,7 +59,7 @@
 				"usageTolerance": 0.05, "usageLateS": 10, "recoverS": 12},
 				"platform": {"address": "%s", "form": "log", "writesPerS": 400, "readsPerS": 2000, "keep_s": 20},
 				"cloud": {"address": "%s", "ratePerS": 50.0, "duties": ["usage_report"], "dutiesPerS": 50.0}}
-				""".formatted(this.name, this.host, this.ports[2], this.ports[2] + 0, frontend(), this.host,
+				""".formatted(this.name, this.host, this.ports[2], this.ports[2], frontend(), this.host,
 				this.ports[1], GRACE_SECONDS, platform.address(), platform.address()));
 	}
 
