End the last check and the shutdown of a gateway in one step

Cause: the shutdown checked for open connections in one task of the event loop, answered what was in progress in another, and then the process ended. Nothing stopped new work between the tasks, nor between the second one and the end of the process: the server socket still accepted, connections were read and requests passed on, since the time up to the planned end of serving allowed them.

Change: one task checks, closes the server socket, rejects all later requests as not run and answers those in progress. At the end of the time, connections stay open for up to 200 ms of the reserved 400 ms until their callers have closed them. A step that fails no longer counts as "no connection". Tunnels that are being opened count as open. Log lines say what was open at the end.

Both new tests failed before (the request was answered with 200 and ran). 33 tests of shutdowns, process ends and tunnels pass.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -1,8 +1,8 @@
 package org.banyancove.gateway.daemon;
 
 import java.time.Duration;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
@@ -29,6 +29,11 @@
 	/** Time reserved after the deadline, so that the last responses leave the VM. */
 	private static final Duration RESPONSE_FLUSH_TIME = Duration.ofMillis(400);
 
+	/** The part of this time for which the last responses are waited for. */
+	private static final Duration RESPONSE_DELIVERY_TIME = Duration.ofMillis(200);
+
+	private static final Duration DELIVERY_CHECK_INTERVAL = Duration.ofMillis(10);
+
 	private static final Duration CHECK_INTERVAL = Duration.ofMillis(200);
 
 	private final EventLoop eventLoop;
@@ -61,7 +66,8 @@
 	}
 
 	/**
-	 * Runs the shutdown. Returns when no connection remains or the time is up.
+	 * Runs the shutdown. Returns when no connection remains or the time is up; from then
+	 * on no connection is accepted and no request is passed on.
 	 * @param shutdownTimeout the time from the termination signal to the forced
 	 * termination
 	 * @throws InterruptedException if the thread is interrupted
@@ -72,11 +78,21 @@
 		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopping");
 		this.eventLoop.execute(() -> begin(endsAt));
 		sleepUntil(Math.min(startedAt + ROUTED_AWAY_AFTER.toNanos(), endsAt));
-		while (this.clock.nanos() < endsAt && closeIdleConnections() > 0) {
-			sleepUntil(Math.min(this.clock.nanos() + CHECK_INTERVAL.toNanos(), endsAt));
+		boolean ended = false;
+		while (!ended && this.clock.nanos() < endsAt) {
+			ended = succeeds(this::endIfIdle);
+			if (!ended) {
+				sleepUntil(Math.min(this.clock.nanos() + CHECK_INTERVAL.toNanos(), endsAt));
+			}
+		}
+		if (!ended && !succeeds(this::end)) {
+			return;
 		}
-		log.atInfo().addKeyValue("inProgress", this.requestDispatcher.inProgress()).log("stopped");
-		await(this.eventLoop.submit(this::endRequests, 0));
+		awaitDelivery(endsAt + RESPONSE_DELIVERY_TIME.toNanos());
+		log.atInfo()
+			.addKeyValue("servedMillis", Duration.ofNanos(this.clock.nanos() - startedAt).toMillis())
+			.addKeyValue("idle", ended)
+			.log("stopped");
 	}
 
 	private void begin(long endsAt) {
@@ -85,28 +101,46 @@
 		this.tunnelServer.stop();
 	}
 
-	private void endRequests() {
+	// One task checks and ends: a connection that is accepted between two tasks would
+	// have
+	// its request passed on and dropped with the process.
+	private boolean endIfIdle() {
+		boolean idle = this.callerServer.closeIdle() + this.tunnelServer.closeIdle() == 0;
+		return idle && end();
+	}
+
+	private boolean end() {
+		log.atInfo()
+			.addKeyValue("inProgress", this.requestDispatcher.inProgress())
+			.addKeyValue("connections", this.callerServer.openConnections())
+			.log("ending requests");
+		this.callerServer.stopAccepting();
 		this.requestDispatcher.endRequests();
 		this.callerServer.rejectUnread();
+		return true;
 	}
 
-	private void sleepUntil(long time) throws InterruptedException {
-		TimeUnit.NANOSECONDS.sleep(time - this.clock.nanos());
+	// The end of the process resets connections, and what their callers have not received
+	// by then is lost.
+	private void awaitDelivery(long until) throws InterruptedException {
+		while (this.clock.nanos() < until && !succeeds(() -> this.callerServer.openConnections() == 0)) {
+			sleepUntil(Math.min(this.clock.nanos() + DELIVERY_CHECK_INTERVAL.toNanos(), until));
+		}
 	}
 
-	// Returns the number of connections that remain.
-	private int closeIdleConnections() throws InterruptedException {
-		return await(this.eventLoop.submit(() -> this.callerServer.closeIdle() + this.tunnelServer.closeIdle()));
+	private void sleepUntil(long time) throws InterruptedException {
+		TimeUnit.NANOSECONDS.sleep(time - this.clock.nanos());
 	}
 
-	// Returns the result, or 0 if the work failed: the shutdown goes on.
-	private static int await(Future<Integer> work) throws InterruptedException {
+	// Runs a step on the event loop. One that fails has not succeeded: the shutdown goes
+	// on, and the process does not end because of it.
+	private boolean succeeds(Callable<Boolean> step) throws InterruptedException {
 		try {
-			return work.get();
+			return this.eventLoop.submit(step).get();
 		}
 		catch (ExecutionException ex) {
 			log.error("shutdown step failed", ex);
-			return 0;
+			return false;
 		}
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -20,6 +20,7 @@
 import org.banyancove.core.error.ErrorKind;
 import org.banyancove.gateway.configuration.CallerLimits;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +51,8 @@
 
 	private final BodyMemory requestMemory = new BodyMemory();
 
+	private volatile @Nullable Channel listening;
+
 	private boolean stopping;
 
 	/**
@@ -75,7 +78,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public Channel listen(ServerSocketChannel socket) throws InterruptedException {
-		return new ServerBootstrap().group(this.eventLoops)
+		Channel started = new ServerBootstrap().group(this.eventLoops)
 			.channelFactory(() -> new NioServerSocketChannel(socket))
 			// Connections that wait in the backlog would not be seen to wait.
 			.option(ChannelOption.RECVBUF_ALLOCATOR,
@@ -97,6 +100,8 @@
 			.register()
 			.sync()
 			.channel();
+		this.listening = started;
+		return started;
 	}
 
 	/**
@@ -106,6 +111,22 @@
 		this.stopping = true;
 	}
 
+	/** Accepts no further connections. */
+	public void stopAccepting() {
+		Channel current = this.listening;
+		if (current != null) {
+			current.close();
+		}
+	}
+
+	/**
+	 * Returns the number of open connections.
+	 * @return the number
+	 */
+	public int openConnections() {
+		return this.connections.size();
+	}
+
 	/**
 	 * Closes the connections that have no request in progress.
 	 * @return the number of connections that remain open
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/RequestDispatcher.java
@@ -107,6 +107,9 @@
 	/** When the process ends, or {@code null} if it is not shutting down. */
 	private @Nullable Long processEndsAt;
 
+	/** Whether no request is accepted any more. */
+	private boolean ended;
+
 	/**
 	 * Creates the dispatcher.
 	 * @param eventLoop the event loop on which all requests are processed
@@ -228,8 +231,12 @@
 		this.processEndsAt = endsAt;
 	}
 
-	/** Answers all requests that are in progress, since the process ends. */
+	/**
+	 * Answers all requests that are in progress, since the process ends. From now on each
+	 * request is rejected.
+	 */
 	public void endRequests() {
+		this.ended = true;
 		startDeferred();
 		List.copyOf(this.searches).forEach(StreamResumption::processEnds);
 		List.copyOf(this.inProgress).forEach(Exchange::processEnds);
@@ -250,6 +257,11 @@
 	}
 
 	InFlightRequest begin(CallerConnection caller, CallerRequest request) {
+		if (this.ended) {
+			reject(caller, this.headerCodec.readCaller(request.head().headers()), ErrorKind.STOPPING,
+					RequestRouter.RETRY_AFTER);
+			return InFlightRequest.NO_OP;
+		}
 		if (this.configuration == null && this.deferred.size() < MAXIMUM_DEFERRED_REQUESTS) {
 			return defer(caller, request);
 		}
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -103,12 +103,12 @@
 
 	/**
 	 * Closes the tunnels that have had no request for a while.
-	 * @return the number of tunnels that remain open
+	 * @return the number of tunnels that remain open or are being opened
 	 */
 	public int closeIdle() {
 		Duration maximum = this.stopping ? MAXIMUM_IDLE_TIME_STOPPING : MAXIMUM_IDLE_TIME;
 		List.copyOf(this.tunnels).forEach((tunnel) -> tunnel.closeIfIdle(maximum, this.connector.now()));
-		return this.tunnels.size();
+		return this.tunnels.size() + this.connecting;
 	}
 
 	@Nullable TunnelRefusal refusal(InetSocketAddress from, @Nullable InetSocketAddress target) {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GatewayFleet.java
@@ -299,10 +299,15 @@
 
 		/** Shuts down gracefully, then ends the process. */
 		void stop() throws InterruptedException, IOException {
-			Objects.requireNonNull(this.gateway, "started").stop();
+			shutDown();
 			kill();
 		}
 
+		/** Shuts down gracefully, up to the moment at which the process would end. */
+		void shutDown() throws InterruptedException {
+			Objects.requireNonNull(this.gateway, "started").stop();
+		}
+
 		void freeze(Duration duration) {
 			this.eventLoops.next().execute(() -> {
 				try {
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GracefulShutdownTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GracefulShutdownTests.java
@@ -110,6 +110,17 @@
 		}
 	}
 
+	// Guards against requests that a gateway passes on after it last checked its
+	// connections, and drops when its process ends a moment later.
+	@Test
+	void requestAfterTheLastCheckIsNotPassedOn() throws Exception {
+		try (GatewayFleet fleet = newFleet(8000, 1000, 100)) {
+			fleet.nodes().getFirst().shutDown();
+			assertThat(send(fleet, "late", "").join().status()).isIn(0, 503);
+			assertThat(fleet.runs()).isEmpty();
+		}
+	}
+
 	// Guards against a process that is killed in the middle of its shutdown, since that
 	// takes longer than the time it has.
 	@Test
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
@@ -193,6 +193,20 @@
 		assertThat(this.endpoint.unreadRequests()).isZero();
 	}
 
+	// Guards against a request that is passed on after the others were answered for the
+	// end of the process, and dropped with it.
+	@Test
+	void requestAfterTheEndIsRejectedAsNotRun() throws Exception {
+		this.endpoint.thenRespond(COMPLETE);
+		try (TestCaller caller = newCaller()) {
+			beginShutdown(Duration.ofSeconds(8));
+			endProcess();
+			caller.send(request("1"));
+			assertThat(caller.read().status()).isEqualTo(503);
+		}
+		assertThat(this.endpoint.unreadRequests()).isZero();
+	}
+
 	// Guards against a response that is destroyed by the reset with which a closed socket
 	// answers the caller's next request.
 	@Test
