Don't close new connections as idle before their first request

What callers saw: during a shutdown, a connection that had been accepted and whose first request was on the way was closed as idle.

Change: a connection without a first request is idle only after a second. The shutdown waits for it as for any open connection, within the time that it has.

The new test failed before: the connection ended without a response.

--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -43,6 +43,11 @@
 
 	private static final int MAXIMUM_UNWRITTEN_BYTES = 16 << 10;
 
+	/**
+	 * Time for which a new connection is not idle: its first request may be on the way.
+	 */
+	private static final Duration FIRST_REQUEST_TIME = Duration.ofSeconds(1);
+
 	/** Time after which requests that take much memory may have ended. */
 	private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
@@ -74,6 +79,10 @@
 
 	private boolean discardingBody;
 
+	private boolean requestBegun;
+
+	private long openedAt;
+
 	private @Nullable ChannelFuture lastResponse;
 
 	/** The bytes of responses that were not sent when the idle timer was started. */
@@ -89,6 +98,7 @@
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		this.channel = context.channel();
+		this.openedAt = this.server.clock().nanos();
 		this.server.opened(this);
 		startIdleTimer();
 	}
@@ -115,6 +125,7 @@
 
 	private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
 		this.requestHead = request;
+		this.requestBegun = true;
 		this.requestBody = Unpooled.EMPTY_BUFFER;
 		if (HttpUtil.is100ContinueExpected(request)) {
 			context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
@@ -324,12 +335,16 @@
 	void closeIfIdle() {
 		boolean written = this.lastResponse == null || this.lastResponse.isDone();
 		if (this.inFlight == null && this.requestHead == null && this.pipelinedRequests.isEmpty() && written
-				&& !this.closing && this.channel != null) {
+				&& !this.closing && this.channel != null && !awaitsFirstRequest()) {
 			this.closing = true;
 			LingeringClose.close(this.channel);
 		}
 	}
 
+	private boolean awaitsFirstRequest() {
+		return !this.requestBegun && this.server.clock().nanos() - this.openedAt < FIRST_REQUEST_TIME.toNanos();
+	}
+
 	/**
 	 * Rejects a request that is still being read.
 	 */
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
@@ -243,6 +243,24 @@
 		}
 	}
 
+	// Guards against a connection that is closed as idle while its first request is on
+	// the
+	// way, which is then discarded.
+	@Test
+	void newConnectionIsNotClosedAsIdleBeforeItsFirstRequest() throws Exception {
+		this.endpoint.thenRespond(COMPLETE);
+		try (TestCaller caller = newCaller(); TestCaller silent = newCaller()) {
+			TimeUnit.MILLISECONDS.sleep(200);
+			beginShutdown(Duration.ofSeconds(8));
+			this.eventLoop.submit(this.server::closeIdle).sync();
+			caller.send(request("1"));
+			assertThat(caller.read().status()).isEqualTo(200);
+			TimeUnit.MILLISECONDS.sleep(1000);
+			this.eventLoop.submit(this.server::closeIdle).sync();
+			assertThat(silent.readToEnd()).isEmpty();
+		}
+	}
+
 	private static String request(String id) {
 		return request("POST /once/x", "id: " + id, "content-length: 0");
 	}
