Move the reading of responses into a module of its own

The entry's client can't tell a reset behind the end of a connection; the gateway's can. The classes that decide whether bytes are a sound response and whether a connection ended in order move to banyancove-http, so that both can use them. No behaviour changes: package names, visibility, and the monotonic clock as a LongSupplier. A rule of the modules says that banyancove-http uses the core only.

--- a/banyancove-distribution/src/test/java/org/banyancove/distribution/ModuleRulesTests.java
+++ b/banyancove-distribution/src/test/java/org/banyancove/distribution/ModuleRulesTests.java
@@ -1,5 +1,6 @@
 package org.banyancove.distribution;
 
+import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -41,7 +42,18 @@
 			.resideInAnyPackage("org.banyancove.wire..", "org.banyancove.program..", "org.banyancove.platform..",
 					"org.banyancove.transport..", "org.banyancove.entry..", "org.banyancove.operate..",
 					"org.banyancove.planner..", "org.banyancove.burn..", "org.banyancove.standins..",
-					"org.banyancove.experiment..")
+					"org.banyancove.experiment..", "org.banyancove.http..", "org.banyancove.gateway..")
+			.check(CLASSES);
+	}
+
+	@Test
+	void httpDependsOnNoOtherModuleThanCore() {
+		ArchRuleDefinition.noClasses()
+			.that()
+			.resideInAPackage("org.banyancove.http..")
+			.should()
+			.dependOnClassesThat(JavaClass.Predicates.resideInAPackage("org.banyancove..")
+				.and(JavaClass.Predicates.resideOutsideOfPackages("org.banyancove.http..", "org.banyancove.core..")))
 			.check(CLASSES);
 	}
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ClientConnection.java
@@ -17,7 +17,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import org.banyancove.gateway.tunnel.OrderlyEndHandler;
+import org.banyancove.http.EndConfirmation;
+import org.banyancove.http.FramingViolation;
+import org.banyancove.http.OrderlyEndHandler;
+import org.banyancove.http.StrictResponseDecoder;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -100,7 +103,7 @@
 		this.connectedAt = connectedAt;
 		this.expiresAt = expiresAt;
 		this.endsAt = endsAt;
-		this.decoder = new StrictResponseDecoder(this::framingViolated, pool.clock());
+		this.decoder = new StrictResponseDecoder(this::framingViolated, pool.clock()::nanos);
 	}
 
 	InetSocketAddress address() {
@@ -258,7 +261,7 @@
 		}
 		else if (this.endsWithConnection && write != null && OrderlyEndHandler.hasEnded(this.channel)
 				&& EndConfirmation.isNeeded(current.requestBytes(), write)) {
-			EndConfirmation.start(this.channel, write, this.requestWrittenAt, this.pool.clock(),
+			EndConfirmation.start(this.channel, write, this.requestWrittenAt, this.pool.clock()::nanos,
 					(complete) -> endConfirmed(current, complete));
 		}
 		else {
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ConnectionPool.java
@@ -23,6 +23,7 @@
 import org.banyancove.gateway.tunnel.ConnectedChannel;
 import org.banyancove.gateway.tunnel.EndpointConnector;
 import org.banyancove.gateway.tunnel.TunnelServer;
+import org.banyancove.http.FramingViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingListener.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingListener.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 
+import org.banyancove.http.FramingViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointConnector.java
@@ -27,6 +27,7 @@
 import io.netty.util.concurrent.Promise;
 import jdk.net.ExtendedSocketOptions;
 import org.banyancove.gateway.shared.MonotonicClock;
+import org.banyancove.http.OrderlyEndHandler;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointEndHandler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/EndpointEndHandler.java
@@ -11,6 +11,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
+import org.banyancove.http.OrderlyEndHandler;
+import org.banyancove.http.ResetProbe;
 
 /**
  * Passes on the orderly end of an endpoint's side, and a reset that follows it.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import org.banyancove.http.OrderlyEndHandler;
 
 /**
  * Copies the bytes of one side of a tunnel to the other one. An orderly end is passed on
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/TunnelServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import org.banyancove.http.OrderlyEndHandler;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/BrokenHeadTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/BrokenHeadTests.java
@@ -8,6 +8,7 @@
 import java.util.List;
 
 import org.banyancove.core.EndpointId;
+import org.banyancove.http.FramingViolation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/NoOpRequestLog.java
@@ -10,6 +10,7 @@
 import org.banyancove.core.EndpointId;
 import org.banyancove.gateway.resumption.KnownOrigin;
 import org.banyancove.gateway.tunnel.TunnelRefusal;
+import org.banyancove.http.FramingViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestGateway.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/TestGateway.java
@@ -35,6 +35,7 @@
 import org.banyancove.gateway.retry.RetryLimits;
 import org.banyancove.gateway.rollout.RolloutTable;
 import org.banyancove.gateway.rollout.ServingEndpoints;
+import org.banyancove.http.FramingViolation;
 
 /**
  * A gateway on the loopback address, with one endpoint that responds as a test says, and
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/OrderlyEndHandlerTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/tunnel/OrderlyEndHandlerTests.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import org.banyancove.http.OrderlyEndHandler;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/EndConfirmation.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/EndConfirmation.java
@@ -1,13 +1,11 @@
-package org.banyancove.gateway.exchange;
+package org.banyancove.http;
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import org.banyancove.gateway.shared.MonotonicClock;
-import org.banyancove.gateway.tunnel.OrderlyEndHandler;
-import org.banyancove.gateway.tunnel.ResetProbe;
 
 /**
  * Confirms the end of a connection as that of a response without length, after a request
@@ -19,7 +17,7 @@
  * if no reset follows the end, until the request is sent and for a while after that. A
  * server that ended its side after a whole response may read the request to its end.
  */
-final class EndConfirmation {
+public final class EndConfirmation {
 
 	/** A request up to this length is received together with its head. */
 	private static final int SHORT_REQUEST_BYTES = 16 << 10;
@@ -39,7 +37,7 @@
 
 	private final ChannelFuture requestWrite;
 
-	private final MonotonicClock clock;
+	private final LongSupplier clock;
 
 	private final Outcome outcome;
 
@@ -49,13 +47,13 @@
 
 	private long quietSince;
 
-	private EndConfirmation(Channel channel, ChannelFuture requestWrite, long requestWrittenAt, MonotonicClock clock,
+	private EndConfirmation(Channel channel, ChannelFuture requestWrite, long requestWrittenAt, LongSupplier clock,
 			Outcome outcome) {
 		this.channel = channel;
 		this.requestWrite = requestWrite;
 		this.clock = clock;
 		this.outcome = outcome;
-		this.startedAt = clock.nanos();
+		this.startedAt = clock.getAsLong();
 		this.quietSince = this.startedAt;
 		boolean read = requestWrite.isDone() && this.startedAt - requestWrittenAt >= MAXIMUM_READ_TIME.toNanos();
 		this.quietTime = read ? Duration.ZERO : QUIET_TIME;
@@ -67,7 +65,7 @@
 	 * @param requestWrite the write of the request
 	 * @return {@code false} if the request is short enough to have been received at once
 	 */
-	static boolean isNeeded(int requestBytes, ChannelFuture requestWrite) {
+	public static boolean isNeeded(int requestBytes, ChannelFuture requestWrite) {
 		return requestBytes > SHORT_REQUEST_BYTES || !requestWrite.isDone();
 	}
 
@@ -76,10 +74,10 @@
 	 * @param channel the channel whose peer has ended its side in order
 	 * @param requestWrite the write of the request
 	 * @param requestWrittenAt when that ended, if it has, as monotonic time in ns
-	 * @param clock the monotonic clock
+	 * @param clock the monotonic clock, in ns
 	 * @param outcome receives the outcome
 	 */
-	static void start(Channel channel, ChannelFuture requestWrite, long requestWrittenAt, MonotonicClock clock,
+	public static void start(Channel channel, ChannelFuture requestWrite, long requestWrittenAt, LongSupplier clock,
 			Outcome outcome) {
 		OrderlyEndHandler.keepOpen(channel);
 		new EndConfirmation(channel, requestWrite, requestWrittenAt, clock, outcome).scheduleProbe();
@@ -90,7 +88,7 @@
 	}
 
 	private void probe() {
-		long now = this.clock.nanos();
+		long now = this.clock.getAsLong();
 		if (!this.requestWrite.isDone()) {
 			this.quietSince = now;
 		}
@@ -108,7 +106,7 @@
 	/**
 	 * Receives the outcome, on the event loop thread.
 	 */
-	interface Outcome {
+	public interface Outcome {
 
 		/**
 		 * Called once.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/FramingViolation.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/FramingViolation.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.exchange;
+package org.banyancove.http;
 
 /**
  * The signs that the bytes on a connection are not, or not only, the expected response.
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/HeaderLineScanner.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/HeaderLineScanner.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.exchange;
+package org.banyancove.http;
 
 import io.netty.buffer.ByteBuf;
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/OrderlyEndHandler.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/OrderlyEndHandler.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.tunnel;
+package org.banyancove.http;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/tunnel/ResetProbe.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/ResetProbe.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.tunnel;
+package org.banyancove.http;
 
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/ResponseHeadRule.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/ResponseHeadRule.java
@@ -1,4 +1,4 @@
-package org.banyancove.gateway.exchange;
+package org.banyancove.http;
 
 import java.util.Arrays;
 import java.util.List;
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/StrictResponseDecoder.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/StrictResponseDecoder.java
@@ -1,8 +1,9 @@
-package org.banyancove.gateway.exchange;
+package org.banyancove.http;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import org.banyancove.gateway.shared.MonotonicClock;
 
 /**
  * Decodes the responses of a connection with one request at a time, up to the first bytes
@@ -33,7 +33,7 @@
  * connection. A body may quote a status line, but a quotation hardly ever begins what is
  * received after a pause, as a late response does.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder {
+public final class StrictResponseDecoder extends HttpResponseDecoder {
 
 	private static final HttpDecoderConfig CONFIGURATION = new HttpDecoderConfig().setMaxInitialLineLength(8 * 1024)
 		.setMaxHeaderSize(64 * 1024)
@@ -47,7 +47,7 @@
 
 	private final Consumer<FramingViolation> onViolation;
 
-	private final MonotonicClock clock;
+	private final LongSupplier clock;
 
 	/** Scans each response from its first byte to its last. */
 	private final StatusLineScanner scanner = new StatusLineScanner();
@@ -74,9 +74,9 @@
 	/**
 	 * Creates the decoder.
 	 * @param onViolation receives the first violation
-	 * @param clock the monotonic clock
+	 * @param clock the monotonic clock, in ns
 	 */
-	StrictResponseDecoder(Consumer<FramingViolation> onViolation, MonotonicClock clock) {
+	public StrictResponseDecoder(Consumer<FramingViolation> onViolation, LongSupplier clock) {
 		super(CONFIGURATION);
 		this.onViolation = onViolation;
 		this.clock = clock;
@@ -86,7 +86,7 @@
 	 * Expects the response to a request.
 	 * @param method the method of the request
 	 */
-	void expectResponse(HttpMethod method) {
+	public void expectResponse(HttpMethod method) {
 		this.expectingResponse = true;
 		this.expectingNoBody = method.equals(HttpMethod.HEAD);
 	}
@@ -97,7 +97,7 @@
 	 * another response, which is reported.
 	 * @return whether no bytes follow the response
 	 */
-	boolean endResponse() {
+	public boolean endResponse() {
 		this.expectingResponse = false;
 		if (actualReadableBytes() == 0) {
 			return true;
@@ -111,7 +111,7 @@
 	 * response that belongs to no request may also end early: the expected one would be
 	 * read as the rest of its body.
 	 */
-	void discardResponse() {
+	public void discardResponse() {
 		if (this.section != Section.HEAD) {
 			this.section = Section.UNRELIABLE_BODY;
 		}
@@ -132,7 +132,7 @@
 	}
 
 	private void recordPause() {
-		long now = this.clock.nanos();
+		long now = this.clock.getAsLong();
 		if (this.section != Section.HEAD && now - this.receivedAt >= PAUSE.toNanos()
 				&& !(this.bodyPaused && this.resumedBody.isBeginning(1))) {
 			this.bodyPaused = true;
