Tell a cut answer to a long upload from a whole one at entries

What callers saw: at an entry, a part of a 200 without length counted as a whole answer, if the endpoint ended its side of the connection and reset it during a long upload. UploadAnswerTests on: four of its five cases fail, with 58 of 108 parts taken for whole answers.

Cause: after the end of a connection only a pending error of the socket tells of a reset behind it, and the JDK's client shows neither the socket nor that error.

Change: plain calls of entries use a client on Netty, with the gateway's decoder and its confirmation of such an end. Whole early answers are still answers. Streams keep the JDK's client: a stream states its own end.

Two faults of the JDK's client go with it. A final answer behind an interim one after the go-ahead was lost for calls that may run once: interimResponseIsNoAnswer expected that, and now expects the answer itself with and without a go-ahead, which is stricter. A call whose answer broke off before the go-ahead counted as never sent, although its endpoint may have run it: its outcome is open now (the new test failed before).

UploadAnswerTests (10), BrokenResponseTests (28), EndlessResponseTests (41), ExtraResponseTests (8), AtMostOnceTests (12) and CrashingRequestTests (2) pass.

--- a/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
+++ b/banyancove-entry/src/main/java/org/banyancove/entry/endpoint/EndpointClient.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -25,6 +26,10 @@
 import org.banyancove.core.entry.EntryCommand;
 import org.banyancove.core.entry.EntryEvent;
 import org.banyancove.entry.EventSink;
+import org.banyancove.http.NoGoAheadException;
+import org.banyancove.http.WholeRequest;
+import org.banyancove.http.WholeResponse;
+import org.banyancove.http.WholeResponseClient;
 import org.banyancove.platform.DedicatedConnectionClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -64,6 +69,8 @@
 
 	private final DedicatedConnectionClient client;
 
+	private final WholeResponseClient plainCalls;
+
 	private final Duration answerTimeout;
 
 	private final EventSink events;
@@ -76,6 +83,7 @@
 	 */
 	public EndpointClient(Duration connectTimeout, Duration answerTimeout, EventSink events) {
 		this.client = new DedicatedConnectionClient(connectTimeout, this.executor);
+		this.plainCalls = new WholeResponseClient(connectTimeout, MAXIMUM_RESPONSE_BYTES, System::nanoTime);
 		this.answerTimeout = answerTimeout;
 		this.events = events;
 	}
@@ -139,6 +147,7 @@
 	@Override
 	public void close() {
 		this.executor.shutdownNow();
+		this.plainCalls.close();
 	}
 
 	private void run(AttemptKey key, Attempt attempt) {
@@ -176,30 +185,20 @@
 
 	private AttemptResult plainCall(Attempt attempt, AttemptRequest.PlainCall call)
 			throws IOException, InterruptedException {
-		ObservedBody body = new ObservedBody(call.body().toByteArray());
-		HttpRequest.Builder request = request(attempt.address(), call.path()).timeout(this.answerTimeout)
-			.header("Content-Type", call.contentType())
-			.header("X-Request-Id", attempt.request().value())
-			.method(call.method(), body);
+		Map<String, String> headers = new HashMap<>();
+		headers.put("Content-Type", call.contentType());
+		headers.put("X-Request-Id", attempt.request().value());
 		if (call.idempotencyKey() != null) {
-			request.header("Idempotency-Key", call.idempotencyKey());
+			headers.put("Idempotency-Key", call.idempotencyKey());
 		}
-		boolean expectsContinue = call.atMostOnce() && call.body().length() > 0;
-		request.expectContinue(expectsContinue);
 		try {
-			HttpResponse<byte[]> response = this.client.send(request.build(),
-					limited(HttpResponse.BodyHandlers.ofByteArray(), MAXIMUM_RESPONSE_BYTES));
-			String contentType = response.headers().firstValue("Content-Type").orElse("application/octet-stream");
-			return new AttemptResult.Answered(response.statusCode(), contentType, Body.copyOf(response.body()));
+			WholeResponse response = this.plainCalls.send(new WholeRequest(uri(attempt.address(), call.path()),
+					call.method(), headers, call.body(), call.atMostOnce(), this.answerTimeout));
+			String contentType = response.headers().get("Content-Type", "application/octet-stream");
+			return new AttemptResult.Answered(response.status(), contentType, response.body());
 		}
-		catch (ConnectException ex) {
-			throw ex;
-		}
-		catch (IOException ex) {
-			if (expectsContinue && !body.requested()) {
-				return new AttemptResult.NeverSent("no go-ahead from " + attempt.address());
-			}
-			throw ex;
+		catch (NoGoAheadException ex) {
+			return new AttemptResult.NeverSent("no go-ahead from " + attempt.address());
 		}
 	}
 
@@ -282,7 +281,11 @@
 	}
 
 	private static HttpRequest.Builder request(String address, String path) {
-		return HttpRequest.newBuilder(URI.create("http://" + address + path));
+		return HttpRequest.newBuilder(uri(address, path));
+	}
+
+	private static URI uri(String address, String path) {
+		return URI.create("http://" + address + path);
 	}
 
 	/**
