Count an answer that begins in any way before the go-ahead as one

A call that may run once counted as never sent if its endpoint answered before the go-ahead with a head that no response has: the endpoint has the request's head, and a service may run a call without its body. It counts as never sent only if the connection ends without a byte of an answer that isn't interim.

--- a/banyancove-http/src/main/java/org/banyancove/http/WholeResponseHandler.java
+++ b/banyancove-http/src/main/java/org/banyancove/http/WholeResponseHandler.java
@@ -66,6 +66,8 @@
 
 	private boolean bodySent;
 
+	private boolean answerBegun;
+
 	private @Nullable HttpResponse head;
 
 	private int interimResponses;
@@ -166,6 +168,7 @@
 			finish(current);
 		}
 		else {
+			this.answerBegun = true;
 			fail(new IOException("unreadable response: " + cause.getMessage(), cause));
 		}
 	}
@@ -180,6 +183,7 @@
 		}
 		else {
 			this.head = received;
+			this.answerBegun = true;
 			stopTimer();
 		}
 	}
@@ -205,17 +209,17 @@
 		}
 	}
 
-	private void readEnd(Channel open, HttpResponse current) {
+	private void readEnd(Channel connection, HttpResponse current) {
 		boolean endsWithConnection = !HttpUtil.isContentLengthSet(current)
 				&& !HttpUtil.isTransferEncodingChunked(current)
 				&& current.status().codeClass() == HttpStatusClass.SUCCESS;
 		ChannelFuture write = this.requestWrite;
-		if (OrderlyEndHandler.isBroken(open)) {
+		if (OrderlyEndHandler.isBroken(connection)) {
 			fail(new IOException("connection was reset within the response"));
 		}
-		else if (endsWithConnection && write != null && OrderlyEndHandler.hasEnded(open)
+		else if (endsWithConnection && write != null && OrderlyEndHandler.hasEnded(connection)
 				&& EndConfirmation.isNeeded(this.bodySent ? this.request.body().length() : 0, write)) {
-			EndConfirmation.start(open, write, this.requestWrittenAt, this.clock, (complete) -> {
+			EndConfirmation.start(connection, write, this.requestWrittenAt, this.clock, (complete) -> {
 				if (complete) {
 					finish(current);
 				}
@@ -238,14 +242,17 @@
 
 	private void framingViolated(FramingViolation violation) {
 		if (violation != FramingViolation.BYTES_AFTER_RESPONSE) {
+			this.answerBegun = true;
 			fail(new IOException("no sound response: " + violation.name().toLowerCase(Locale.ROOT)));
 		}
 	}
 
+	// A server that begins to answer, in whatever way, may have run a request without its
+	// body.
 	private void fail(IOException failure) {
 		stopTimer();
-		boolean nothingRun = this.request.awaitsGoAhead() && !this.bodySent && this.head == null;
-		this.response.completeExceptionally(nothingRun ? new NoGoAheadException(failure) : failure);
+		boolean neverRun = this.request.awaitsGoAhead() && !this.bodySent && !this.answerBegun;
+		this.response.completeExceptionally(neverRun ? new NoGoAheadException(failure) : failure);
 		close();
 	}
 
