--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/daemon/GracefulShutdown.java
@@ -67,7 +67,7 @@
 
 	/**
 	 * Runs the shutdown. Returns when no connection remains or the time is up; from then
-	 * on no connection is accepted and no request is passed on.
+	 * on no connection is accepted and no request is forwarded.
 	 * @param shutdownTimeout the time from the termination signal to the forced
 	 * termination
 	 * @throws InterruptedException if the thread is interrupted
@@ -101,9 +101,8 @@
 		this.tunnelServer.stop();
 	}
 
-	// One task checks and ends: a connection that is accepted between two tasks would
-	// have
-	// its request passed on and dropped with the process.
+	// Checks and ends in one task: a request that arrives between two tasks would be
+	// forwarded and lost with the process.
 	private boolean endIfIdle() {
 		boolean idle = this.callerServer.closeIdle() + this.tunnelServer.closeIdle() == 0;
 		return idle && end();
@@ -132,8 +131,8 @@
 		TimeUnit.NANOSECONDS.sleep(time - this.clock.nanos());
 	}
 
-	// Runs a step on the event loop. One that fails has not succeeded: the shutdown goes
-	// on, and the process does not end because of it.
+	// Runs a step on the event loop. A failed step is repeated, so that it does not end
+	// the process while requests are in progress.
 	private boolean succeeds(Callable<Boolean> step) throws InterruptedException {
 		try {
 			return this.eventLoop.submit(step).get();
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerConnection.java
@@ -44,7 +44,7 @@
 	private static final int MAXIMUM_UNWRITTEN_BYTES = 16 << 10;
 
 	/**
-	 * Time for which a new connection is not idle: its first request may be on the way.
+	 * Time for which a new connection is not idle: its first request may be in transit.
 	 */
 	private static final Duration FIRST_REQUEST_TIME = Duration.ofSeconds(1);
 
--- a/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
+++ b/banyancove-gateway/src/main/java/org/banyancove/gateway/exchange/CallerServer.java
@@ -51,7 +51,7 @@
 
 	private final BodyMemory requestMemory = new BodyMemory();
 
-	private volatile @Nullable Channel listening;
+	private volatile @Nullable Channel serverChannel;
 
 	private boolean stopping;
 
@@ -78,7 +78,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public Channel listen(ServerSocketChannel socket) throws InterruptedException {
-		Channel started = new ServerBootstrap().group(this.eventLoops)
+		Channel listening = new ServerBootstrap().group(this.eventLoops)
 			.channelFactory(() -> new NioServerSocketChannel(socket))
 			// Connections that wait in the backlog would not be seen to wait.
 			.option(ChannelOption.RECVBUF_ALLOCATOR,
@@ -100,8 +100,8 @@
 			.register()
 			.sync()
 			.channel();
-		this.listening = started;
-		return started;
+		this.serverChannel = listening;
+		return listening;
 	}
 
 	/**
@@ -113,9 +113,9 @@
 
 	/** Accepts no further connections. */
 	public void stopAccepting() {
-		Channel current = this.listening;
-		if (current != null) {
-			current.close();
+		Channel listening = this.serverChannel;
+		if (listening != null) {
+			listening.close();
 		}
 	}
 
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GracefulShutdownTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/daemon/GracefulShutdownTests.java
@@ -110,10 +110,10 @@
 		}
 	}
 
-	// Guards against requests that a gateway passes on after it last checked its
-	// connections, and drops when its process ends a moment later.
+	// Guards against requests that a gateway forwards after it last checked its
+	// connections, and loses when its process ends a moment later.
 	@Test
-	void requestAfterTheLastCheckIsNotPassedOn() throws Exception {
+	void requestAfterTheLastCheckIsNotForwarded() throws Exception {
 		try (GatewayFleet fleet = newFleet(8000, 1000, 100)) {
 			fleet.nodes().getFirst().shutDown();
 			assertThat(send(fleet, "late", "").join().status()).isIn(0, 503);
--- a/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
+++ b/banyancove-gateway/src/test/java/org/banyancove/gateway/exchange/ProcessEndTests.java
@@ -193,8 +193,8 @@
 		assertThat(this.endpoint.unreadRequests()).isZero();
 	}
 
-	// Guards against a request that is passed on after the others were answered for the
-	// end of the process, and dropped with it.
+	// Guards against a request that is forwarded after the others were answered for the
+	// end of the process, and lost with it.
 	@Test
 	void requestAfterTheEndIsRejectedAsNotRun() throws Exception {
 		this.endpoint.thenRespond(COMPLETE);
@@ -243,9 +243,8 @@
 		}
 	}
 
-	// Guards against a connection that is closed as idle while its first request is on
-	// the
-	// way, which is then discarded.
+	// Guards against a connection that is closed as idle while its first request is in
+	// transit, which is then discarded.
 	@Test
 	void newConnectionIsNotClosedAsIdleBeforeItsFirstRequest() throws Exception {
 		this.endpoint.thenRespond(COMPLETE);
